Serve a request end to end on loopback

Cause: nothing ran yet. Change: a caller's request with a workspace key goes through one daemon to a streamed stand-in engine or a stand-in ledger; usage is summed by window, frozen by a create-only write and reported; configuration is read from the store stand-in by a watch. Ruled out for the codec: fxamacher/cbor, which the module proxy refuses; the nearest kin with CBOR is ugorji/go/codec. Conclusion: the path stands; the decisions on it are baselines so far.

--- /dev/null
+++ b/pkg/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission decides whether and when a request may go on to a target.
+package admission
--- /dev/null
+++ b/pkg/config/knobs_retry.go
@@ -0,0 +1,14 @@
+package config
+
+// RetryKnobs bound the attempts of one request.
+type RetryKnobs struct {
+	// MaxAttempts bounds the sends of one idempotent request.
+	MaxAttempts int64 `json:"maxAttempts" default:"3" unit:"attempts" min:"1" max:"10"`
+	// Timeout is a request's deadline where the caller gives none.
+	Timeout Duration `json:"timeout" default:"5m" unit:"duration" min:"100ms" max:"24h"`
+	// SilenceTimeout is how long a stream may bring nothing before it is
+	// resumed on a new connection.
+	SilenceTimeout Duration `json:"silenceTimeout" default:"5s" unit:"duration" min:"100ms" max:"10m"`
+	// BudgetRatio bounds retries as a share of a route's requests.
+	BudgetRatio float64 `json:"budgetRatio" default:"0.1" unit:"ratio" min:"0" max:"1"`
+}
--- /dev/null
+++ b/pkg/config/model.go
@@ -0,0 +1,10 @@
+package config
+
+import "amaranthplank.example/amaranthplank/pkg/ident"
+
+// Model is one model that engines serve.
+type Model struct {
+	Name ident.Model `json:"name"`
+	// Version is the weights' version that engines are to load.
+	Version string `json:"version"`
+}
--- /dev/null
+++ b/pkg/config/snapshot.go
@@ -0,0 +1,73 @@
+package config
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// Snapshot is one accepted configuration in the form that the request path
+// reads. It is never changed.
+type Snapshot struct {
+	Revision ident.Revision
+	Document *Document
+	keys     map[KeyDigest]keyOwner
+}
+
+// keyOwner is the workspace and key that a digest belongs to.
+type keyOwner struct {
+	workspace *Workspace
+	key       *Key
+}
+
+// NewSnapshot indexes a document that was checked.
+func NewSnapshot(revision ident.Revision, document *Document) *Snapshot {
+	s := &Snapshot{Revision: revision, Document: document, keys: make(map[KeyDigest]keyOwner)}
+	for i := range document.Workspaces {
+		workspace := &document.Workspaces[i]
+		for j := range workspace.Keys {
+			s.keys[workspace.Keys[j].Digest] = keyOwner{workspace: workspace, key: &workspace.Keys[j]}
+		}
+	}
+	return s
+}
+
+// WorkspaceOf returns the workspace that a key belongs to at the given time,
+// or false where the key is not valid.
+func (s *Snapshot) WorkspaceOf(digest KeyDigest, now time.Time) (*Workspace, bool) {
+	owner, ok := s.keys[digest]
+	if !ok {
+		return nil, false
+	}
+	if !owner.key.Expires.IsZero() && !now.Before(owner.key.Expires) {
+		return nil, false
+	}
+	return owner.workspace, true
+}
+
+// Route returns the first route that matches, or nil.
+func (s *Snapshot) Route(method, path string, model ident.Model) *Route {
+	for i := range s.Document.Routes {
+		route := &s.Document.Routes[i]
+		if route.matches(method, path, model) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Knobs returns the values in force for what the selector names.
+func (s *Snapshot) Knobs(_ Selector) *Knobs { return &s.Document.Defaults }
+
+// matches reports whether a request falls under the route.
+func (r *Route) matches(method, path string, model ident.Model) bool {
+	if !strings.HasPrefix(path, r.Path) {
+		return false
+	}
+	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
+		return false
+	}
+	return r.Model == "" || r.Model == model
+}
--- /dev/null
+++ b/pkg/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon joins the parts of one amaranthplank process and runs them.
+package daemon
--- /dev/null
+++ b/pkg/daemon/options.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"log/slog"
+	"net"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// Options are what a daemon runs with.
+type Options struct {
+	Host          ident.Host
+	FailureDomain ident.FailureDomain
+	Region        ident.Region
+	Log           *slog.Logger
+	// Listener takes callers' connections.
+	Listener net.Listener
+	// AdminListener takes operators' connections.
+	AdminListener net.Listener
+	Store         platform.Store
+	Targets       platform.TargetOrderer
+	Usage         platform.UsageSink
+	// UsageWindow is the length of a usage window, UsageGrace how long after
+	// its end it is closed.
+	UsageWindow time.Duration
+	UsageGrace  time.Duration
+}
--- /dev/null
+++ b/pkg/devmode/configuration.go
@@ -0,0 +1,37 @@
+package devmode
+
+import (
+	"crypto/rand"
+	"fmt"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+const (
+	// devModel is the model that the stand-in engines serve.
+	devModel ident.Model = "counting"
+	// devService is the plain service that stands in.
+	devService ident.Service = "ledger"
+)
+
+// newKey returns a fresh caller's key.
+func newKey() string { return "dev-" + rand.Text() }
+
+// documentText returns the first configuration.
+func documentText(digest config.KeyDigest) []byte {
+	return fmt.Appendf(nil, `{
+	// Fleet-wide defaults; knobs that are left out keep their built-in value.
+	"defaults": {"usage": {"window": "10s", "grace": "2s"}},
+	"workspaces": [{"name": "dev", "weight": 1, "keys": [{"name": "first", "digest": %q}]}],
+	"models": [{"name": %q, "version": "1"}],
+	"services": [{"name": %q}],
+	"routes": [
+		{"name": "chat", "path": "/v1/chat/completions", "class": "interactive", "idempotent": true},
+		{"name": "completions", "path": "/v1/completions", "class": "interactive", "idempotent": true},
+		{"name": "ledger-read", "path": "/services/ledger/balances", "methods": ["GET"], "class": "lookup", "idempotent": true},
+		{"name": "ledger-write", "path": "/services/ledger/adjustments", "methods": ["POST"], "class": "interactive", "idempotent": false},
+	],
+	"exceptions": [],
+}`, digest, devModel, devService)
+}
--- /dev/null
+++ b/pkg/fault/error.go
@@ -0,0 +1,61 @@
+package fault
+
+import (
+	"github.com/go-faster/errors"
+)
+
+// Error is an error with a kind and a remedy.
+type Error struct {
+	// Kind is what code branches on.
+	Kind Kind
+	// Reason says what went wrong, without secrets.
+	Reason string
+	// Remedy says what the reader can do about it.
+	Remedy string
+	// Cause is the error beneath, or nil.
+	Cause error
+}
+
+// New returns an error of the given kind.
+func New(kind Kind, reason, remedy string) *Error {
+	return &Error{Kind: kind, Reason: reason, Remedy: remedy}
+}
+
+// Wrap returns an error of the given kind with cause beneath it.
+func Wrap(cause error, kind Kind, reason, remedy string) *Error {
+	return &Error{Kind: kind, Reason: reason, Remedy: remedy, Cause: cause}
+}
+
+// Error returns the reason, the cause and the remedy in one line.
+func (e *Error) Error() string {
+	text := string(e.Kind) + ": " + e.Reason
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	if e.Remedy != "" {
+		text += "; " + e.Remedy
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Is reports whether target is an Error of the same kind, so that exported
+// sentinel values match by kind.
+func (e *Error) Is(target error) bool {
+	var other *Error
+	if !errors.As(target, &other) {
+		return false
+	}
+	return other.Kind == e.Kind && (other.Reason == "" || other.Reason == e.Reason)
+}
+
+// KindOf returns the kind of err, or Internal where it bears none.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return Internal
+}
--- /dev/null
+++ b/pkg/fleet/snapshot.go
@@ -0,0 +1,47 @@
+package fleet
+
+import "amaranthplank.example/amaranthplank/pkg/ident"
+
+// Snapshot is the view of all targets at one moment. It is never changed.
+type Snapshot struct {
+	// Targets are ordered by name.
+	Targets []TargetState
+	byModel map[ident.Model][]int
+	byName  map[ident.Target]int
+	bySvc   map[ident.Service][]int
+}
+
+// NewSnapshot returns a snapshot of the targets, which must be ordered by name.
+func NewSnapshot(targets []TargetState) *Snapshot {
+	s := &Snapshot{
+		Targets: targets,
+		byModel: make(map[ident.Model][]int),
+		byName:  make(map[ident.Target]int, len(targets)),
+		bySvc:   make(map[ident.Service][]int),
+	}
+	for i := range targets {
+		record := &targets[i].Record
+		s.byName[record.Target] = i
+		if record.Service != "" {
+			s.bySvc[record.Service] = append(s.bySvc[record.Service], i)
+			continue
+		}
+		s.byModel[record.Model] = append(s.byModel[record.Model], i)
+	}
+	return s
+}
+
+// Target returns one target's state, or nil.
+func (s *Snapshot) Target(name ident.Target) *TargetState {
+	i, ok := s.byName[name]
+	if !ok {
+		return nil
+	}
+	return &s.Targets[i]
+}
+
+// Model returns the indexes in Targets of a model's engines.
+func (s *Snapshot) Model(model ident.Model) []int { return s.byModel[model] }
+
+// Service returns the indexes in Targets of a service's replicas.
+func (s *Snapshot) Service(service ident.Service) []int { return s.bySvc[service] }
--- /dev/null
+++ b/pkg/fleet/view.go
@@ -0,0 +1,7 @@
+package fleet
+
+// View gives the newest snapshot of the targets.
+type View interface {
+	// Snapshot returns the newest snapshot; it is never nil.
+	Snapshot() *Snapshot
+}
--- /dev/null
+++ b/pkg/ident/attempt.go
@@ -0,0 +1,4 @@
+package ident
+
+// Attempt identifies one send of a request to one target. Every answer must bear it.
+type Attempt string
--- /dev/null
+++ b/pkg/ident/model.go
@@ -0,0 +1,4 @@
+package ident
+
+// Model names a model that engines serve.
+type Model string
--- /dev/null
+++ b/pkg/ident/revision.go
@@ -0,0 +1,4 @@
+package ident
+
+// Revision numbers the accepted configurations; it only rises.
+type Revision uint64
--- /dev/null
+++ b/pkg/ident/route.go
@@ -0,0 +1,4 @@
+package ident
+
+// Route names a route of the configuration.
+type Route string
--- /dev/null
+++ b/pkg/ident/service.go
@@ -0,0 +1,4 @@
+package ident
+
+// Service names a plain service that targets serve.
+type Service string
--- /dev/null
+++ b/pkg/platform/entry.go
@@ -0,0 +1,12 @@
+package platform
+
+// Entry is a key with its value at one version.
+type Entry struct {
+	Key     Key
+	Value   []byte
+	Version Version
+	// Lease is the lease that the key is bound to, or NoLease.
+	Lease LeaseID
+	// Deleted is set on a watch's entry whose key is gone.
+	Deleted bool
+}
--- /dev/null
+++ b/pkg/platform/key.go
@@ -0,0 +1,4 @@
+package platform
+
+// Key names a value of the store. Keys are paths with slashes.
+type Key string
--- /dev/null
+++ b/pkg/platform/usagereport.go
@@ -0,0 +1,19 @@
+package platform
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// UsageReport is one window's figures as sent to the platform.
+type UsageReport struct {
+	// Window is the start of the window that the figures close.
+	Window time.Time `json:"window"`
+	// Shard is the part of the workspaces that the report covers.
+	Shard ident.Duty `json:"shard"`
+	// Fencing is the number of the reporting holder.
+	Fencing ident.Fencing `json:"fencing"`
+	// Lines are ordered by workspace, model and service.
+	Lines []UsageLine `json:"lines"`
+}
--- /dev/null
+++ b/pkg/request/figures.go
@@ -0,0 +1,7 @@
+package request
+
+// Figures is what one request used.
+type Figures struct {
+	PromptTokens uint64
+	OutputTokens uint64
+}
--- /dev/null
+++ b/pkg/request/outcome.go
@@ -0,0 +1,14 @@
+package request
+
+// Outcome tells the caller what became of a request.
+type Outcome string
+
+// The outcomes.
+const (
+	// Answered means that the whole answer was handed to the caller.
+	Answered Outcome = "answered"
+	// NotRun means that no byte of the request reached a target.
+	NotRun Outcome = "not run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+)
--- /dev/null
+++ b/pkg/routing/doc.go
@@ -0,0 +1,2 @@
+// Package routing chooses the target of a request.
+package routing
--- /dev/null
+++ b/pkg/standin/engine/engine.go
@@ -0,0 +1,194 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/target"
+)
+
+// Engine is one stand-in engine. It is an http.Handler.
+type Engine struct {
+	opts  Options
+	mux   *http.ServeMux
+	slots chan struct{}
+
+	mu       sync.Mutex
+	streams  map[ident.Attempt]*stream
+	orders   []target.Order
+	role     fleet.Role
+	fencing  ident.Fencing
+	sequence uint64
+	queued   int
+	runs     map[ident.Attempt]int
+}
+
+// New returns an idle engine.
+func New(opts Options) *Engine {
+	e := &Engine{
+		opts:    opts,
+		mux:     http.NewServeMux(),
+		slots:   make(chan struct{}, opts.Slots),
+		streams: make(map[ident.Attempt]*stream),
+		role:    fleet.Mixed,
+		runs:    make(map[ident.Attempt]int),
+	}
+	e.mux.HandleFunc("POST "+target.PathChat, e.complete)
+	e.mux.HandleFunc("POST "+target.PathCompletions, e.complete)
+	e.mux.HandleFunc("GET "+target.PathStreams+"{attempt}", e.resume)
+	e.mux.HandleFunc("DELETE "+target.PathStreams+"{attempt}", e.cancel)
+	e.mux.HandleFunc("GET "+target.PathLoad, e.load)
+	e.mux.HandleFunc("POST "+target.PathOrders, e.order)
+	return e
+}
+
+// ServeHTTP answers one request.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+// Runs returns how often each attempt was started.
+func (e *Engine) Runs() map[ident.Attempt]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := make(map[ident.Attempt]int, len(e.runs))
+	for attempt, n := range e.runs {
+		runs[attempt] = n
+	}
+	return runs
+}
+
+// Orders returns the orders that the engine took.
+func (e *Engine) Orders() []target.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]target.Order(nil), e.orders...)
+}
+
+// complete starts a generation and sends its answer.
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var body completionBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, "malformed body", http.StatusBadRequest)
+		return
+	}
+	attempt := ident.Attempt(r.Header.Get(target.HeaderAttempt))
+	s := e.start(attempt, body.tokens(e.opts.DefaultTokens), body.promptTokens())
+	w.Header().Set(target.HeaderAttempt, string(attempt))
+	if body.Stream {
+		sendStream(w, r, s, 0)
+		return
+	}
+	e.sendWhole(w, r, s, body)
+}
+
+// start runs a generation beside the connection that asked for it.
+func (e *Engine) start(attempt ident.Attempt, tokens, promptTokens int) *stream {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := newStream(cancel)
+	e.mu.Lock()
+	e.streams[attempt] = s
+	e.runs[attempt]++
+	e.queued++
+	e.mu.Unlock()
+	go e.generate(ctx, s, tokens, promptTokens)
+	return s
+}
+
+// generate waits for a slot and writes the answer's events at the set pace.
+func (e *Engine) generate(ctx context.Context, s *stream, tokens, promptTokens int) {
+	e.slots <- struct{}{}
+	defer func() { <-e.slots }()
+	e.mu.Lock()
+	e.queued--
+	e.mu.Unlock()
+	for n := range tokens {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(e.opts.TokenInterval):
+		}
+		s.add(tokenEvent(n), false)
+	}
+	s.add(usageEvent(promptTokens, tokens), false)
+	s.add(target.EndMarker, true)
+}
+
+// resume sends the rest of a stream.
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	attempt := ident.Attempt(r.PathValue("attempt"))
+	s := e.stream(attempt)
+	after, err := parseAfter(r.Header.Get(target.HeaderAfter))
+	if s == nil || err != nil {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	w.Header().Set(target.HeaderAttempt, string(attempt))
+	sendStream(w, r, s, after)
+}
+
+// cancel ends a stream's generation.
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	s := e.stream(ident.Attempt(r.PathValue("attempt")))
+	if s == nil {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	s.cancel()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// stream returns a kept stream, or nil.
+func (e *Engine) stream(attempt ident.Attempt) *stream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.streams[attempt]
+}
+
+// load answers the engine's load report.
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	e.sequence++
+	report := fleet.LoadReport{
+		Target:      e.opts.Target,
+		Incarnation: 1,
+		Sequence:    e.sequence,
+		Role:        e.role,
+		Running:     len(e.slots),
+		Queued:      e.queued,
+		Slots:       e.opts.Slots,
+		Fencing:     e.fencing,
+		Model:       e.opts.Model,
+		DecodeRate:  float64(time.Second) / float64(max(e.opts.TokenInterval, 1)),
+		TakenAt:     time.Now(),
+	}
+	if n := len(e.orders); n > 0 {
+		report.OrderID = e.orders[n-1].OrderID
+	}
+	e.mu.Unlock()
+	writeJSON(w, report)
+}
+
+// order takes one order, or refuses an old fencing number where it checks.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var order target.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, "malformed order", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.opts.ChecksFencing && order.Fencing < e.fencing {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	e.fencing = order.Fencing
+	e.orders = append(e.orders, order)
+	if order.Kind == target.OrderRole {
+		e.role = order.Role
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/pkg/standin/engine/options.go
@@ -0,0 +1,21 @@
+package engine
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// Options shape the stand-in.
+type Options struct {
+	Target ident.Target
+	Model  ident.Model
+	// TokenInterval is the time between tokens.
+	TokenInterval time.Duration
+	// Slots is how many requests run at once.
+	Slots int
+	// DefaultTokens is the answer's length where the request sets none.
+	DefaultTokens int
+	// ChecksFencing makes orders with an old fencing number refused.
+	ChecksFencing bool
+}
--- /dev/null
+++ b/pkg/standin/ledger/ledger.go
@@ -0,0 +1,82 @@
+package ledger
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"amaranthplank.example/amaranthplank/pkg/target"
+)
+
+// Ledger keeps balances by item. It is an http.Handler.
+type Ledger struct {
+	mux *http.ServeMux
+
+	mu       sync.Mutex
+	balances map[string]int64
+	posts    int
+}
+
+// Adjustment is the body of a post.
+type Adjustment struct {
+	Item   string `json:"item"`
+	Amount int64  `json:"amount"`
+}
+
+// Balance is the answer to posts and reads.
+type Balance struct {
+	Item    string `json:"item"`
+	Balance int64  `json:"balance"`
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	l := &Ledger{mux: http.NewServeMux(), balances: make(map[string]int64)}
+	l.mux.HandleFunc("POST /adjustments", l.adjust)
+	l.mux.HandleFunc("GET /balances/{item}", l.balance)
+	return l
+}
+
+// ServeHTTP answers one request.
+func (l *Ledger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(target.HeaderAttempt, r.Header.Get(target.HeaderAttempt))
+	l.mux.ServeHTTP(w, r)
+}
+
+// Posts returns how many adjustments were taken.
+func (l *Ledger) Posts() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.posts
+}
+
+// adjust posts one adjustment.
+func (l *Ledger) adjust(w http.ResponseWriter, r *http.Request) {
+	var adjustment Adjustment
+	if err := json.NewDecoder(r.Body).Decode(&adjustment); err != nil {
+		http.Error(w, "malformed adjustment", http.StatusBadRequest)
+		return
+	}
+	l.mu.Lock()
+	l.posts++
+	l.balances[adjustment.Item] += adjustment.Amount
+	balance := Balance{Item: adjustment.Item, Balance: l.balances[adjustment.Item]}
+	l.mu.Unlock()
+	writeJSON(w, balance)
+}
+
+// balance reads one balance.
+func (l *Ledger) balance(w http.ResponseWriter, r *http.Request) {
+	item := r.PathValue("item")
+	l.mu.Lock()
+	balance := Balance{Item: item, Balance: l.balances[item]}
+	l.mu.Unlock()
+	writeJSON(w, balance)
+}
+
+// writeJSON sends a balance.
+func writeJSON(w http.ResponseWriter, balance Balance) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the connection is gone, which needs no answer.
+	_ = json.NewEncoder(w).Encode(balance)
+}
--- /dev/null
+++ b/pkg/standin/memstore/store.go
@@ -0,0 +1,232 @@
+package memstore
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// Store keeps keys, leases and the history's cursor in memory.
+type Store struct {
+	clock clock.Clock
+
+	mu     sync.Mutex
+	cursor platform.Cursor
+	values map[platform.Key]*value
+	leases map[platform.LeaseID]*lease
+	// nextLease is the last lease granted.
+	nextLease platform.LeaseID
+	// changed is closed and replaced at every change.
+	changed chan struct{}
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// value is one key's state; a deleted key keeps its version.
+type value struct {
+	entry   platform.Entry
+	changed platform.Cursor
+}
+
+// lease is one granted lease.
+type lease struct {
+	ttl     time.Duration
+	expires time.Duration
+}
+
+// New returns an empty store.
+func New(clk clock.Clock) *Store {
+	return &Store{
+		clock:   clk,
+		values:  make(map[platform.Key]*value),
+		leases:  make(map[platform.LeaseID]*lease),
+		changed: make(chan struct{}),
+	}
+}
+
+// Get returns one key.
+func (s *Store) Get(_ context.Context, key platform.Key) (platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	v, ok := s.values[key]
+	if !ok || v.entry.Deleted {
+		return platform.Entry{}, platform.ErrKeyNotFound
+	}
+	return v.copy(), nil
+}
+
+// List returns the keys that start with prefix, in order.
+func (s *Store) List(_ context.Context, prefix platform.Key) ([]platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var entries []platform.Entry
+	for key, v := range s.values {
+		if strings.HasPrefix(string(key), string(prefix)) && !v.entry.Deleted {
+			entries = append(entries, v.copy())
+		}
+	}
+	sortEntries(entries)
+	return entries, nil
+}
+
+// CompareAndSwap writes a value over the base version.
+func (s *Store) CompareAndSwap(_ context.Context, swap platform.Swap) (platform.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if len(swap.Value) > platform.MaxValueBytes {
+		return 0, errValueTooLarge
+	}
+	if swap.Lease != platform.NoLease && s.leases[swap.Lease] == nil {
+		return 0, platform.ErrLeaseNotFound
+	}
+	if s.liveVersion(swap.Key) != swap.Base {
+		return 0, platform.ErrVersionConflict
+	}
+	return s.write(swap.Key, swap.Value, swap.Lease, false), nil
+}
+
+// Delete removes a key at the given version.
+func (s *Store) Delete(_ context.Context, key platform.Key, version platform.Version) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if version == platform.NoVersion || s.liveVersion(key) != version {
+		return platform.ErrVersionConflict
+	}
+	s.write(key, nil, platform.NoLease, true)
+	return nil
+}
+
+// Grant creates a lease.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextLease++
+	s.leases[s.nextLease] = &lease{ttl: ttl, expires: s.clock.Now() + ttl}
+	return s.nextLease, nil
+}
+
+// KeepAlive renews a lease for its full time.
+func (s *Store) KeepAlive(_ context.Context, id platform.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l, ok := s.leases[id]
+	if !ok {
+		return platform.ErrLeaseNotFound
+	}
+	l.expires = s.clock.Now() + l.ttl
+	return nil
+}
+
+// Revoke ends a lease and deletes its keys.
+func (s *Store) Revoke(_ context.Context, id platform.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.leases[id] == nil {
+		return platform.ErrLeaseNotFound
+	}
+	s.end(id)
+	return nil
+}
+
+// Watch waits for changes under prefix.
+func (s *Store) Watch(ctx context.Context, prefix platform.Key, after platform.Cursor) (platform.Changes, error) {
+	for {
+		changes, changed := s.changesAfter(prefix, after)
+		if len(changes.Entries) > 0 {
+			return changes, nil
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Changes{Next: after}, nil
+		case <-changed:
+		case <-time.After(expiryPoll):
+		}
+	}
+}
+
+// expiryPoll is how often a waiting watch looks for lapsed leases.
+const expiryPoll = 100 * time.Millisecond
+
+// changesAfter collects the changes under prefix and returns the channel that
+// the next change closes.
+func (s *Store) changesAfter(prefix platform.Key, after platform.Cursor) (platform.Changes, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	changes := platform.Changes{Next: s.cursor}
+	for key, v := range s.values {
+		if v.changed > after && strings.HasPrefix(string(key), string(prefix)) {
+			changes.Entries = append(changes.Entries, v.copy())
+		}
+	}
+	sortEntries(changes.Entries)
+	return changes, s.changed
+}
+
+// expire ends the leases whose time is over.
+func (s *Store) expire() {
+	now := s.clock.Now()
+	for id, l := range s.leases {
+		if now >= l.expires {
+			s.end(id)
+		}
+	}
+}
+
+// end removes a lease and its keys.
+func (s *Store) end(id platform.LeaseID) {
+	delete(s.leases, id)
+	for key, v := range s.values {
+		if v.entry.Lease == id && !v.entry.Deleted {
+			s.write(key, nil, platform.NoLease, true)
+		}
+	}
+}
+
+// write replaces a key's state, wakes the watches and returns the new version.
+func (s *Store) write(key platform.Key, data []byte, id platform.LeaseID, deleted bool) platform.Version {
+	s.cursor++
+	version := platform.NoVersion + 1
+	if v, ok := s.values[key]; ok {
+		version = v.entry.Version + 1
+	}
+	entry := platform.Entry{Key: key, Value: slices.Clone(data), Version: version, Lease: id, Deleted: deleted}
+	s.values[key] = &value{entry: entry, changed: s.cursor}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return version
+}
+
+// liveVersion returns a key's version, or NoVersion where it does not exist.
+func (s *Store) liveVersion(key platform.Key) platform.Version {
+	v, ok := s.values[key]
+	if !ok || v.entry.Deleted {
+		return platform.NoVersion
+	}
+	return v.entry.Version
+}
+
+// copy returns the entry with a value of its own.
+func (v *value) copy() platform.Entry {
+	entry := v.entry
+	entry.Value = slices.Clone(entry.Value)
+	return entry
+}
+
+// sortEntries orders entries by key.
+func sortEntries(entries []platform.Entry) {
+	slices.SortFunc(entries, func(a, b platform.Entry) int {
+		return strings.Compare(string(a.Key), string(b.Key))
+	})
+}
--- /dev/null
+++ b/pkg/standin/targets/orderer.go
@@ -0,0 +1,73 @@
+package targets
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// Orderer keeps orders and a list of targets that its owner sets.
+type Orderer struct {
+	mu      sync.Mutex
+	records []platform.TargetRecord
+	orders  map[group]platform.TargetOrder
+}
+
+var _ platform.TargetOrderer = (*Orderer)(nil)
+
+// group is what one order speaks of.
+type group struct {
+	domain ident.FailureDomain
+	model  ident.Model
+	kind   platform.TargetKind
+}
+
+// New returns an orderer that lists the given targets.
+func New(records ...platform.TargetRecord) *Orderer {
+	return &Orderer{records: records, orders: make(map[group]platform.TargetOrder)}
+}
+
+// Order takes an order, or refuses an old holder's.
+func (o *Orderer) Order(_ context.Context, order platform.TargetOrder) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	key := group{domain: order.FailureDomain, model: order.Model, kind: order.Kind}
+	if order.Fencing < o.orders[key].Fencing {
+		return fault.New(fault.Fenced, "a later holder has ordered", "stop ordering")
+	}
+	o.orders[key] = order
+	return nil
+}
+
+// Orders returns the newest order of each group.
+func (o *Orderer) Orders(_ context.Context) ([]platform.TargetOrder, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	orders := make([]platform.TargetOrder, 0, len(o.orders))
+	for _, order := range o.orders {
+		orders = append(orders, order)
+	}
+	slices.SortFunc(orders, func(a, b platform.TargetOrder) int {
+		return strings.Compare(a.OrderID, b.OrderID)
+	})
+	return orders, nil
+}
+
+// Targets returns the list of targets.
+func (o *Orderer) Targets(_ context.Context) ([]platform.TargetRecord, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.records), nil
+}
+
+// SetTargets replaces the list of targets.
+func (o *Orderer) SetTargets(records []platform.TargetRecord) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.records = slices.Clone(records)
+}
--- /dev/null
+++ b/pkg/standin/usagesink/sink.go
@@ -0,0 +1,61 @@
+package usagesink
+
+import (
+	"context"
+	"reflect"
+	"slices"
+	"sync"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// Sink keeps the reports that it was given.
+type Sink struct {
+	mu      sync.Mutex
+	reports []platform.UsageReport
+	fencing map[ident.Duty]ident.Fencing
+}
+
+var _ platform.UsageSink = (*Sink)(nil)
+
+// New returns an empty sink.
+func New() *Sink { return &Sink{fencing: make(map[ident.Duty]ident.Fencing)} }
+
+// Report takes one report, or refuses an old holder and other figures.
+func (s *Sink) Report(_ context.Context, report platform.UsageReport) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if report.Fencing < s.fencing[report.Shard] {
+		return fault.New(fault.Fenced, "a later holder has reported", "stop reporting")
+	}
+	s.fencing[report.Shard] = report.Fencing
+	known := s.find(report.Shard, report.Window)
+	if known == nil {
+		s.reports = append(s.reports, report)
+		return nil
+	}
+	if !reflect.DeepEqual(known.Lines, report.Lines) {
+		return fault.New(fault.Conflict, "the window was reported with other figures", "report later figures in a later window")
+	}
+	return nil
+}
+
+// Reports returns the reports taken so far.
+func (s *Sink) Reports() []platform.UsageReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.reports)
+}
+
+// find returns the report of one window, or nil.
+func (s *Sink) find(shard ident.Duty, window time.Time) *platform.UsageReport {
+	for i := range s.reports {
+		if s.reports[i].Shard == shard && s.reports[i].Window.Equal(window) {
+			return &s.reports[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/target/order.go
@@ -0,0 +1,22 @@
+package target
+
+import (
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// Order is one order to an engine.
+type Order struct {
+	// OrderID is the same on every send of one order.
+	OrderID string        `json:"orderId"`
+	Fencing ident.Fencing `json:"fencing"`
+	Kind    OrderKind     `json:"kind"`
+	Role    fleet.Role    `json:"role,omitempty"`
+	Model   ident.Model   `json:"model,omitempty"`
+	Adapter string        `json:"adapter,omitempty"`
+	Version string        `json:"version,omitempty"`
+	// Peer is the engine that KV cache is moved to or from.
+	Peer string `json:"peer,omitempty"`
+	// Attempt is the stream whose KV cache is moved.
+	Attempt ident.Attempt `json:"attempt,omitempty"`
+}
