Lay the interfaces that the parts meet at

Cause: leases, orders, links, membership, the operators' address and commands are built side by side and must meet.

--- a/cmd/amaranthctl/main.go
+++ b/cmd/amaranthctl/main.go
@@ -2,25 +2,27 @@
 package main
 
 import (
-	"flag"
-	"fmt"
+	"context"
+	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/ctl"
 )
 
+// clientTimeout bounds one call to a daemon.
+const clientTimeout = 30 * time.Second
+
 func main() {
-	flag.Parse()
-	if flag.NArg() != 2 || flag.Arg(0) != "check" {
-		_, _ = fmt.Fprintln(os.Stderr, "usage: amaranthctl check FILE")
-		os.Exit(2)
-	}
-	text, err := os.ReadFile(flag.Arg(1))
-	if err == nil {
-		_, err = config.Parse(text)
-	}
-	if err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	os.Exit(int(run()))
+}
+
+// run runs one command.
+func run() ctl.ExitCode {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	env := ctl.Env{Out: os.Stdout, Err: os.Stderr, Client: &http.Client{Timeout: clientTimeout}}
+	return ctl.Run(ctx, env, ctl.Commands(), os.Args[1:])
 }
--- /dev/null
+++ b/pkg/ctl/commands.go
@@ -0,0 +1,6 @@
+package ctl
+
+// Commands returns the tool's commands in the order that help lists them.
+func Commands() []Command {
+	return []Command{checkCommand()}
+}
--- /dev/null
+++ b/pkg/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl holds the commands of the operators' tool.
+package ctl
--- a/pkg/entry/errorbody.go
+++ b/pkg/entry/errorbody.go
@@ -35,34 +35,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(HeaderOutcome, string(outcome))
-	w.WriteHeader(statusOf(detail.Kind))
+	w.WriteHeader(detail.Kind.HTTPStatus())
 	// A failed write means that the connection is gone, which needs no answer.
 	_ = json.NewEncoder(w).Encode(ErrorBody{Error: detail})
 }
-
-// statusOf returns the HTTP status for a kind of error.
-func statusOf(kind fault.Kind) int {
-	switch kind {
-	case fault.Invalid:
-		return http.StatusBadRequest
-	case fault.Unauthenticated:
-		return http.StatusUnauthorized
-	case fault.Forbidden:
-		return http.StatusForbidden
-	case fault.NotFound:
-		return http.StatusNotFound
-	case fault.Conflict:
-		return http.StatusConflict
-	case fault.Limited:
-		return http.StatusTooManyRequests
-	case fault.Unavailable:
-		return http.StatusServiceUnavailable
-	case fault.Timeout:
-		return http.StatusGatewayTimeout
-	case fault.Unknown:
-		return http.StatusBadGateway
-	case fault.Fenced, fault.Internal:
-		return http.StatusInternalServerError
-	}
-	return http.StatusInternalServerError
-}
--- /dev/null
+++ b/pkg/membership/doc.go
@@ -0,0 +1,2 @@
+// Package membership tells a daemon which other daemons are alive.
+package membership
--- /dev/null
+++ b/pkg/membership/member.go
@@ -0,0 +1,23 @@
+package membership
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// Member is what a daemon knows of one other daemon.
+type Member struct {
+	Host          ident.Host
+	FailureDomain ident.FailureDomain
+	Region        ident.Region
+	Incarnation   ident.Incarnation
+	Status        Status
+	// HeardAt is when the member last gave a sign of life, directly or
+	// through others, on this daemon's clock.
+	HeardAt time.Time
+	// Revision and HoldsRevision are the control state that the member has
+	// loaded; zero means that it has loaded none.
+	Revision      ident.Revision
+	HoldsRevision ident.Revision
+}
--- /dev/null
+++ b/pkg/operator/server.go
@@ -0,0 +1,68 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
+)
+
+// Server routes operators' calls. It is an http.Handler.
+type Server struct {
+	mux *http.ServeMux
+}
+
+// Readiness tells whether the daemon may get callers' requests, and why not.
+type Readiness func() error
+
+// New returns a server with metrics, health, readiness and profiles.
+func New(gatherer prometheus.Gatherer, ready Readiness) *Server {
+	s := &Server{mux: http.NewServeMux()}
+	s.mux.Handle("GET /metrics", promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{}))
+	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	s.mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	s.mux.HandleFunc("/debug/pprof/", pprof.Index)
+	s.mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	s.mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return s
+}
+
+// ServeHTTP answers one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Handle serves an endpoint under a pattern such as "POST /v1/config". The
+// decoder reads the endpoint's request; the answer is sent as JSON.
+func (s *Server) Handle(pattern string, e endpoint.Endpoint, decode kithttp.DecodeRequestFunc) {
+	s.mux.Handle(pattern, kithttp.NewServer(e, decode, kithttp.EncodeJSONResponse, kithttp.ServerErrorEncoder(encodeError)))
+}
+
+// NoRequest decodes calls that bear nothing.
+func NoRequest(context.Context, *http.Request) (any, error) { return struct{}{}, nil }
+
+// ErrorBody is the body of every failure of the operator API.
+type ErrorBody struct {
+	Kind    fault.Kind `json:"kind"`
+	Message string     `json:"message"`
+}
+
+// encodeError answers with the error's kind and message.
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	kind := fault.KindOf(err)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(kind.HTTPStatus())
+	// A failed write means that the connection is gone, which needs no answer.
+	_ = json.NewEncoder(w).Encode(ErrorBody{Kind: kind, Message: err.Error()})
+}
--- /dev/null
+++ b/pkg/orders/doc.go
@@ -0,0 +1,3 @@
+// Package orders carries out orders to engines and to the platform so that a
+// target never gets conflicting ones.
+package orders
--- /dev/null
+++ b/pkg/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries messages between the daemons.
+package peer
--- /dev/null
+++ b/pkg/standin/faultstore/store.go
@@ -0,0 +1,211 @@
+package faultstore
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// Store passes calls on to another store, but for the faults that are set.
+type Store struct {
+	inner platform.Store
+
+	mu     sync.Mutex
+	faults Faults
+	counts map[string]Counts
+	writes *rate.Limiter
+	reads  *rate.Limiter
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New wraps a store without faults.
+func New(inner platform.Store) *Store {
+	s := &Store{inner: inner, counts: make(map[string]Counts)}
+	s.Set(Faults{})
+	return s
+}
+
+// Set replaces the faults.
+func (s *Store) Set(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	s.writes = limiterOf(faults.WritesPerSecond)
+	s.reads = limiterOf(faults.ReadsPerSecond)
+}
+
+// Counts returns the calls so far by the first part of their keys. Lease calls
+// count under "lease".
+func (s *Store) Counts() map[string]Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.counts)
+}
+
+// Get passes a read on.
+func (s *Store) Get(ctx context.Context, key platform.Key) (platform.Entry, error) {
+	if err := s.read(ctx, key); err != nil {
+		return platform.Entry{}, err
+	}
+	return s.inner.Get(ctx, key)
+}
+
+// List passes a read on.
+func (s *Store) List(ctx context.Context, prefix platform.Key) ([]platform.Entry, error) {
+	if err := s.read(ctx, prefix); err != nil {
+		return nil, err
+	}
+	return s.inner.List(ctx, prefix)
+}
+
+// CompareAndSwap passes a write on and may lose its answer.
+func (s *Store) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.Version, error) {
+	if err := s.write(ctx, swap.Key); err != nil {
+		return 0, err
+	}
+	version, err := s.inner.CompareAndSwap(ctx, swap)
+	if err == nil && s.loses(swap.Key) {
+		return 0, platform.ErrStoreUnknown
+	}
+	return version, err
+}
+
+// Delete passes a write on and may lose its answer.
+func (s *Store) Delete(ctx context.Context, key platform.Key, version platform.Version) error {
+	if err := s.write(ctx, key); err != nil {
+		return err
+	}
+	err := s.inner.Delete(ctx, key, version)
+	if err == nil && s.loses(key) {
+		return platform.ErrStoreUnknown
+	}
+	return err
+}
+
+// Grant passes a write on and may lose its answer.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	if err := s.write(ctx, leaseKey); err != nil {
+		return 0, err
+	}
+	id, err := s.inner.Grant(ctx, ttl)
+	if err == nil && s.loses(leaseKey) {
+		return 0, platform.ErrStoreUnknown
+	}
+	return id, err
+}
+
+// KeepAlive passes a write on and may lose its answer.
+func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	if err := s.write(ctx, leaseKey); err != nil {
+		return err
+	}
+	err := s.inner.KeepAlive(ctx, id)
+	if err == nil && s.loses(leaseKey) {
+		return platform.ErrStoreUnknown
+	}
+	return err
+}
+
+// Revoke passes a write on and may lose its answer.
+func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+	if err := s.write(ctx, leaseKey); err != nil {
+		return err
+	}
+	err := s.inner.Revoke(ctx, id)
+	if err == nil && s.loses(leaseKey) {
+		return platform.ErrStoreUnknown
+	}
+	return err
+}
+
+// Watch passes a watch on, or waits for ever where watches are silent.
+func (s *Store) Watch(ctx context.Context, prefix platform.Key, after platform.Cursor) (platform.Changes, error) {
+	s.count(prefix, func(c *Counts) { c.Watches++ })
+	if err := s.read(ctx, prefix); err != nil {
+		return platform.Changes{}, err
+	}
+	if s.snapshot().SilentWatches {
+		<-ctx.Done()
+		return platform.Changes{Next: after}, nil
+	}
+	return s.inner.Watch(ctx, prefix, after)
+}
+
+// leaseKey is what lease calls are counted under.
+const leaseKey platform.Key = "lease"
+
+// read counts a read and fails where the store is down or out of rate.
+func (s *Store) read(ctx context.Context, key platform.Key) error {
+	s.count(key, func(c *Counts) { c.Reads++ })
+	return s.pass(ctx, func(s *Store) *rate.Limiter { return s.reads })
+}
+
+// write counts a write and fails where the store is down or out of rate.
+func (s *Store) write(ctx context.Context, key platform.Key) error {
+	s.count(key, func(c *Counts) { c.Writes++ })
+	return s.pass(ctx, func(s *Store) *rate.Limiter { return s.writes })
+}
+
+// pass applies the delay, the outage and the rate.
+func (s *Store) pass(ctx context.Context, pick func(*Store) *rate.Limiter) error {
+	faults, limiter := s.present(pick)
+	if faults.Delay > 0 {
+		select {
+		case <-ctx.Done():
+			return platform.ErrStoreUnavailable
+		case <-time.After(faults.Delay):
+		}
+	}
+	if faults.Down {
+		return platform.ErrStoreUnavailable
+	}
+	if limiter != nil && !limiter.Allow() {
+		return platform.ErrStoreThrottled
+	}
+	return nil
+}
+
+// count changes the counts of a key's first part.
+func (s *Store) count(key platform.Key, change func(*Counts)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	part, _, _ := strings.Cut(string(key), "/")
+	counts := s.counts[part]
+	change(&counts)
+	s.counts[part] = counts
+}
+
+// loses reports whether the answer of a write is lost.
+func (s *Store) loses(key platform.Key) bool {
+	faults := s.snapshot()
+	return faults.LoseAnswer != nil && faults.LoseAnswer(key)
+}
+
+// present returns the faults and the picked limiter at present.
+func (s *Store) present(pick func(*Store) *rate.Limiter) (Faults, *rate.Limiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults, pick(s)
+}
+
+// snapshot returns the faults at present.
+func (s *Store) snapshot() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// limiterOf returns a limiter with a burst of one second, or nil for no bound.
+func limiterOf(perSecond float64) *rate.Limiter {
+	if perSecond == 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
