--- /dev/null
+++ b/pkg/orders/step.go
@@ -0,0 +1,30 @@
+package orders
+
+// Step is what to do next about an order.
+type Step string
+
+// The steps.
+const (
+	// StepWait looks again later.
+	StepWait Step = "wait"
+	// StepPlaceHold keeps new work from the target.
+	StepPlaceHold Step = "place hold"
+	// StepJournalSend journals that the order is about to be sent.
+	StepJournalSend Step = "journal send"
+	// StepSend sends the order once.
+	StepSend Step = "send"
+	// StepRecordDone records that the order arrived.
+	StepRecordDone Step = "record done"
+	// StepRecordAbandoned records that the order never arrives.
+	StepRecordAbandoned Step = "record abandoned"
+	// StepReleaseHold lets new work go to the target again.
+	StepReleaseHold Step = "release hold"
+	// StepClose ends the order.
+	StepClose Step = "close"
+)
+
+// Decision is a step with its reason, for operators to read.
+type Decision struct {
+	Step Step
+	Why  string
+}
