--- a/pkg/orders/enginemanager.go
+++ b/pkg/orders/enginemanager.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
+	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
 )
@@ -20,6 +22,14 @@
 
 	mu     sync.Mutex
 	status map[ident.Target]OrderStatus
+	// statements are still to be written, by target.
+	statements map[ident.Target]pending
+}
+
+// pending is one statement about an own sending.
+type pending struct {
+	journal *journal
+	record  Record
 }
 
 // NewEngineManager returns a manager without orders.
@@ -31,6 +41,8 @@
 		sends:   newSendLog(),
 		metrics: newMetrics(opts.Registerer),
 		status:  make(map[ident.Target]OrderStatus),
+
+		statements: make(map[ident.Target]pending),
 	}
 }
 
@@ -43,6 +55,44 @@
 	return shard.run(ctx)
 }
 
+// Run writes what the process states of its own sendings, until ctx ends. It
+// runs beside the duties, also while the process holds none.
+func (m *EngineManager) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait(ctx, m.opts.Terms.StateEvery)
+		for name, p := range m.due() {
+			err := p.journal.state(ctx, p.record)
+			if err == nil || fault.KindOf(err) == fault.Conflict {
+				m.stated(name, p.record)
+			}
+		}
+	}
+	return nil
+}
+
+// state queues a statement.
+func (m *EngineManager) state(j *journal, record Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.statements[record.Target] = pending{journal: j, record: record}
+}
+
+// due returns the queued statements.
+func (m *EngineManager) due() map[ident.Target]pending {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.statements)
+}
+
+// stated drops a statement unless a newer one took its place.
+func (m *EngineManager) stated(name ident.Target, record Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.statements[name].record.Sender == record.Sender {
+		delete(m.statements, name)
+	}
+}
+
 // Status returns the orders of the duties that the process holds, by target.
 func (m *EngineManager) Status() []OrderStatus {
 	m.mu.Lock()
--- a/pkg/orders/execution.go
+++ b/pkg/orders/execution.go
@@ -21,6 +21,8 @@
 	metrics   *metrics
 	// superseded tells whether the planner wants something else by now.
 	superseded func(Record) bool
+	// state hands on what the process knows of its own sending.
+	state func(Record)
 	// publish shows the order to operators.
 	publish func(Record, Decision)
 
@@ -39,7 +41,7 @@
 
 // run takes steps until the order is closed, ctx ends or the authority does.
 func (e *execution) run(ctx context.Context) {
-	defer e.leave(ctx)
+	defer e.leave()
 	for ctx.Err() == nil && e.authority.Check() == nil {
 		engine, seen := e.observe(ctx)
 		decision := Next(e.record, seen)
@@ -50,6 +52,7 @@
 		e.metrics.steps.WithLabelValues(string(decision.Step)).Inc()
 		if decision.Step == StepWait {
 			e.pause(ctx)
+			e.follow(ctx, seen)
 			continue
 		}
 		if err := e.take(ctx, engine, decision); err != nil {
@@ -59,25 +62,38 @@
 	}
 }
 
-// leave records what this process knows of its own sending before it stops, so
-// that the successor need not wait.
-func (e *execution) leave(ctx context.Context) {
-	if e.record.Phase != PhaseSent || e.authority.Check() != nil {
+// leave hands on what this process knows of its own sending when it stops, so
+// that the successor need not wait for the process to be gone.
+func (e *execution) leave() {
+	if e.record.Phase != PhaseSent {
 		return
 	}
 	record := e.record
-	record.WrittenAt = time.Now()
 	switch e.sendState() {
 	case SendAccepted:
 		record.Phase = PhaseDone
 	case SendDue, SendRefused:
-		record.Phase, record.Reason = PhaseAbandoned, "the holder stopped before the sending"
-	case SendForeign, SendUnknown:
+		record.Phase, record.Reason = PhaseAbandoned, "the holder lost the duty before the sending"
+	case SendUnknown:
+		record.SendEnded = true
+	case SendForeign:
+		return
+	}
+	// From here on the process may not send under this entry.
+	e.sends.set(record.Sender, ended(e.sends.get(record.Sender)))
+	record.WrittenAt = time.Now()
+	if e.authority.Check() == nil && e.journal.state(context.Background(), record) == nil {
 		return
 	}
-	if err := e.close(ctx, record); err != nil {
-		e.opts.Log.Info("outcome not recorded", "target", record.Target, "error", err)
+	e.state(record)
+}
+
+// ended returns the state of a sending that is not begun any more.
+func ended(state SendState) SendState {
+	if state == SendDue {
+		return SendRefused
 	}
+	return state
 }
 
 // take takes one step that has an effect.
@@ -159,6 +175,16 @@
 	e.pause(ctx)
 }
 
+// follow reads what the sender of a foreign sending may have stated by now.
+func (e *execution) follow(ctx context.Context, seen Observation) {
+	if e.record.Phase != PhaseSent || seen.Send != SendForeign {
+		return
+	}
+	if record, err := e.journal.reload(ctx, e.record.Target); err == nil {
+		e.record = record
+	}
+}
+
 // pause waits until the next look.
 func (e *execution) pause(ctx context.Context) {
 	timer := time.NewTimer(e.opts.Terms.LookEvery)
--- a/pkg/orders/journal.go
+++ b/pkg/orders/journal.go
@@ -59,10 +59,20 @@
 	record.Duty = j.authority.Duty()
 	record.Fencing = j.authority.Fencing()
 	record.Writer = j.scribe.stamp()
-	record.Sender = record.Writer
+	record.Sender, record.SendEnded = record.Writer, false
 	return j.put(ctx, record)
 }
 
+// state writes what a sender says of its own sending, over the very entry that
+// it journalled it by. That is a fact and no decision, so it needs no authority;
+// the swap fails where a successor has gone on.
+func (j *journal) state(ctx context.Context, record Record) error {
+	record.Writer = j.scribe.stamp()
+	plain := &journal{scribe: j.scribe, authority: statement{j.authority}}
+	_, err := plain.put(ctx, record)
+	return err
+}
+
 // put swaps a stamped record in.
 func (j *journal) put(ctx context.Context, record Record) (Record, error) {
 	value, err := json.Marshal(record)
--- a/pkg/orders/observe.go
+++ b/pkg/orders/observe.go
@@ -54,7 +54,7 @@
 		return
 	}
 	sender := e.record.Sender
-	if e.sendState() == SendUnknown || e.opts.Fates.Gone(sender.Host, sender.Incarnation) {
+	if e.record.SendEnded || e.sendState() == SendUnknown || e.opts.Fates.Gone(sender.Host, sender.Incarnation) {
 		e.ended, e.endedAt = true, e.opts.Clock.Now()
 	}
 }
--- a/pkg/orders/record.go
+++ b/pkg/orders/record.go
@@ -29,6 +29,9 @@
 	Writer lease.Writer `json:"writer"`
 	// Sender is the write that the sending was journalled by.
 	Sender lease.Writer `json:"sender"`
+	// SendEnded is set by the sender itself, and says that it will not send
+	// again, though the order may still be on its way.
+	SendEnded bool `json:"sendEnded,omitempty"`
 	// FailureDomain and Model are the target's.
 	FailureDomain ident.FailureDomain `json:"failureDomain"`
 	Model         ident.Model         `json:"model"`
--- a/pkg/orders/shard.go
+++ b/pkg/orders/shard.go
@@ -194,6 +194,7 @@
 	e := &execution{
 		opts: &m.opts, authority: s.authority, journal: s.journal, holds: s.holds, sends: s.sends(),
 		metrics: m.metrics, superseded: s.superseded, record: record,
+		state:   func(r Record) { m.state(s.journal, r) },
 		publish: func(r Record, d Decision) { s.keep(r); m.publish(r, d) },
 	}
 	m.metrics.open.Inc()
--- a/pkg/orders/terms.go
+++ b/pkg/orders/terms.go
@@ -19,6 +19,8 @@
 	// DeliveryBound is the longest time that an order can be on its way after
 	// its sender has given up or is gone.
 	DeliveryBound time.Duration
+	// StateEvery is the time between attempts to write statements.
+	StateEvery time.Duration
 	// Concurrency is how many orders one duty carries out at once.
 	Concurrency int
 	// SupplyEvery is the time between asking the supply planner, ReconcileEvery
@@ -38,6 +40,7 @@
 		CallTimeout:     2 * time.Second,
 		QuietAfter:      2 * time.Second,
 		DeliveryBound:   30 * time.Second,
+		StateEvery:      time.Second,
 		Concurrency:     8,
 		SupplyEvery:     2 * time.Second,
 		ReconcileEvery:  30 * time.Second,
