Order targets from the platform by one journalled holder

Cause: target orders had no executor. Ruled out: a shard per model, since fencing numbers of different duties are not comparable at the platform. Pauses and kills at every boundary; fencing turned off is caught.

--- a/pkg/orders/engine_failures_test.go
+++ b/pkg/orders/engine_failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,9 +78,12 @@
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
 			for i := range plain.boundaries {
-				got := play(t, 1, broken{}, func(_ *world, n *node) { fault(n, n.process.Boundaries()+i) })
-				must.NoError(t, got.violation, must.Sprintf("at boundary %d", i))
-				must.Eq(t, finished, got.roles, must.Sprintf("at boundary %d", i))
+				t.Run(strconv.Itoa(i), func(t *testing.T) {
+					t.Parallel()
+					got := play(t, 1, broken{}, func(_ *world, n *node) { fault(n, n.process.Boundaries()+i) })
+					must.NoError(t, got.violation)
+					must.Eq(t, finished, got.roles)
+				})
 			}
 		})
 	}
--- /dev/null
+++ b/pkg/orders/supply_failures_test.go
@@ -0,0 +1,102 @@
+package orders_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"amaranthplank.example/amaranthplank/pkg/duty"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/orders"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// playSupply runs a world through three wanted counts, with faults that inject
+// arranges once the first holder has its duty.
+func playSupply(t *testing.T, off broken, inject func(*world, *node)) (counts []int, boundaries int, violation error) {
+	synctest.Test(t, func(*testing.T) {
+		w := newWorld(0, off)
+		w.want(fleet.Mixed)
+		w.start()
+		for w.holder(duty.Supply) == nil {
+			w.advance(tick)
+		}
+		first := w.holder(duty.Supply)
+		before := first.process.Boundaries()
+		w.order(2)
+		inject(w, first)
+		w.advance(15 * time.Second)
+		boundaries = first.process.Boundaries() - before
+		w.order(3)
+		w.advance(80 * time.Second)
+		counts, violation = w.placedCounts(), w.violation()
+		w.stop()
+	})
+	return counts, boundaries, violation
+}
+
+func TestSupplyAtEveryBoundary(t *testing.T) {
+	counts, boundaries, violation := playSupply(t, broken{}, func(*world, *node) {})
+	must.NoError(t, violation)
+	must.Eq(t, []int{3, 3}, counts)
+	for i := range boundaries {
+		for _, kill := range []bool{false, true} {
+			counts, _, violation := playSupply(t, broken{}, func(_ *world, n *node) {
+				if kill {
+					n.process.KillAt(n.process.Boundaries() + i)
+					return
+				}
+				n.process.PauseAt(n.process.Boundaries()+i, 40*time.Second)
+			})
+			must.NoError(t, violation, must.Sprintf("at boundary %d, kill %v", i, kill))
+			must.Eq(t, []int{3, 3}, counts, must.Sprintf("at boundary %d, kill %v", i, kill))
+		}
+	}
+}
+
+func TestSupplyChecksCatchBrokenFencing(t *testing.T) {
+	for i := range 60 {
+		_, _, violation := playSupply(t, broken{fencing: true}, func(_ *world, n *node) {
+			n.process.PauseAt(n.process.Boundaries()+i, 40*time.Second)
+		})
+		if violation != nil {
+			must.ErrorContains(t, violation, "conflicting target orders")
+			return
+		}
+	}
+	t.Fatal("no check noticed")
+}
+
+func TestSupplyThroughFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		events := rapid.SliceOfN(drawEvent(), 1, 4).Draw(rt, "events")
+		_, _, violation := playSupply(t, broken{}, func(w *world, _ *node) {
+			for _, e := range events {
+				w.advance(e.after)
+				w.apply(e)
+			}
+		})
+		must.NoError(rt, violation)
+	})
+}
+
+func TestSupplyNextSettlesBeforeItBegins(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		record := orders.SupplyRecord{Open: rapid.Bool().Draw(rt, "open")}
+		record.Order.OrderID = rapid.SampledFrom([]string{"", "order-1"}).Draw(rt, "id")
+		record.Order.Wanted = rapid.IntRange(0, 2).Draw(rt, "journalled")
+		record.Order.Fencing = 3
+		record.Open = record.Open && record.Order.OrderID != ""
+		wanted := &platform.TargetOrder{Wanted: rapid.IntRange(0, 2).Draw(rt, "wanted")}
+		step := orders.SupplyNext(record, wanted, 3)
+		if record.Open {
+			must.Eq(rt, orders.SupplyRepeat, step)
+		}
+		if record.Order.OrderID != "" {
+			must.Eq(rt, orders.SupplyClaim, orders.SupplyNext(record, wanted, 4))
+		}
+	})
+}
--- /dev/null
+++ b/pkg/orders/supplyjournal.go
@@ -0,0 +1,59 @@
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/lease"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// supplyJournal keeps the records of target orders under one authority.
+type supplyJournal struct {
+	scribe    *scribe
+	authority lease.Authority
+}
+
+// load returns all records by group.
+func (j *supplyJournal) load(ctx context.Context) (map[SupplyGroup]SupplyRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, j.scribe.timeout)
+	defer cancel()
+	entries, err := j.scribe.store.List(ctx, prefixOf(j.authority.Duty()))
+	if err != nil {
+		return nil, err
+	}
+	records := make(map[SupplyGroup]SupplyRecord, len(entries))
+	for _, entry := range entries {
+		var record SupplyRecord
+		if err := json.Unmarshal(entry.Value, &record); err != nil {
+			return nil, err
+		}
+		record.version = entry.Version
+		records[groupOf(record.Order)] = record
+	}
+	return records, nil
+}
+
+// write writes a record over the version that it was read at.
+func (j *supplyJournal) write(ctx context.Context, record SupplyRecord) (SupplyRecord, error) {
+	record.Duty = j.authority.Duty()
+	record.Order.Fencing = j.authority.Fencing()
+	record.Writer = j.scribe.stamp()
+	record.WrittenAt = time.Now()
+	value, err := json.Marshal(record)
+	if err != nil {
+		return record, err
+	}
+	key := groupOf(record.Order).key(record.Duty)
+	swap := platform.Swap{Key: key, Base: record.version, Value: value}
+	version, err := j.scribe.write(ctx, j.authority, swap, func(found []byte) bool {
+		var other SupplyRecord
+		return json.Unmarshal(found, &other) == nil && other.Writer == record.Writer
+	})
+	if err != nil {
+		return record, err
+	}
+	record.version = version
+	return record, nil
+}
--- /dev/null
+++ b/pkg/orders/supplyoptions.go
@@ -0,0 +1,23 @@
+package orders
+
+import (
+	"log/slog"
+
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// SupplyOptions are what a SupplyManager runs with.
+type SupplyOptions struct {
+	Host        ident.Host
+	Incarnation ident.Incarnation
+	Planner     SupplyPlanner
+	View        fleet.View
+	Platform    platform.TargetOrderer
+	Store       platform.Store
+	// NewID returns an id that no other order has.
+	NewID func() string
+	Terms Terms
+	Log   *slog.Logger
+}
--- /dev/null
+++ b/pkg/orders/supplyrecord.go
@@ -0,0 +1,23 @@
+package orders
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/lease"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// SupplyRecord is the journal's entry for one group: its newest order to the
+// platform. While it is open, its order is repeated with the same content under
+// the same id, and no other is begun.
+type SupplyRecord struct {
+	// Order bears the fencing number of the holder that wrote last.
+	Order platform.TargetOrder `json:"order"`
+	// Open is set until the platform has answered.
+	Open      bool         `json:"open"`
+	Duty      ident.Duty   `json:"duty"`
+	Writer    lease.Writer `json:"writer"`
+	WrittenAt time.Time    `json:"writtenAt"`
+	version   platform.Version
+}
--- /dev/null
+++ b/pkg/orders/supplystatus.go
@@ -0,0 +1,18 @@
+package orders
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// SupplyStatus is one target order as operators see it.
+type SupplyStatus struct {
+	Order  platform.TargetOrder `json:"order"`
+	Holder ident.Host           `json:"holder"`
+	Open   bool                 `json:"open"`
+	// Why says what holds an open order back.
+	Why   string    `json:"why,omitempty"`
+	Since time.Time `json:"since"`
+}
--- a/pkg/orders/world_test.go
+++ b/pkg/orders/world_test.go
@@ -56,6 +56,9 @@
 	// revisions are the holds with the time of their writing.
 	revisions []revision
 	wanted    fleet.Role
+	count     int
+	placed    map[orders.SupplyGroup]platform.TargetOrder
+	contents  map[string]int
 	violated  []error
 }
 
@@ -73,6 +76,7 @@
 	process *faultstore.Process
 	leases  *lease.Manager
 	engines *orders.EngineManager
+	supply  *orders.SupplyManager
 	root    context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -87,7 +91,8 @@
 	clk := clock.NewRuntime()
 	w := &world{
 		broken: off, memory: memstore.New(clk), engines: make(map[ident.Target]*engine),
-		killedAt: make(map[ident.Host]time.Time), wanted: fleet.Prefill,
+		killedAt: make(map[ident.Host]time.Time), wanted: fleet.Prefill, count: 1,
+		placed: make(map[orders.SupplyGroup]platform.TargetOrder), contents: make(map[string]int),
 	}
 	w.store = faultstore.New(w.memory)
 	for i := range 2 {
@@ -116,6 +121,10 @@
 		Host: n.host, Incarnation: 1, Planner: w, View: w, Client: client{n}, Store: store, Holds: w, Fates: w,
 		Clock: clk, NewID: w.newID, Terms: orders.DefaultTerms(), Log: log,
 	})
+	n.supply = orders.NewSupplyManager(orders.SupplyOptions{
+		Host: n.host, Incarnation: 1, Planner: w, View: w, Platform: supplier{n}, Store: store,
+		NewID: w.newID, Terms: orders.DefaultTerms(), Log: log,
+	})
 	return n
 }
 
@@ -176,6 +185,7 @@
 		n.root, n.cancel = ctx, cancel
 		n.running.Go(func() { _ = n.engines.Run(ctx) })
 		n.running.Go(func() { _ = n.leases.Run(ctx, duty.Engines(model), n.work(n.engines.Work)) })
+		n.running.Go(func() { _ = n.leases.Run(ctx, duty.Supply, n.work(n.supply.Work)) })
 	}
 }
 
