--- /dev/null
+++ b/pkg/orders/enginehttp/doc.go
@@ -0,0 +1,2 @@
+// Package enginehttp reaches the engines over HTTP on behalf of orders.
+package enginehttp
