Decide over failed attempts by one table

A failed attempt's end was decided in place, as unknown, whatever had reached the target. The table in pkg/retry holds the decision for every combination of idempotent, resumable, phase and failure; Run applies it within limits of attempts, resumes, deadline and the route's budget. pkg/request gets the states of a request with their allowed successors, and a typed error may bear the time after which to try again.

Tested: every cell against a second statement of the table, and random walks that keep: at most one send of what must run once, not run only without a send.

--- a/pkg/fault/error.go
+++ b/pkg/fault/error.go
@@ -1,6 +1,8 @@
 package fault
 
 import (
+	"time"
+
 	"github.com/go-faster/errors"
 )
 
@@ -14,6 +16,9 @@
 	Remedy string
 	// Cause is the error beneath, or nil.
 	Cause error
+	// RetryAfter is how long to wait before trying again; zero gives no
+	// advice.
+	RetryAfter time.Duration
 }
 
 // New returns an error of the given kind.
@@ -59,3 +64,19 @@
 	}
 	return Internal
 }
+
+// After returns a copy of the error that advises to try again after d.
+func (e *Error) After(d time.Duration) *Error {
+	advised := *e
+	advised.RetryAfter = d
+	return &advised
+}
+
+// RetryAfterOf returns the wait that err advises, or zero.
+func RetryAfterOf(err error) time.Duration {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.RetryAfter
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/request/state.go
@@ -0,0 +1,55 @@
+package request
+
+// State tells where a request stands on its path.
+type State int
+
+// The states, of which the last three are final.
+const (
+	// Received requests have come in; their key is being checked.
+	Received State = iota
+	// Queued requests wait to be admitted.
+	Queued
+	// Admitted requests may go on to a target.
+	Admitted
+	// Attempting requests are being sent to a target.
+	Attempting
+	// Streaming requests have handed a part of the answer to the caller.
+	Streaming
+	// EndedAnswered, EndedNotRun and EndedUnknown are the outcomes.
+	EndedAnswered
+	EndedNotRun
+	EndedUnknown
+	// States is how many states there are.
+	States
+)
+
+// successors lists the states that may follow each state.
+var successors = [States][]State{
+	Received:   {Queued, EndedAnswered, EndedNotRun, EndedUnknown},
+	Queued:     {Admitted, EndedNotRun},
+	Admitted:   {Attempting, EndedAnswered, EndedNotRun, EndedUnknown},
+	Attempting: {Attempting, Streaming, EndedAnswered, EndedNotRun, EndedUnknown},
+	Streaming:  {EndedAnswered, EndedUnknown},
+}
+
+// String returns the state's name, which metrics use as a label.
+func (s State) String() string {
+	names := [States]string{"received", "queued", "admitted", "attempting", "streaming", "answered", "not_run", "unknown"}
+	return names[s]
+}
+
+// Final reports whether nothing may follow the state.
+func (s State) Final() bool { return len(successors[s]) == 0 }
+
+// End returns the final state that stands for the outcome.
+func (o Outcome) End() State {
+	switch o {
+	case Answered:
+		return EndedAnswered
+	case NotRun:
+		return EndedNotRun
+	case Unknown:
+		return EndedUnknown
+	}
+	return EndedUnknown
+}
--- /dev/null
+++ b/pkg/retry/run.go
@@ -0,0 +1,82 @@
+package retry
+
+import "time"
+
+// Run decides over the attempts of one request. It does no input or output and
+// is used by one goroutine.
+type Run struct {
+	allowed Allowed
+	limits  Limits
+	budget  *Budget
+	// attempts counts the attempts that were begun.
+	attempts int
+	// resumes counts the resumes since the last event.
+	resumes int
+	// reached says that a byte of some attempt may have reached a target. It
+	// never turns false again.
+	reached bool
+}
+
+// NewRun returns the run of one request, and counts the request in the budget
+// of its route.
+func NewRun(allowed Allowed, limits Limits, budget *Budget) *Run {
+	budget.Deposit()
+	return &Run{allowed: allowed, limits: limits, budget: budget}
+}
+
+// Begin counts a new attempt.
+func (r *Run) Begin() {
+	r.attempts++
+	r.resumes = 0
+}
+
+// Progress tells that the attempt has brought something new.
+func (r *Run) Progress() { r.resumes = 0 }
+
+// Reached says whether a byte of the request may have reached a target.
+func (r *Run) Reached() bool { return r.reached }
+
+// Failed returns what to do after an attempt failed in a phase. Where the table
+// asks for more than the limits allow, the request ends.
+func (r *Run) Failed(phase Phase, failure Failure, now time.Time) Decision {
+	r.reached = r.reached || phase != Unsent
+	decision := Decide(r.allowed, phase, failure)
+	if decision == Resume && !r.mayResume(now) {
+		decision = Decide(r.allowed, phase, StreamGone)
+	}
+	if decision == Again && !r.mayRetry(now) {
+		decision = r.exhausted(failure)
+	}
+	if decision == EndNotRun && r.reached {
+		return EndUnknown
+	}
+	return decision
+}
+
+// mayResume counts one more resume, or reports that none is allowed.
+func (r *Run) mayResume(now time.Time) bool {
+	r.resumes++
+	return r.resumes <= r.limits.MaxResumes && now.Before(r.limits.Deadline)
+}
+
+// mayRetry takes one retry from the budget, or reports that none is allowed.
+func (r *Run) mayRetry(now time.Time) bool {
+	if r.attempts >= r.limits.MaxAttempts {
+		return false
+	}
+	if now.Add(r.limits.LeastTime).After(r.limits.Deadline) {
+		return false
+	}
+	return r.budget.Withdraw()
+}
+
+// exhausted is the end of a request whose retries are used up.
+func (r *Run) exhausted(failure Failure) Decision {
+	if failure == Refused {
+		return HandOn
+	}
+	if r.reached {
+		return EndUnknown
+	}
+	return EndNotRun
+}
--- /dev/null
+++ b/pkg/retry/table.go
@@ -0,0 +1,94 @@
+package retry
+
+// Allowed is what the request and its target allow.
+type Allowed struct {
+	// Idempotent says that running the request twice does no harm.
+	Idempotent bool
+	// Resumable says that the target holds the answer as a stream, which can
+	// be read again under the attempt's id.
+	Resumable bool
+}
+
+// cell holds the decisions of one phase and failure.
+type cell struct {
+	// idempotent and once are for requests that are and are not idempotent.
+	idempotent, once Decision
+	// resumable and onceResumable are the same where the target can resume.
+	resumable, onceResumable Decision
+}
+
+// Cells that several failures share.
+var (
+	unsentAgain  = cell{idempotent: Again, once: Again, resumable: Again, onceResumable: Again}
+	unsentEnd    = cell{idempotent: EndNotRun, once: EndNotRun, resumable: EndNotRun, onceResumable: EndNotRun}
+	end          = cell{idempotent: EndUnknown, once: EndUnknown, resumable: EndUnknown, onceResumable: EndUnknown}
+	againOrEnd   = cell{idempotent: Again, once: EndUnknown, resumable: Again, onceResumable: EndUnknown}
+	resumeOr     = cell{idempotent: Again, once: EndUnknown, resumable: Resume, onceResumable: Resume}
+	resumeOrEnd  = cell{idempotent: EndUnknown, once: EndUnknown, resumable: Resume, onceResumable: Resume}
+	againOrOwn   = cell{idempotent: Again, once: HandOn, resumable: Again, onceResumable: HandOn}
+	cantHappen   = end
+	connectAgain = resumeOr
+)
+
+// table holds the decision for every phase and failure. Combinations that can't
+// come about end as unknown, which is never a wrong promise.
+var table = [phases][failures]cell{
+	Unsent: {
+		ConnectFailed:  unsentAgain,
+		ConnectionLost: unsentAgain,
+		Silence:        unsentAgain,
+		Mismatch:       cantHappen,
+		Refused:        cantHappen,
+		StreamGone:     cantHappen,
+		TooLarge:       cantHappen,
+		DeadlinePassed: unsentEnd,
+		CallerGone:     unsentEnd,
+	},
+	Sent: {
+		ConnectFailed:  connectAgain,
+		ConnectionLost: resumeOr,
+		Silence:        resumeOr,
+		Mismatch:       resumeOr,
+		Refused:        againOrOwn,
+		StreamGone:     againOrEnd,
+		TooLarge:       end,
+		DeadlinePassed: end,
+		CallerGone:     end,
+	},
+	Answering: {
+		ConnectFailed:  connectAgain,
+		ConnectionLost: resumeOr,
+		Silence:        resumeOr,
+		Mismatch:       resumeOr,
+		Refused:        againOrOwn,
+		StreamGone:     againOrEnd,
+		TooLarge:       end,
+		DeadlinePassed: end,
+		CallerGone:     end,
+	},
+	Streaming: {
+		ConnectFailed:  resumeOrEnd,
+		ConnectionLost: resumeOrEnd,
+		Silence:        resumeOrEnd,
+		Mismatch:       resumeOrEnd,
+		Refused:        end,
+		StreamGone:     end,
+		TooLarge:       end,
+		DeadlinePassed: end,
+		CallerGone:     end,
+	},
+}
+
+// Decide returns the table's decision for one failed attempt.
+func Decide(allowed Allowed, phase Phase, failure Failure) Decision {
+	c := table[phase][failure]
+	switch {
+	case allowed.Idempotent && allowed.Resumable:
+		return c.resumable
+	case allowed.Idempotent:
+		return c.idempotent
+	case allowed.Resumable:
+		return c.onceResumable
+	}
+	return c.once
+}
