--- a/pkg/config/knobs_retry.go
+++ b/pkg/config/knobs_retry.go
@@ -11,4 +11,12 @@
 	SilenceTimeout Duration `json:"silenceTimeout" default:"5s" unit:"duration" min:"100ms" max:"10m"`
 	// BudgetRatio bounds retries as a share of a route's requests.
 	BudgetRatio float64 `json:"budgetRatio" default:"0.1" unit:"ratio" min:"0" max:"1"`
+	// BudgetBurst is how many retries a route may make in a row after a quiet
+	// time.
+	BudgetBurst float64 `json:"budgetBurst" default:"10" unit:"retries" min:"0" max:"1000"`
+	// MaxTimeout bounds the deadline that a caller may give.
+	MaxTimeout Duration `json:"maxTimeout" default:"30m" unit:"duration" min:"100ms" max:"24h"`
+	// HedgeAfter is how long a lookup waits for its answer before it is sent
+	// to a second target as well; zero means never.
+	HedgeAfter Duration `json:"hedgeAfter" default:"0s" unit:"duration" min:"0s" max:"1m"`
 }
