Relay with attempts, resumes and truthful outcomes

The thin path sent once and called every failure unknown, kept a stream's tail by copying all of it, and let an answer end at EOF. Now every attempt has an id that the answer must bear; streams are read frame by frame, resumed on a new connection after silence, break or mismatch, and end only at the end marker; other answers need a stated length and are read whole before being handed on where they are small; what can't be completed is aborted. Failures go through pkg/retry. Abandoned attempts are cancelled at the engine.

The entry checks the key again when the request leaves the queue, refuses keys outside their header and paths that a target could read otherwise, bounds slow and stalled callers, serves HTTP/2, fills prompt estimate, prefix hashes and deadline, records usage once, and answers failures at once with Retry-After.

Ruled out: http.Client for targets, since it follows redirects, keeps cookies and quotes URLs in errors; an outcome header on streams, since it would be sent before the outcome is known (it is a trailer now).

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
+	"amaranthplank.example/amaranthplank/pkg/target"
 	"amaranthplank.example/amaranthplank/pkg/targetwatch"
 	"amaranthplank.example/amaranthplank/pkg/usage"
 )
@@ -25,8 +26,6 @@
 	targetsEvery = time.Second
 	// closeEvery is the time between looks for ended usage windows.
 	closeEvery = time.Second
-	// headerTimeout bounds how long a caller takes to send its headers.
-	headerTimeout = 10 * time.Second
 )
 
 // Daemon is one process of the system.
@@ -36,6 +35,7 @@
 	targets *targetwatch.Watcher
 	meter   *usage.Meter
 	closer  *usage.Closer
+	relay   *relay.Relay
 	server  *http.Server
 }
 
@@ -49,16 +49,19 @@
 		Meter: d.meter, Store: opts.Store, Sink: opts.Usage, Log: opts.Log,
 		Shard: ident.Duty("usage/" + string(opts.Host)), Grace: opts.UsageGrace, Every: closeEvery,
 	})
-	d.server = &http.Server{Handler: d.handler(), ReadHeaderTimeout: headerTimeout}
+	d.server = entry.NewServer(d.handler())
 	return d
 }
 
 // handler returns the callers' handler.
 func (d *Daemon) handler() http.Handler {
 	router := routing.NewLeastOutstanding(d.targets)
-	transport := &http.Transport{DisableCompression: true}
+	relayer := relay.New(relay.Options{
+		Router: router, Client: target.NewClient(), Config: d.config, Log: d.opts.Log,
+	})
+	d.relay = relayer
 	return entry.New(entry.Options{
-		Config: d.config, Admission: admission.Unlimited{}, Relay: relay.New(router, transport),
+		Config: d.config, Admission: admission.Unlimited{}, Relay: relayer,
 		Recorder: d.meter, Log: d.opts.Log, MaxBodyBytes: maxBodyBytes,
 	})
 }
@@ -69,6 +72,7 @@
 	group.Go(func() error { return d.config.Run(ctx) })
 	group.Go(func() error { return d.targets.Run(ctx) })
 	group.Go(func() error { return d.closer.Run(ctx) })
+	group.Go(func() error { return d.relay.Run(ctx) })
 	group.Go(func() error { return d.serve(ctx) })
 	return group.Wait()
 }
--- /dev/null
+++ b/pkg/entry/auth.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// errNoKey tells the caller that no valid key came with the request.
+var errNoKey = fault.New(fault.Unauthenticated, "no valid key came with the request", "send the workspace's key as Authorization: Bearer KEY")
+
+// caller is whom a request comes from.
+type caller struct {
+	// workspace is empty where no valid key came.
+	workspace ident.Workspace
+	digest    config.KeyDigest
+	// key is what came as a key, valid or not. It stays in this package.
+	key string
+}
+
+// scheme is the start of the header that bears a key.
+const scheme = "bearer "
+
+// identify returns the workspace whose key came with the request.
+func identify(snapshot *config.Snapshot, header http.Header) caller {
+	values := header.Values(headerAuthorization)
+	if len(values) != 1 || len(values[0]) <= len(scheme) || !strings.EqualFold(values[0][:len(scheme)], scheme) {
+		return caller{}
+	}
+	key := strings.TrimSpace(values[0][len(scheme):])
+	c := caller{key: key, digest: config.DigestKey(key)}
+	if workspace, ok := snapshot.WorkspaceOf(c.digest, time.Now()); ok {
+		c.workspace = workspace.Name
+	}
+	return c
+}
+
+// check reports whether the key still belongs to the workspace.
+func (c *caller) check(snapshot *config.Snapshot) error {
+	if c.workspace == "" {
+		return nil
+	}
+	workspace, ok := snapshot.WorkspaceOf(c.digest, time.Now())
+	if !ok || workspace.Name != c.workspace {
+		return errNoKey
+	}
+	return nil
+}
+
+// mayBeOpen reports whether a request without a valid key may fall under a
+// route that is open to all. The body of others is not read.
+func mayBeOpen(snapshot *config.Snapshot, r *http.Request) bool {
+	for i := range snapshot.Document.Routes {
+		route := &snapshot.Document.Routes[i]
+		if route.Open && strings.HasPrefix(r.URL.Path, route.Path) {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/entry/build.go
+++ b/pkg/entry/build.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,31 +14,26 @@
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
-// servicesPrefix is the start of the paths of plain services.
-const servicesPrefix = "/services/"
-
-// readBody reads a bounded body.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "the body could not be read", "send the whole body")
-	}
-	if int64(len(body)) > limit {
-		return nil, fault.New(fault.Invalid, "the body is too large", "send a smaller body")
-	}
-	return body, nil
-}
+const (
+	// servicesPrefix is the start of the paths of plain services.
+	servicesPrefix = "/services/"
+	// maxIdempotencyKey bounds an idempotency key in bytes.
+	maxIdempotencyKey = 256
+)
 
 // build makes a request of a caller's call.
-func build(snapshot *config.Snapshot, r *http.Request, id ident.Request, workspace ident.Workspace, body []byte) (*request.Request, error) {
+func build(snapshot *config.Snapshot, r *http.Request, id ident.Request, from caller, body []byte) (*request.Request, error) {
 	req := &request.Request{
-		ID: id, Workspace: workspace, Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header, Body: body,
+		ID: id, Workspace: from.workspace, Method: r.Method, Path: targetPath(r.URL, ""), Header: r.Header, Body: body,
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
 	}
+	if len(req.IdempotencyKey) > maxIdempotencyKey {
+		return nil, fault.New(fault.Invalid, "the idempotency key is too long", "send a key of at most 256 bytes")
+	}
 	if rest, ok := strings.CutPrefix(r.URL.Path, servicesPrefix); ok {
 		name, _, _ := strings.Cut(rest, "/")
 		req.Service = ident.Service(name)
-		req.Path = strings.TrimPrefix(req.Path, servicesPrefix+name)
+		req.Path = targetPath(r.URL, servicesPrefix+name)
 	} else if err := readModel(req, body); err != nil {
 		return nil, err
 	}
@@ -46,22 +41,40 @@
 	if route == nil {
 		return nil, fault.New(fault.NotFound, "no route matches the request", "ask the operators which routes there are")
 	}
+	if from.workspace == "" && !route.Open {
+		return nil, errNoKey
+	}
 	req.Route = route.Name
 	req.Class = route.Class
 	req.Idempotent = route.Idempotent
-	knobs := snapshot.Knobs(config.Selector{Workspace: workspace, Route: route.Name, Model: req.Model, Service: req.Service})
-	req.Deadline = time.Now().Add(knobs.Retry.Timeout.D())
-	return req, nil
+	knobs := snapshot.Knobs(config.Selector{Workspace: from.workspace, Route: route.Name, Model: req.Model, Service: req.Service})
+	timeout, err := timeoutOf(r.Header.Get(HeaderDeadline), &knobs.Retry)
+	req.Deadline = time.Now().Add(timeout)
+	return req, err
+}
+
+// timeoutOf returns how long the caller waits, within the bounds.
+func timeoutOf(text string, knobs *config.RetryKnobs) (time.Duration, error) {
+	if text == "" {
+		return knobs.Timeout.D(), nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || millis <= 0 {
+		return 0, fault.New(fault.Invalid, "the deadline is malformed", "send "+HeaderDeadline+" as a whole number of milliseconds above zero")
+	}
+	return min(time.Duration(millis)*time.Millisecond, knobs.MaxTimeout.D()), nil
 }
 
 // readModel reads the parts of a completion's body that the system needs.
 func readModel(req *request.Request, body []byte) error {
 	var completion target.CompletionRequest
 	if err := json.Unmarshal(body, &completion); err != nil {
-		return fault.Wrap(err, fault.Invalid, "the body is not a completion request", "send JSON with a model field")
+		return fault.New(fault.Invalid, "the body is not a completion request", "send JSON with a model field")
 	}
 	req.Model = completion.Model
 	req.Stream = completion.Stream
-	req.MaxOutputTokens = completion.MaxTokens
+	req.MaxOutputTokens = completion.OutputLimit()
+	req.PromptTokens = completion.PromptTokens()
+	req.Prefix = completion.Blocks()
 	return nil
 }
--- a/pkg/entry/errorbody.go
+++ b/pkg/entry/errorbody.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
+	"strconv"
 
 	"github.com/go-faster/errors"
 
@@ -11,15 +13,18 @@
 	"amaranthplank.example/amaranthplank/pkg/request"
 )
 
-// ErrorBody is the body of every refusal and failure.
+// ErrorBody is the body of every refusal and failure, in the shape that model
+// callers know.
 type ErrorBody struct {
 	Error ErrorDetail `json:"error"`
 }
 
 // ErrorDetail says what went wrong and what the caller can do.
 type ErrorDetail struct {
-	Kind    fault.Kind      `json:"type"`
-	Message string          `json:"message"`
+	Kind    fault.Kind `json:"type"`
+	Message string     `json:"message"`
+	// Code repeats the kind where model callers look for it.
+	Code    fault.Kind      `json:"code"`
 	Remedy  string          `json:"remedy"`
 	Outcome request.Outcome `json:"outcome"`
 	Request ident.Request   `json:"request"`
@@ -27,15 +32,19 @@
 
 // writeError answers with an error body.
 func writeError(w http.ResponseWriter, id ident.Request, outcome request.Outcome, err error) {
-	detail := ErrorDetail{Kind: fault.KindOf(err), Message: "the request failed", Outcome: outcome, Request: id}
+	kind := fault.KindOf(err)
+	detail := ErrorDetail{Kind: kind, Code: kind, Message: "the request failed", Outcome: outcome, Request: id}
 	var typed *fault.Error
 	if errors.As(err, &typed) {
 		detail.Message = typed.Reason
 		detail.Remedy = typed.Remedy
 	}
+	if wait := fault.RetryAfterOf(err); wait > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(HeaderOutcome, string(outcome))
-	w.WriteHeader(detail.Kind.HTTPStatus())
+	w.WriteHeader(kind.HTTPStatus())
 	// A failed write means that the connection is gone, which needs no answer.
 	_ = json.NewEncoder(w).Encode(ErrorBody{Error: detail})
 }
--- a/pkg/entry/options.go
+++ b/pkg/entry/options.go
@@ -2,6 +2,9 @@
 
 import (
 	"log/slog"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
 	"amaranthplank.example/amaranthplank/pkg/config"
@@ -16,6 +19,43 @@
 	Relay     *relay.Relay
 	Recorder  usage.Recorder
 	Log       *slog.Logger
+	// Registerer takes the metrics; nil keeps them unregistered.
+	Registerer prometheus.Registerer
+	// Ready returns why the daemon may serve nobody at present, such as a
+	// configuration that may be out of date. Nil means that it always may.
+	Ready func() error
+	// Observer is told of each request's end; it may be nil.
+	Observer Observer
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
+	// BodyTimeout bounds how long a caller takes to send the body; zero means
+	// DefaultBodyTimeout.
+	BodyTimeout time.Duration
+	// WriteTimeout bounds how long a caller may leave a part of the answer
+	// unread; zero means DefaultWriteTimeout.
+	WriteTimeout time.Duration
+}
+
+const (
+	// DefaultBodyTimeout is the bound on sending a body.
+	DefaultBodyTimeout = 30 * time.Second
+	// DefaultWriteTimeout is the bound on leaving a part of an answer unread.
+	DefaultWriteTimeout = 30 * time.Second
+)
+
+// withDefaults fills what was left out.
+func (o Options) withDefaults() Options {
+	if o.BodyTimeout == 0 {
+		o.BodyTimeout = DefaultBodyTimeout
+	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = DefaultWriteTimeout
+	}
+	if o.Ready == nil {
+		o.Ready = func() error { return nil }
+	}
+	if o.Observer == nil {
+		o.Observer = noObserver{}
+	}
+	return o
 }
--- /dev/null
+++ b/pkg/entry/session.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/relay"
+	"amaranthplank.example/amaranthplank/pkg/request"
+	"amaranthplank.example/amaranthplank/pkg/usage"
+)
+
+// notReadyWait is the wait that is advised while the daemon is not ready.
+const notReadyWait = time.Second
+
+// session is one request's stay at the entry.
+type session struct {
+	handler *Handler
+	writer  *callerWriter
+	http    *http.Request
+	id      ident.Request
+	began   time.Time
+	life    *request.Life
+	from    caller
+	// req is nil until the request was read.
+	req *request.Request
+	// ticket is nil unless the request is admitted.
+	ticket admission.Ticket
+	// figures are what the ticket is given back with.
+	figures request.Figures
+}
+
+// newSession returns the session of a request that was just received.
+func newSession(h *Handler, w *callerWriter, r *http.Request, id ident.Request) *session {
+	h.metrics.states.WithLabelValues(request.Received.String()).Inc()
+	return &session{
+		handler: h, writer: w, http: r, id: id, began: time.Now(), life: request.NewLife(h.metrics.moved),
+	}
+}
+
+// leave gives back what the session holds, also where it ends by a panic.
+func (s *session) leave() {
+	if s.ticket != nil {
+		s.ticket.Release(s.figures)
+	}
+	if !s.life.State().Final() {
+		s.handler.metrics.states.WithLabelValues(s.life.State().String()).Dec()
+	}
+}
+
+// current returns the configuration in force, if the daemon may serve by it.
+func (s *session) current() (*config.Snapshot, error) {
+	if err := s.handler.opts.Ready(); err != nil {
+		return nil, err
+	}
+	snapshot := s.handler.opts.Config.Current()
+	if snapshot == nil {
+		return nil, errNoSnapshot
+	}
+	return snapshot, nil
+}
+
+// read checks the key and makes a request of what the caller sent.
+func (s *session) read() error {
+	snapshot, err := s.current()
+	if err != nil {
+		return err
+	}
+	if err := checkPath(s.http.URL); err != nil {
+		return err
+	}
+	s.from = identify(snapshot, s.http.Header)
+	if s.from.workspace == "" && !mayBeOpen(snapshot, s.http) {
+		return errNoKey
+	}
+	opts := &s.handler.opts
+	body, err := readBody(s.writer.ResponseWriter, s.http, opts.MaxBodyBytes, opts.BodyTimeout)
+	if err != nil {
+		return err
+	}
+	if err := checkLeaks(snapshot, s.from, s.http, body); err != nil {
+		return err
+	}
+	s.req, err = build(snapshot, s.http, s.id, s.from, body)
+	return err
+}
+
+// admit waits for the ticket and checks the key again, which may have been
+// withdrawn while the request waited.
+func (s *session) admit() error {
+	s.life.To(request.Queued)
+	ticket, err := s.handler.opts.Admission.Admit(s.http.Context(), s.req)
+	if err != nil {
+		return err
+	}
+	s.ticket = ticket
+	snapshot, err := s.current()
+	if err != nil {
+		return err
+	}
+	if err := s.from.check(snapshot); err != nil {
+		return err
+	}
+	s.life.To(request.Admitted)
+	return nil
+}
+
+// run has the request relayed and tells the caller of a failure.
+func (s *session) run() {
+	s.life.To(request.Attempting)
+	result := s.handler.opts.Relay.Do(s.http.Context(), s.req, s.writer)
+	s.settle(result)
+	switch {
+	case result.Outcome == request.Answered:
+		s.writer.Header().Set(http.TrailerPrefix+HeaderOutcome, string(request.Answered))
+		s.end(request.Answered, nil)
+	case result.Started:
+		s.end(result.Outcome, result.Err)
+		panic(http.ErrAbortHandler)
+	default:
+		s.fail(result.Outcome, result.Err)
+	}
+}
+
+// settle records what the request used, once its outcome is known. A request
+// whose caller left is charged for the part that was handed over; one that the
+// system failed to complete is not.
+func (s *session) settle(result relay.Result) {
+	s.figures = result.Figures
+	if result.Started {
+		s.life.To(request.Streaming)
+	}
+	s.observe(result)
+	charged := result.Outcome == request.Answered || (result.CallerGone && result.Started)
+	if !charged || s.req.Workspace == "" {
+		return
+	}
+	s.handler.opts.Recorder.Record(usage.Record{
+		Workspace: s.req.Workspace, Model: s.req.Model, Service: s.req.Service, At: time.Now(), Figures: result.Figures,
+	})
+}
+
+// observe takes the times of a request that reached the targets.
+func (s *session) observe(result relay.Result) {
+	now := time.Now()
+	observation := Observation{
+		Workspace: s.req.Workspace, Route: s.req.Route, Class: s.req.Class, Model: s.req.Model,
+		Outcome: result.Outcome, CallerGone: result.CallerGone, Total: now.Sub(s.began), Events: result.Events,
+	}
+	class := string(s.req.Class)
+	if result.Started {
+		observation.FirstPart = result.FirstAt.Sub(s.began)
+		s.handler.metrics.first.WithLabelValues(class).Observe(observation.FirstPart.Seconds())
+	}
+	if result.Outcome == request.Answered {
+		s.handler.metrics.seconds.WithLabelValues(class).Observe(observation.Total.Seconds())
+	}
+	s.handler.opts.Observer.Observe(observation)
+}
+
+// fail ends the request and tells the caller why, at once.
+func (s *session) fail(outcome request.Outcome, err error) {
+	s.end(outcome, err)
+	writeError(s.writer, s.id, outcome, err)
+}
+
+// end counts the request's end and logs it where it was not answered.
+func (s *session) end(outcome request.Outcome, err error) {
+	s.life.To(outcome.End())
+	var route ident.Route
+	if s.req != nil {
+		route = s.req.Route
+	}
+	if err == nil {
+		s.handler.metrics.ended(route, outcome, "")
+		return
+	}
+	s.handler.metrics.ended(route, outcome, string(fault.KindOf(err)))
+	s.handler.opts.Log.Warn("request not answered",
+		"request", s.id, "workspace", s.from.workspace, "route", route, "outcome", outcome, "error", err)
+}
--- /dev/null
+++ b/pkg/relay/attempt.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/request"
+	"amaranthplank.example/amaranthplank/pkg/retry"
+)
+
+// attempt is one send of a request to one target.
+type attempt struct {
+	call    *call
+	id      ident.Attempt
+	address string
+	// phase only rises.
+	phase retry.Phase
+	// last is the id of the last event that was taken.
+	last uint64
+	// lastData is that event's data. The one before the end marker bears the
+	// usage.
+	lastData []byte
+	// usage is what the target stated.
+	usage request.Figures
+	// refusal is the target's answer that it takes no work.
+	refusal *answer
+	// quiet counts the resumes since the last event.
+	quiet int
+	pause backoff.BackOff
+}
+
+// newAttempt returns an attempt that has sent nothing.
+func newAttempt(c *call, state *fleet.TargetState) *attempt {
+	return &attempt{
+		call: c, id: ident.Attempt(uuid.NewString()), address: state.Record.Address, pause: newPause(),
+	}
+}
+
+const (
+	// firstPause and longestPause bound the pauses between resumes.
+	firstPause   = 20 * time.Millisecond
+	longestPause = time.Second
+)
+
+// newPause returns the growing pauses between resumes.
+func newPause() backoff.BackOff {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstPause
+	pause.MaxInterval = longestPause
+	return pause
+}
+
+// make sends the request and carries the answer back, over as many exchanges
+// as the stream needs. It returns nil once the caller has the whole answer,
+// else the error with what is to follow.
+func (a *attempt) make(ctx context.Context) (retry.Decision, error) {
+	err := a.first(ctx)
+	for err != nil {
+		failure := failureOf(err)
+		decision := a.call.run.Failed(a.phase, failure, time.Now())
+		a.call.relay.metrics.failed(a.phase, failure, decision)
+		if decision != retry.Resume {
+			a.abandon(failure)
+			return decision, err
+		}
+		if !a.wait(ctx) {
+			err = a.call.classify(ctx, ctx.Err())
+			continue
+		}
+		err = a.resume(ctx)
+	}
+	return retry.HandOn, nil
+}
+
+// wait pauses before a resume, unless the attempt was making progress.
+func (a *attempt) wait(ctx context.Context) bool {
+	a.quiet++
+	if a.quiet == 1 {
+		a.pause.Reset()
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(a.pause.NextBackOff())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// progress notes that the attempt has brought an event.
+func (a *attempt) progress() {
+	a.quiet = 0
+	a.call.run.Progress()
+}
+
+// abandon has the engine told that nobody waits for the attempt any more.
+func (a *attempt) abandon(failure retry.Failure) {
+	if a.call.req.Model == "" || a.phase == retry.Unsent || failure == retry.Refused {
+		return
+	}
+	a.call.relay.canceller.cancel(a.address, a.id)
+}
+
+// reached raises the phase.
+func (a *attempt) reached(phase retry.Phase) { a.phase = max(a.phase, phase) }
--- /dev/null
+++ b/pkg/relay/call.go
@@ -0,0 +1,126 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/request"
+	"amaranthplank.example/amaranthplank/pkg/retry"
+)
+
+const (
+	// maxResumes bounds the resumes in a row that bring no event.
+	maxResumes = 6
+	// leastTime is the time that is worth beginning an attempt for.
+	leastTime = 5 * time.Millisecond
+)
+
+// call is one request on its way to targets and back.
+type call struct {
+	relay  *Relay
+	req    *request.Request
+	writer http.ResponseWriter
+	// caller ends when the caller has left.
+	caller context.Context
+	knobs  *config.RetryKnobs
+	run    *retry.Run
+	// failed are the targets that attempts failed on.
+	failed []ident.Target
+	result Result
+}
+
+// newCall returns a call before its first attempt.
+func newCall(r *Relay, req *request.Request, w http.ResponseWriter) *call {
+	knobs := r.knobs(req)
+	allowed := retry.Allowed{Idempotent: req.Idempotent, Resumable: req.Stream && req.Model != ""}
+	limits := retry.Limits{
+		MaxAttempts: int(knobs.MaxAttempts), MaxResumes: maxResumes, Deadline: req.Deadline, LeastTime: leastTime,
+	}
+	budget := r.budgets.Of(req.Route, knobs.BudgetRatio, knobs.BudgetBurst)
+	return &call{relay: r, req: req, writer: w, knobs: knobs, run: retry.NewRun(allowed, limits, budget)}
+}
+
+// do makes attempts until one is answered or none may follow.
+func (c *call) do(ctx context.Context) Result {
+	for {
+		state, err := c.choose()
+		if err != nil {
+			return c.noTarget(err)
+		}
+		c.run.Begin()
+		c.result.Attempts++
+		a := newAttempt(c, state)
+		decision, err := a.make(ctx)
+		c.relay.opts.Router.Done(c.req, state.Record.Target)
+		if decision != retry.Again {
+			return c.finish(a, decision, err)
+		}
+		c.failed = append(c.failed, state.Record.Target)
+	}
+}
+
+// choose returns a target that no attempt failed on, or, where there is none
+// other, any.
+func (c *call) choose() (*fleet.TargetState, error) {
+	state, err := c.relay.opts.Router.Choose(c.req, c.failed)
+	if err != nil && len(c.failed) > 0 {
+		return c.relay.opts.Router.Choose(c.req, nil)
+	}
+	return state, err
+}
+
+// noTarget ends a request that no target may take.
+func (c *call) noTarget(err error) Result {
+	c.result.Outcome = request.NotRun
+	c.result.Err = err
+	if c.run.Reached() {
+		c.result.Outcome = request.Unknown
+		c.result.Err = unknownError(c.req, retry.ConnectFailed, err)
+	}
+	return c.result
+}
+
+// finish ends a request after its last attempt.
+func (c *call) finish(a *attempt, decision retry.Decision, err error) Result {
+	switch {
+	case err == nil:
+		c.result.Outcome = request.Answered
+		c.result.Figures = a.figures()
+	case decision == retry.HandOn:
+		return c.handOn(a)
+	case decision == retry.EndNotRun:
+		c.result.Outcome = request.NotRun
+		c.result.Err = notRunError(failureOf(err), err)
+	default:
+		c.result.Outcome = request.Unknown
+		c.result.Err = unknownError(c.req, failureOf(err), err)
+		c.result.CallerGone = failureOf(err) == retry.CallerGone
+		c.result.Figures = a.partFigures()
+	}
+	return c.result
+}
+
+// handOn gives the caller the target's own refusal.
+func (c *call) handOn(a *attempt) Result {
+	if err := a.refusal.writeTo(c); err != nil {
+		c.result.Outcome = request.Unknown
+		c.result.CallerGone = true
+		c.result.Err = unknownError(c.req, retry.CallerGone, err)
+		return c.result
+	}
+	c.result.Outcome = request.Answered
+	return c.result
+}
+
+// handed notes that a part of the answer was handed to the caller.
+func (c *call) handed() {
+	c.result.LastAt = time.Now()
+	if !c.result.Started {
+		c.result.Started = true
+		c.result.FirstAt = c.result.LastAt
+	}
+}
--- /dev/null
+++ b/pkg/relay/metrics.go
@@ -0,0 +1,39 @@
+package relay
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"amaranthplank.example/amaranthplank/pkg/retry"
+)
+
+// metrics are the relay's. Their labels take values of fixed sets only.
+type metrics struct {
+	failures *prometheus.CounterVec
+	events   prometheus.Counter
+	cancels  *prometheus.CounterVec
+}
+
+// newMetrics returns registered metrics.
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "amaranthplank_relay_failures_total",
+			Help: "Failed exchanges by phase, failure and what was decided.",
+		}, []string{"phase", "failure", "decision"}),
+		events: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "amaranthplank_relay_events_total", Help: "Stream events handed to callers.",
+		}),
+		cancels: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "amaranthplank_relay_cancels_total", Help: "Attempts cancelled at engines, by result.",
+		}, []string{"result"}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.failures, m.events, m.cancels)
+	}
+	return m
+}
+
+// failed counts one failed exchange.
+func (m *metrics) failed(phase retry.Phase, failure retry.Failure, decision retry.Decision) {
+	m.failures.WithLabelValues(phase.String(), failure.String(), decision.String()).Inc()
+}
--- a/pkg/relay/result.go
+++ b/pkg/relay/result.go
@@ -1,6 +1,10 @@
 package relay
 
-import "amaranthplank.example/amaranthplank/pkg/request"
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/request"
+)
 
 // Result is what became of a request at the targets.
 type Result struct {
@@ -11,4 +15,13 @@
 	// Started says that a part of the answer was handed to the caller, so
 	// that nothing but an abort can tell of a failure.
 	Started bool
+	// CallerGone says that the caller left before the end.
+	CallerGone bool
+	// Attempts counts the sends.
+	Attempts int
+	// Events counts the stream events that were handed to the caller.
+	Events uint64
+	// FirstAt and LastAt are when the answer's first and last part were
+	// handed to the caller. They are zero where nothing was.
+	FirstAt, LastAt time.Time
 }
--- a/pkg/request/outcome.go
+++ b/pkg/request/outcome.go
@@ -12,3 +12,7 @@
 	// Unknown means that the request may have run.
 	Unknown Outcome = "unknown"
 )
+
+// HeaderOutcome tells the caller the outcome. Streamed answers bear it as a
+// trailer, since it is known only at their end.
+const HeaderOutcome = "Amaranth-Outcome"
--- /dev/null
+++ b/pkg/target/prompt.go
@@ -0,0 +1,60 @@
+package target
+
+import "github.com/cespare/xxhash/v2"
+
+const (
+	// PromptBlockBytes is the length of the blocks that prompts are hashed in.
+	PromptBlockBytes = 1024
+	// maxPromptBlocks bounds the hashes of one prompt.
+	maxPromptBlocks = 1024
+	// bytesPerToken is the mean length of a token.
+	bytesPerToken = 4
+)
+
+// Blocks returns the hashes of the prompt's successive blocks. Each covers the
+// model and everything up to the block's end; a last block that is not full has
+// none.
+func (r *CompletionRequest) Blocks() []uint64 {
+	hasher := &blockHasher{digest: xxhash.New()}
+	_, _ = hasher.digest.WriteString(string(r.Model))
+	r.eachPart(hasher.write)
+	return hasher.blocks
+}
+
+// PromptTokens estimates the prompt's tokens from its length.
+func (r *CompletionRequest) PromptTokens() int {
+	length := 0
+	r.eachPart(func(part []byte) { length += len(part) })
+	return (length + bytesPerToken - 1) / bytesPerToken
+}
+
+// eachPart calls f with the prompt's parts in their order.
+func (r *CompletionRequest) eachPart(f func([]byte)) {
+	f(r.Prompt)
+	for i := range r.Messages {
+		f([]byte(r.Messages[i].Role))
+		f(r.Messages[i].Content)
+	}
+}
+
+// blockHasher hashes a prompt block by block.
+type blockHasher struct {
+	digest *xxhash.Digest
+	// filled is the length of the open block.
+	filled int
+	blocks []uint64
+}
+
+// write hashes the next part.
+func (h *blockHasher) write(part []byte) {
+	for len(part) > 0 && len(h.blocks) < maxPromptBlocks {
+		n := min(len(part), PromptBlockBytes-h.filled)
+		_, _ = h.digest.Write(part[:n])
+		h.filled += n
+		part = part[n:]
+		if h.filled == PromptBlockBytes {
+			h.blocks = append(h.blocks, h.digest.Sum64())
+			h.filled = 0
+		}
+	}
+}
