Read a process's settings from a checked file

Cause: a daemon could only run as a development run. Change: settings in JSON with comments, checked whole, every fault with its line, field and remedy; a reader for such files that the configuration can use; HTTP adapters for the platform and a server for its stand-ins, so that daemons can run as processes of their own.

--- a/cmd/amaranthplank/main.go
+++ b/cmd/amaranthplank/main.go
@@ -23,8 +23,9 @@
 // run reads the command line and runs until a signal asks to stop.
 func run(log *slog.Logger) error {
 	dev := flag.Bool("dev", false, "run with stand-ins for the platform and the targets")
-	daemons := flag.Int("dev-daemons", 1, "with -dev, how many daemons to run")
+	daemons := flag.Int("dev-daemons", 1, "with -dev, how many daemons to run; 0 runs the stand-ins alone")
 	port := flag.Int("dev-port", 8080, "with -dev, the first daemon's port")
+	platformPort := flag.Int("dev-platform-port", 0, "with -dev, the port that serves the platform to other processes; 0 takes a free one")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -32,5 +33,7 @@
 		flag.Usage()
 		os.Exit(2)
 	}
-	return devmode.Run(ctx, devmode.Options{Daemons: *daemons, Port: *port, Log: log, Out: os.Stdout})
+	return devmode.Run(ctx, devmode.Options{
+		Daemons: *daemons, Port: *port, PlatformPort: *platformPort, Log: log, Out: os.Stdout,
+	})
 }
--- a/pkg/devmode/configuration.go
+++ b/pkg/devmode/configuration.go
@@ -13,6 +13,8 @@
 	devModel ident.Model = "counting"
 	// devService is the plain service that stands in.
 	devService ident.Service = "ledger"
+	// devRegion is the region of all parts.
+	devRegion ident.Region = "loopback"
 )
 
 // newKey returns a fresh caller's key.
--- a/pkg/devmode/examples.go
+++ b/pkg/devmode/examples.go
@@ -6,8 +6,9 @@
 )
 
 // printExamples prints the key and commands that work.
-func printExamples(out io.Writer, base, key string) {
+func printExamples(out io.Writer, platformBase, base, key string) {
 	lines := []string{
+		"platform: " + platformBase,
 		"workspace key: " + key,
 		"A streamed completion:",
 		fmt.Sprintf(`  curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"count the shelf"}]}'`, base, key, devModel),
--- /dev/null
+++ b/pkg/devmode/standins.go
@@ -0,0 +1,145 @@
+package devmode
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/standin/engine"
+	"amaranthplank.example/amaranthplank/pkg/standin/hosts"
+	"amaranthplank.example/amaranthplank/pkg/standin/ledger"
+	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
+	"amaranthplank.example/amaranthplank/pkg/standin/platformserver"
+	"amaranthplank.example/amaranthplank/pkg/standin/targets"
+	"amaranthplank.example/amaranthplank/pkg/standin/usagesink"
+	"amaranthplank.example/amaranthplank/pkg/standin/weights"
+)
+
+const (
+	// engines is how many model engines stand in.
+	engines = 4
+	// engineSlots is how many requests an engine runs at once.
+	engineSlots = 64
+	// tokenInterval is the pace of an engine's answers.
+	tokenInterval = 20 * time.Millisecond
+	// defaultTokens is the length of an answer that sets none.
+	defaultTokens = 16
+	// ledgers is how many replicas of the ledger stand in.
+	ledgers = 1
+	// domains is how many failure domains there are.
+	domains = 4
+	// hostLag is how late the host list shows a change.
+	hostLag = 2 * time.Second
+	// weightInterval is the time between weight loads.
+	weightInterval = time.Second
+	// loopback is the address that every part listens on.
+	loopback = "127.0.0.1"
+)
+
+// standIns are the platform and the targets of a development run.
+type standIns struct {
+	store   *memstore.Store
+	targets *targets.Orderer
+	usage   *usagesink.Sink
+	hosts   *hosts.List
+	weights *weights.Store
+	// key is the workspace's key in the first configuration.
+	key string
+}
+
+// startStandIns starts the targets and writes the first configuration.
+func startStandIns(ctx context.Context, group *errgroup.Group) (*standIns, error) {
+	s := &standIns{
+		store:   memstore.New(clock.Boot{}),
+		usage:   usagesink.New(),
+		hosts:   hosts.New(hostLag),
+		weights: weights.New(weightInterval),
+		key:     newKey(),
+	}
+	text := documentText(config.DigestKey(s.key))
+	if _, err := config.Parse(text); err != nil {
+		return nil, err
+	}
+	if _, err := s.store.CompareAndSwap(ctx, platform.Swap{Key: config.StoreKey, Value: text}); err != nil {
+		return nil, err
+	}
+	records, err := startTargets(ctx, group)
+	if err != nil {
+		return nil, err
+	}
+	s.targets = targets.New(records...)
+	return s, nil
+}
+
+// servePlatform serves the platform over HTTP and returns its base URL.
+func (s *standIns) servePlatform(ctx context.Context, group *errgroup.Group, port int) (string, error) {
+	handler := platformserver.New(platformserver.Systems{
+		Store: s.store, Usage: s.usage, Targets: s.targets, Hosts: s.hosts, Weights: s.weights, Reports: s.usage.Reports,
+	})
+	address, err := serve(ctx, group, port, handler)
+	return "http://" + address, err
+}
+
+// startTargets starts the engines and the ledger and returns their records.
+func startTargets(ctx context.Context, group *errgroup.Group) ([]platform.TargetRecord, error) {
+	var records []platform.TargetRecord
+	for i := range engines {
+		record := platform.TargetRecord{
+			Target: ident.Target(fmt.Sprintf("engine-%d", i+1)), FailureDomain: domainOf(i), Region: devRegion,
+			Kind: platform.Dependable, Model: devModel, ChecksFencing: i%2 == 0,
+		}
+		handler := engine.New(engine.Options{
+			Target: record.Target, Model: devModel, TokenInterval: tokenInterval,
+			Slots: engineSlots, DefaultTokens: defaultTokens, ChecksFencing: record.ChecksFencing,
+		})
+		address, err := serve(ctx, group, 0, handler)
+		if err != nil {
+			return nil, err
+		}
+		record.Address = address
+		records = append(records, record)
+	}
+	for i := range ledgers {
+		address, err := serve(ctx, group, 0, ledger.New())
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, platform.TargetRecord{
+			Target: ident.Target(fmt.Sprintf("ledger-%d", i+1)), Address: address, FailureDomain: domainOf(i),
+			Region: devRegion, Kind: platform.Dependable, Service: devService,
+		})
+	}
+	return records, nil
+}
+
+// serve serves a stand-in until ctx ends, on a free port where port is zero.
+func serve(ctx context.Context, group *errgroup.Group, port int, handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, port))
+	if err != nil {
+		return "", errors.Wrap(err, "listen for a stand-in")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	group.Go(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	})
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return listener.Addr().String(), nil
+}
+
+// domainOf spreads parts over the failure domains.
+func domainOf(i int) ident.FailureDomain {
+	return ident.FailureDomain(fmt.Sprintf("domain-%d", i%domains+1))
+}
--- /dev/null
+++ b/pkg/jsonc/doc.go
@@ -0,0 +1,3 @@
+// Package jsonc reads JSON with comments strictly and tells the line of every
+// fault that it finds.
+package jsonc
--- /dev/null
+++ b/pkg/platform/httpclient/doc.go
@@ -0,0 +1,2 @@
+// Package httpclient reaches the platform's systems over HTTP.
+package httpclient
--- /dev/null
+++ b/pkg/platform/httpclient/usage.go
@@ -0,0 +1,24 @@
+package httpclient
+
+import (
+	"context"
+
+	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/platform/wire"
+)
+
+// UsageSink takes usage reports over HTTP.
+type UsageSink struct {
+	client *Client
+}
+
+var _ platform.UsageSink = (*UsageSink)(nil)
+
+// NewUsageSink returns the sink behind a client.
+func NewUsageSink(client *Client) *UsageSink { return &UsageSink{client: client} }
+
+// Report hands in one window's figures.
+func (u *UsageSink) Report(ctx context.Context, report platform.UsageReport) error {
+	_, err := post[wire.Empty](ctx, u.client, callTimeout, wire.PathReport, report)
+	return err
+}
--- /dev/null
+++ b/pkg/platform/httpclient/weights.go
@@ -0,0 +1,26 @@
+package httpclient
+
+import (
+	"context"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/platform/wire"
+)
+
+// WeightStore reserves weight loads over HTTP.
+type WeightStore struct {
+	client *Client
+}
+
+var _ platform.WeightStore = (*WeightStore)(nil)
+
+// NewWeightStore returns the weight store behind a client.
+func NewWeightStore(client *Client) *WeightStore { return &WeightStore{client: client} }
+
+// Reserve asks to load a model's weights.
+func (s *WeightStore) Reserve(ctx context.Context, model ident.Model) (time.Duration, error) {
+	answer, err := post[wire.ReserveAnswer](ctx, s.client, callTimeout, wire.PathReserve, wire.ReserveRequest{Model: model})
+	return answer.Wait, err
+}
--- /dev/null
+++ b/pkg/standin/platformserver/doc.go
@@ -0,0 +1,2 @@
+// Package platformserver serves the stand-ins for the platform over HTTP.
+package platformserver
--- /dev/null
+++ b/pkg/standin/platformserver/server.go
@@ -0,0 +1,112 @@
+package platformserver
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/platform/wire"
+)
+
+// New returns a handler that serves the platform's calls.
+func New(systems Systems) http.Handler {
+	mux := http.NewServeMux()
+	addStore(mux, systems.Store)
+	handle(mux, wire.PathReport, func(ctx context.Context, report platform.UsageReport) (wire.Empty, error) {
+		return wire.Empty{}, systems.Usage.Report(ctx, report)
+	})
+	handle(mux, wire.PathReports, func(context.Context, wire.Empty) (wire.ReportList, error) {
+		return wire.ReportList{Reports: systems.Reports()}, nil
+	})
+	handle(mux, wire.PathOrder, func(ctx context.Context, order platform.TargetOrder) (wire.Empty, error) {
+		return wire.Empty{}, systems.Targets.Order(ctx, order)
+	})
+	handle(mux, wire.PathOrders, func(ctx context.Context, _ wire.Empty) (wire.OrderList, error) {
+		orders, err := systems.Targets.Orders(ctx)
+		return wire.OrderList{Orders: orders}, err
+	})
+	handle(mux, wire.PathTargets, func(ctx context.Context, _ wire.Empty) (wire.TargetList, error) {
+		records, err := systems.Targets.Targets(ctx)
+		return wire.TargetList{Targets: records}, err
+	})
+	handle(mux, wire.PathHosts, func(ctx context.Context, _ wire.Empty) (wire.HostList, error) {
+		hosts, err := systems.Hosts.Hosts(ctx)
+		return wire.HostList{Hosts: hosts}, err
+	})
+	handle(mux, wire.PathReserve, func(ctx context.Context, message wire.ReserveRequest) (wire.ReserveAnswer, error) {
+		wait, err := systems.Weights.Reserve(ctx, message.Model)
+		return wire.ReserveAnswer{Wait: wait}, err
+	})
+	return mux
+}
+
+// addStore serves the store's calls.
+func addStore(mux *http.ServeMux, store platform.Store) {
+	handle(mux, wire.PathGet, func(ctx context.Context, message wire.KeyRequest) (platform.Entry, error) {
+		return store.Get(ctx, message.Key)
+	})
+	handle(mux, wire.PathList, func(ctx context.Context, message wire.KeyRequest) (wire.EntryList, error) {
+		entries, err := store.List(ctx, message.Key)
+		return wire.EntryList{Entries: entries}, err
+	})
+	handle(mux, wire.PathSwap, func(ctx context.Context, swap platform.Swap) (wire.VersionAnswer, error) {
+		version, err := store.CompareAndSwap(ctx, swap)
+		return wire.VersionAnswer{Version: version}, err
+	})
+	handle(mux, wire.PathDelete, func(ctx context.Context, message wire.DeleteRequest) (wire.Empty, error) {
+		return wire.Empty{}, store.Delete(ctx, message.Key, message.Version)
+	})
+	handle(mux, wire.PathGrant, func(ctx context.Context, message wire.GrantRequest) (wire.LeaseMessage, error) {
+		lease, err := store.Grant(ctx, message.TTL)
+		return wire.LeaseMessage{Lease: lease}, err
+	})
+	handle(mux, wire.PathKeepAlive, func(ctx context.Context, message wire.LeaseMessage) (wire.Empty, error) {
+		return wire.Empty{}, store.KeepAlive(ctx, message.Lease)
+	})
+	handle(mux, wire.PathRevoke, func(ctx context.Context, message wire.LeaseMessage) (wire.Empty, error) {
+		return wire.Empty{}, store.Revoke(ctx, message.Lease)
+	})
+	handle(mux, wire.PathWatch, func(ctx context.Context, message wire.WatchRequest) (platform.Changes, error) {
+		ctx, cancel := context.WithTimeout(ctx, message.Wait)
+		defer cancel()
+		return store.Watch(ctx, message.Prefix, message.After)
+	})
+}
+
+// handle serves one call.
+func handle[Message, Answer any](mux *http.ServeMux, path string, call func(context.Context, Message) (Answer, error)) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		var message Message
+		if err := json.NewDecoder(r.Body).Decode(&message); err != nil {
+			fail(w, fault.Wrap(err, fault.Invalid, "the call is malformed", "send the message that the path takes"))
+			return
+		}
+		answer, err := call(r.Context(), message)
+		if err != nil {
+			fail(w, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write means that the connection is gone, which needs no
+		// answer.
+		_ = json.NewEncoder(w).Encode(answer)
+	})
+}
+
+// fail answers with a failure.
+func fail(w http.ResponseWriter, err error) {
+	failure := wire.Failure{Kind: fault.KindOf(err), Reason: err.Error()}
+	var typed *fault.Error
+	if errors.As(err, &typed) {
+		failure.Reason = typed.Reason
+		failure.Remedy = typed.Remedy
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(failure.Kind.HTTPStatus())
+	// A failed write means that the connection is gone, which needs no answer.
+	_ = json.NewEncoder(w).Encode(failure)
+}
