--- a/cmd/amaranthplank/main.go
+++ b/cmd/amaranthplank/main.go
@@ -4,36 +4,61 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"amaranthplank.example/amaranthplank/pkg/daemon"
 	"amaranthplank.example/amaranthplank/pkg/devmode"
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/settings"
 )
 
 func main() {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := run(log); err != nil {
-		log.Error("stopped", "error", err)
+	if err := run(os.Args[1:]); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "amaranthplank:", err)
 		os.Exit(1)
 	}
 }
 
 // run reads the command line and runs until a signal asks to stop.
-func run(log *slog.Logger) error {
-	dev := flag.Bool("dev", false, "run with stand-ins for the platform and the targets")
-	daemons := flag.Int("dev-daemons", 1, "with -dev, how many daemons to run; 0 runs the stand-ins alone")
-	port := flag.Int("dev-port", 8080, "with -dev, the first daemon's port")
-	platformPort := flag.Int("dev-platform-port", 0, "with -dev, the port that serves the platform to other processes; 0 takes a free one")
-	flag.Parse()
+func run(args []string) error {
+	flags := flag.NewFlagSet("amaranthplank", flag.ExitOnError)
+	file := flags.String("settings", "", "the `file` with this process's settings")
+	dev := flags.Bool("dev", false, "run with stand-ins for the platform and the targets")
+	var opts devmode.Options
+	flags.IntVar(&opts.Daemons, "dev-daemons", 1, "with -dev, how many daemons to run; 0 runs the stand-ins alone")
+	flags.IntVar(&opts.Port, "dev-port", 8080, "with -dev, the first daemon's port")
+	flags.IntVar(&opts.PlatformPort, "dev-platform-port", 0, "with -dev, the port that serves the platform to other processes; 0 takes a free one")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if !*dev {
-		flag.Usage()
-		os.Exit(2)
+	switch {
+	case *dev && *file == "":
+		opts.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
+		opts.Out = os.Stdout
+		return devmode.Run(ctx, opts)
+	case *file != "" && !*dev:
+		return serve(ctx, *file)
+	default:
+		flags.Usage()
+		return fault.New(fault.Invalid, "the command line names no settings", "pass either -settings FILE or -dev")
+	}
+}
+
+// serve runs a daemon with the settings of a file.
+func serve(ctx context.Context, file string) error {
+	s, err := settings.Read(file)
+	if err != nil {
+		return err
+	}
+	opts, err := daemon.FromSettings(s, s.Log.Logger(os.Stderr))
+	if err != nil {
+		return err
 	}
-	return devmode.Run(ctx, devmode.Options{
-		Daemons: *daemons, Port: *port, PlatformPort: *platformPort, Log: log, Out: os.Stdout,
-	})
+	return daemon.New(opts).Run(ctx)
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/entry"
+	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/operator"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
 	"amaranthplank.example/amaranthplank/pkg/targetwatch"
@@ -37,6 +41,7 @@
 	meter   *usage.Meter
 	closer  *usage.Closer
 	server  *http.Server
+	admin   *http.Server
 }
 
 // New returns a daemon that is ready to run.
@@ -50,9 +55,18 @@
 		Shard: ident.Duty("usage/" + string(opts.Host)), Grace: opts.UsageGrace, Every: closeEvery,
 	})
 	d.server = &http.Server{Handler: d.handler(), ReadHeaderTimeout: headerTimeout}
+	d.admin = &http.Server{Handler: operator.New(prometheus.DefaultGatherer, d.ready), ReadHeaderTimeout: headerTimeout}
 	return d
 }
 
+// ready tells whether the daemon may get callers' requests.
+func (d *Daemon) ready() error {
+	if d.config.Current() == nil {
+		return fault.New(fault.Unavailable, "no configuration was read yet", "look at the store")
+	}
+	return nil
+}
+
 // handler returns the callers' handler.
 func (d *Daemon) handler() http.Handler {
 	router := routing.NewLeastOutstanding(d.targets)
@@ -69,15 +83,18 @@
 	group.Go(func() error { return d.config.Run(ctx) })
 	group.Go(func() error { return d.targets.Run(ctx) })
 	group.Go(func() error { return d.closer.Run(ctx) })
-	group.Go(func() error { return d.serve(ctx) })
+	group.Go(func() error { return serve(ctx, d.server, d.opts.Listener) })
+	if d.opts.AdminListener != nil {
+		group.Go(func() error { return serve(ctx, d.admin, d.opts.AdminListener) })
+	}
 	return group.Wait()
 }
 
-// serve takes callers' connections until ctx ends.
-func (d *Daemon) serve(ctx context.Context) error {
-	stopped := context.AfterFunc(ctx, func() { _ = d.server.Close() })
+// serve takes connections until ctx ends.
+func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
+	stopped := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stopped()
-	err := d.server.Serve(d.opts.Listener)
+	err := server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/pkg/daemon/options.go
+++ b/pkg/daemon/options.go
@@ -17,11 +17,13 @@
 	Log           *slog.Logger
 	// Listener takes callers' connections.
 	Listener net.Listener
-	// AdminListener takes operators' connections.
+	// AdminListener takes operators' connections; nil means none.
 	AdminListener net.Listener
 	Store         platform.Store
 	Targets       platform.TargetOrderer
 	Usage         platform.UsageSink
+	Hosts         platform.HostList
+	Weights       platform.WeightStore
 	// UsageWindow is the length of a usage window, UsageGrace how long after
 	// its end it is closed.
 	UsageWindow time.Duration
