Try the request path against targets that fail

Stand-ins: a network in memory whose connections can be refused or go silent for good, a wrapper that gives a target fourteen faults, and a rig that joins the request path to them, all usable in fake time.

Tests: one table of faults against outcomes and runs; a property over any interleaving (no second run of what must run once, not run is true, answers are whole and the caller's own, nothing runs or is charged for another workspace), which is seen to fail where routes are misdeclared; the caller's key sent in every way; the key withdrawn in the queue; a drain in the queue; refusals at once; an empty POST with an idempotency key on a dropped reused connection, beside net/http's own transport, which runs it twice; idle connections; silent connections; a lost engine; a caller that leaves; slow and stalled callers.

Found by them: lookups hung until their deadline on a silent target (they are retried after the silence timeout now), and whole answers bore the outcome twice.

--- /dev/null
+++ b/pkg/entry/handler_test.go
@@ -0,0 +1,267 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/shoenig/test/must"
+
+	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/request"
+	"amaranthplank.example/amaranthplank/pkg/standin/faulttarget"
+	"amaranthplank.example/amaranthplank/pkg/standin/rig"
+)
+
+func TestKeyGoesNowhere(t *testing.T) {
+	var logged bytes.Buffer
+	log := slog.New(slog.NewTextHandler(&logged, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	key := rig.Key("one")
+	inFakeTime(t, rig.Options{Engines: 1, Ledgers: 1, Log: log}, func(t *testing.T, r *rig.Rig) {
+		client := r.Caller()
+		var replies bytes.Buffer
+		for _, way := range []func(*http.Request){
+			func(*http.Request) {},
+			func(q *http.Request) { q.AddCookie(&http.Cookie{Name: "key", Value: key}) },
+			func(q *http.Request) { q.URL.RawQuery = "key=" + key },
+			func(q *http.Request) { q.URL.RawQuery = "key=%73" + key[1:] },
+			func(q *http.Request) { q.URL.Path += "/" + key },
+			func(q *http.Request) { q.Header.Set("X-Api-Key", key) },
+			func(q *http.Request) { q.Header.Set("Proxy-Authorization", key) },
+			func(q *http.Request) { q.Header.Set("Idempotency-Key", key) },
+			func(q *http.Request) { q.Header.Set("Accept", key) },
+			func(q *http.Request) { q.Header.Set("User-Agent", key) },
+			func(q *http.Request) { q.Header.Set("X-Forwarded-For", key) },
+			func(q *http.Request) { q.URL.User = nil; q.Host = key },
+			func(q *http.Request) { q.Header.Add("Authorization", "Bearer "+key) },
+			func(q *http.Request) { q.Header.Del("Authorization"); q.URL.RawQuery = "key=" + key },
+			func(q *http.Request) { q.URL.Path = "/services/ledger/open"; q.URL.RawQuery = key },
+			func(q *http.Request) {
+				q.Body, q.ContentLength = io.NopCloser(strings.NewReader(`{"item":"`+key+`"}`)), int64(len(key)+11)
+			},
+		} {
+			for k := range kinds {
+				q := k.make("w")
+				way(q)
+				got := send(client, q)
+				replies.WriteString(got.body)
+				must.NoError(t, got.header.Write(&replies))
+			}
+		}
+		metrics, _ := http.NewRequest(http.MethodGet, "/", nil)
+		rec := &bodyWriter{header: http.Header{}}
+		promhttp.HandlerFor(r.Registry, promhttp.HandlerOpts{}).ServeHTTP(rec, metrics)
+		must.StrContains(t, rec.String(), "amaranthplank_requests_total")
+		for _, name := range targetsOf(r) {
+			for _, header := range r.Faults[name].Seen() {
+				must.Eq(t, "system", header.Get("Amaranth-Credential"))
+				must.Eq(t, "", header.Get("X-Forwarded-For"))
+				must.NoError(t, header.Write(&replies))
+			}
+			replies.WriteString(r.Faults[name].Bodies())
+		}
+		for _, text := range []string{replies.String(), rec.String(), logged.String()} {
+			must.StrNotContains(t, text, key)
+			must.StrNotContains(t, text, key[1:])
+		}
+	})
+}
+
+// bodyWriter keeps an answer.
+type bodyWriter struct {
+	bytes.Buffer
+	header http.Header
+}
+
+func (b *bodyWriter) Header() http.Header { return b.header }
+func (b *bodyWriter) WriteHeader(int)     {}
+
+// gate admits requests once it is opened.
+type gate struct{ open chan struct{} }
+
+func (g gate) Admit(ctx context.Context, req *request.Request) (admission.Ticket, error) {
+	<-g.open
+	return admission.Unlimited{}.Admit(ctx, req)
+}
+
+func TestKeyIsCheckedAgainAfterTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gate{open: make(chan struct{})}
+		r, err := rig.New(rig.Options{Engines: 1, Ledgers: 1, Admission: g})
+		must.NoError(t, err)
+		defer r.Close()
+		replies := make(chan reply)
+		go func() { replies <- send(r.Caller(), write.make("w")) }()
+		synctest.Wait()
+		must.NoError(t, r.Config.Set("two"))
+		close(g.open)
+		got := <-replies
+		must.Eq(t, http.StatusUnauthorized, got.status)
+		must.Eq(t, "not run", got.outcome)
+		must.Eq(t, 0, write.runs(r, "w"))
+		must.SliceEmpty(t, r.Usage.Records())
+		// The same connection is refused too.
+		must.Eq(t, http.StatusUnauthorized, send(r.Caller(), read.make("w")).status)
+	})
+}
+
+func TestTargetDrainsWhileARequestIsQueued(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gate{open: make(chan struct{})}
+		r, err := rig.New(rig.Options{Ledgers: 2, Admission: g})
+		must.NoError(t, err)
+		defer r.Close()
+		replies := make(chan reply)
+		go func() { replies <- send(r.Caller(), write.make("w")) }()
+		synctest.Wait()
+		r.View.Drain("ledger-1")
+		close(g.open)
+		must.Eq(t, "answered", (<-replies).outcome)
+		must.Eq(t, 1, r.Ledgers[1].Runs("w"))
+		r.View.Drain("ledger-2")
+		began := time.Now()
+		got := send(r.Caller(), write.make("w2"))
+		must.Eq(t, "not run", got.outcome)
+		must.Eq(t, began, time.Now(), must.Sprint("a refusal was held back"))
+	})
+}
+
+func TestNothingReachableIsNotRunAtOnce(t *testing.T) {
+	inFakeTime(t, rig.Options{Ledgers: 2}, func(t *testing.T, r *rig.Rig) {
+		r.Network.Refuse("ledger-1:80", true)
+		r.Network.Refuse("ledger-2:80", true)
+		began := time.Now()
+		got := send(r.Caller(), write.make("w"))
+		must.Eq(t, "not run", got.outcome)
+		must.Eq(t, "2", got.header.Get("Retry-After"))
+		must.Eq(t, began, time.Now())
+	})
+}
+
+// TestReusedConnectionRunsOnce drops the connection under an empty POST with an
+// idempotency key, which net/http would send again by itself.
+func TestReusedConnectionRunsOnce(t *testing.T) {
+	inFakeTime(t, rig.Options{Ledgers: 1}, func(t *testing.T, r *rig.Rig) {
+		client := r.Caller()
+		must.Eq(t, "answered", send(client, mark.make("first")).outcome)
+		r.Faults["ledger-1"].Script(faulttarget.CloseAfter)
+		must.Eq(t, "unknown", send(client, mark.make("second")).outcome)
+		must.Eq(t, 1, mark.runs(r, "second"))
+		must.Eq(t, 2, len(r.Faults["ledger-1"].Seen()))
+		// The control: a transport of net/http with the same call runs it twice.
+		plain := &http.Client{Transport: &http.Transport{DialContext: r.Network.Dial}}
+		for _, word := range []string{"warm", "third"} {
+			r.Faults["ledger-1"].Script()
+			if word == "third" {
+				r.Faults["ledger-1"].Script(faulttarget.CloseAfter)
+			}
+			q, _ := http.NewRequest(http.MethodPost, "http://ledger-1/marks", nil)
+			q.Header.Set("Idempotency-Key", word)
+			_ = send(plain, q)
+		}
+		must.Eq(t, 2, mark.runs(r, "third"))
+	})
+}
+
+func TestOnceIsNotSentOnALongIdleConnection(t *testing.T) {
+	inFakeTime(t, rig.Options{Ledgers: 1}, func(t *testing.T, r *rig.Rig) {
+		client := r.Caller()
+		dials := func() int {
+			before := r.Network.Dials()
+			must.Eq(t, "answered", send(client, write.make("w")).outcome)
+			return r.Network.Dials() - before
+		}
+		must.Eq(t, 2, dials(), must.Sprint("daemon and target"))
+		must.Eq(t, 0, dials(), must.Sprint("in use a moment ago"))
+		time.Sleep(2 * time.Second)
+		must.Eq(t, 1, dials(), must.Sprint("idle for long"))
+	})
+}
+
+func TestSilentConnectionIsResumedElsewhere(t *testing.T) {
+	inFakeTime(t, rig.Options{Engines: 1, TokenInterval: 20 * time.Millisecond}, func(t *testing.T, r *rig.Rig) {
+		time.AfterFunc(50*time.Millisecond, func() { r.Network.SilenceTargets(rig.DaemonAddress) })
+		got := send(r.Caller(), onceStream.make("w"))
+		must.NoError(t, got.err)
+		must.True(t, onceStream.wholeAnswer(got, "w"), must.Sprint(got.String()))
+		must.Eq(t, 1, onceStream.runs(r, "w"))
+	})
+}
+
+func TestLostEngineAbortsTheAnswer(t *testing.T) {
+	inFakeTime(t, rig.Options{Engines: 2, TokenInterval: 20 * time.Millisecond}, func(t *testing.T, r *rig.Rig) {
+		time.AfterFunc(50*time.Millisecond, func() { r.Engines[0].Forget(); r.Engines[1].Forget() })
+		got := send(r.Caller(), chatStream.make("w"))
+		must.Error(t, got.err, must.Sprint("an incomplete answer ended cleanly"))
+		must.Eq(t, "", got.outcome)
+		must.SliceEmpty(t, r.Usage.Records())
+	})
+}
+
+func TestCallerThatLeavesCancelsAndPaysForItsPart(t *testing.T) {
+	inFakeTime(t, rig.Options{Engines: 1, TokenInterval: 20 * time.Millisecond}, func(t *testing.T, r *rig.Rig) {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		must.Error(t, send(r.Caller(), chatStream.make("w").WithContext(ctx)).err)
+		time.Sleep(time.Second)
+		must.Eq(t, 1, r.Engines[0].Cancels())
+		must.Eq(t, 1, len(r.Usage.Records()))
+		must.Eq(t, 2, r.Usage.Records()[0].Figures.OutputTokens)
+	})
+}
+
+func TestSlowBodyAndStalledReaderAreEnded(t *testing.T) {
+	inFakeTime(t, rig.Options{Engines: 1, Ledgers: 1, Timeout: time.Hour}, func(t *testing.T, r *rig.Rig) {
+		for _, text := range []string{
+			"POST /services/ledger/adjustments HTTP/1.1\r\nHost: d\r\nAuthorization: Bearer " + rig.Key("one") + "\r\nContent-Length: 50\r\n\r\n{",
+			"POST /v1/chat/completions HTTP/1.1\r\nHost: d\r\n",
+		} {
+			began := time.Now()
+			c, err := r.Network.Dial(context.Background(), "tcp", rig.DaemonAddress)
+			must.NoError(t, err)
+			_, err = c.Write([]byte(text))
+			must.NoError(t, err)
+			_, err = io.Copy(io.Discard, c)
+			must.NoError(t, err)
+			must.Less(t, time.Minute, time.Since(began))
+		}
+		c := stall(t, r)
+		time.Sleep(5 * time.Minute)
+		must.Eq(t, 1, r.Engines[0].Cancels())
+		must.NoError(t, c.Close())
+	})
+}
+
+// stall asks for a long stream and reads nothing of it.
+func stall(t *testing.T, r *rig.Rig) net.Conn {
+	c, err := r.Network.Dial(context.Background(), "tcp", rig.DaemonAddress)
+	must.NoError(t, err)
+	body := `{"model":"counting","stream":true,"max_tokens":1000,"messages":[{"content":"x"}]}`
+	q, err := http.NewRequest(http.MethodPost, "http://d/v1/chat/completions", strings.NewReader(body))
+	must.NoError(t, err)
+	q.Header.Set("Authorization", "Bearer "+rig.Key("one"))
+	must.NoError(t, q.Write(c))
+	return c
+}
+
+func TestPathsThatTargetsCouldReadOtherwise(t *testing.T) {
+	inFakeTime(t, rig.Options{Ledgers: 1}, func(t *testing.T, r *rig.Rig) {
+		for _, path := range []string{
+			"/services/ledger/balances/../adjustments", "/services/ledger/open/%2e%2e/adjustments",
+			"/services/ledger/balances%2f..%2fadjustments", "/services//ledger/balances", "/services/ledger/balances/..\\x",
+		} {
+			q := read.make("w")
+			q.URL.Opaque = "//" + rig.DaemonAddress + path
+			must.Eq(t, http.StatusBadRequest, send(r.Caller(), q).status, must.Sprint(path))
+		}
+		must.SliceEmpty(t, r.Faults["ledger-1"].Seen())
+	})
+}
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -115,7 +115,9 @@
 	s.settle(result)
 	switch {
 	case result.Outcome == request.Answered:
-		s.writer.Header().Set(http.TrailerPrefix+HeaderOutcome, string(request.Answered))
+		if s.writer.Header().Get(HeaderOutcome) == "" {
+			s.writer.Header().Set(http.TrailerPrefix+HeaderOutcome, string(request.Answered))
+		}
 		s.end(request.Answered, nil)
 	case result.Started:
 		s.end(result.Outcome, result.Err)
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -80,8 +80,7 @@
 	case a.quiet > 0 || a.last > 0:
 		return discard(response, trace, retry.Mismatch, errWrongEvent)
 	default:
-		w.whole()
-		err = a.whole(w.ctx, response)
+		err = a.whole(w, response)
 	}
 	_ = response.Body.Close()
 	if err != nil && failureOf(err) != retry.Refused {
--- a/pkg/relay/watch.go
+++ b/pkg/relay/watch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
 // watch ends an exchange that brings nothing for too long.
@@ -16,12 +18,14 @@
 	silence time.Duration
 }
 
-// watch begins to watch an exchange. Each resume that brought nothing doubles
-// the time that the next is given.
+// watch begins to watch an exchange. Streams and lookups must bring something in
+// time; other answers may take as long as the deadline allows. Each resume that
+// brought nothing doubles the time that the next is given.
 func (a *attempt) watch(ctx context.Context) *watch {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watch{ctx: ctx, cancel: cancel}
-	if a.call.req.Stream && a.call.req.Model != "" {
+	req := a.call.req
+	if (req.Stream && req.Model != "") || (req.Idempotent && req.Class == ident.ClassLookup) {
 		w.silence = a.call.knobs.SilenceTimeout.D() << a.quiet
 		w.timer = time.AfterFunc(w.silence, func() { cancel(errSilence) })
 	}
@@ -38,8 +42,8 @@
 	}
 }
 
-// whole ends the watch over silence.
-func (w *watch) whole() {
+// patient ends the watch over silence.
+func (w *watch) patient() {
 	if w.timer != nil {
 		w.timer.Stop()
 	}
@@ -47,6 +51,6 @@
 
 // stop ends the exchange.
 func (w *watch) stop() {
-	w.whole()
+	w.patient()
 	w.cancel(nil)
 }
--- a/pkg/relay/whole.go
+++ b/pkg/relay/whole.go
@@ -24,7 +24,11 @@
 
 // whole hands an answer that is no stream to the caller, after it was read to
 // its end where it is small.
-func (a *attempt) whole(ctx context.Context, response *http.Response) error {
+func (a *attempt) whole(w *watch, response *http.Response) error {
+	ctx := w.ctx
+	if a.call.req.Stream {
+		w.patient()
+	}
 	if !lengthKnown(response) {
 		return &exchangeError{failure: retry.Mismatch, cause: errNoLength}
 	}
@@ -37,6 +41,7 @@
 		return a.call.classify(ctx, err)
 	}
 	got := &answer{status: response.StatusCode, header: response.Header, body: body.Bytes()}
+	w.patient()
 	if body.Len() > bufferBytes {
 		return a.large(ctx, got, response.Body)
 	}
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -26,6 +26,9 @@
 	sequence uint64
 	queued   int
 	runs     map[ident.Attempt]int
+	cancels  int
+	// words counts the runs by the prompt's last word.
+	words map[string]int
 }
 
 // New returns an idle engine.
@@ -37,6 +40,7 @@
 		streams: make(map[ident.Attempt]*stream),
 		role:    fleet.Mixed,
 		runs:    make(map[ident.Attempt]int),
+		words:   make(map[string]int),
 	}
 	e.mux.HandleFunc("POST "+target.PathChat, e.complete)
 	e.mux.HandleFunc("POST "+target.PathCompletions, e.complete)
@@ -61,6 +65,31 @@
 	return runs
 }
 
+// RunsOf returns how often a prompt that ends with the word was started.
+func (e *Engine) RunsOf(word string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.words[word]
+}
+
+// Cancels returns how many streams were cancelled.
+func (e *Engine) Cancels() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cancels
+}
+
+// Forget drops every stream, as an engine does that starts anew.
+func (e *Engine) Forget() {
+	e.mu.Lock()
+	streams := e.streams
+	e.streams = make(map[ident.Attempt]*stream)
+	e.mu.Unlock()
+	for _, s := range streams {
+		s.cancel()
+	}
+}
+
 // Orders returns the orders that the engine took.
 func (e *Engine) Orders() []target.Order {
 	e.mu.Lock()
@@ -76,7 +105,7 @@
 		return
 	}
 	attempt := ident.Attempt(r.Header.Get(target.HeaderAttempt))
-	s := e.start(attempt, body.tokens(e.opts.DefaultTokens), body.promptTokens())
+	s := e.start(attempt, &body)
 	w.Header().Set(target.HeaderAttempt, string(attempt))
 	if body.Stream {
 		sendStream(w, r, s, 0)
@@ -86,35 +115,52 @@
 }
 
 // start runs a generation beside the connection that asked for it.
-func (e *Engine) start(attempt ident.Attempt, tokens, promptTokens int) *stream {
+func (e *Engine) start(attempt ident.Attempt, body *completionBody) *stream {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := newStream(cancel)
 	e.mu.Lock()
 	e.streams[attempt] = s
 	e.runs[attempt]++
+	e.words[body.word(true)]++
 	e.queued++
 	e.mu.Unlock()
-	go e.generate(ctx, s, tokens, promptTokens)
+	go e.generate(ctx, s, body)
 	return s
 }
 
 // generate waits for a slot and writes the answer's events at the set pace.
-func (e *Engine) generate(ctx context.Context, s *stream, tokens, promptTokens int) {
-	e.slots <- struct{}{}
+func (e *Engine) generate(ctx context.Context, s *stream, body *completionBody) {
+	defer s.finish()
+	if !e.takeSlot(ctx) {
+		return
+	}
 	defer func() { <-e.slots }()
-	e.mu.Lock()
-	e.queued--
-	e.mu.Unlock()
+	tokens, word := body.tokens(e.opts.DefaultTokens), body.word(e.opts.Echo)
 	for n := range tokens {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(e.opts.TokenInterval):
 		}
-		s.add(tokenEvent(n), false)
+		s.add(tokenEvent(word, n))
+	}
+	s.add(usageEvent(body.promptTokens(), tokens))
+	s.add(target.EndMarker)
+}
+
+// takeSlot waits for a slot, unless ctx ends first.
+func (e *Engine) takeSlot(ctx context.Context) bool {
+	defer func() {
+		e.mu.Lock()
+		e.queued--
+		e.mu.Unlock()
+	}()
+	select {
+	case e.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	s.add(usageEvent(promptTokens, tokens), false)
-	s.add(target.EndMarker, true)
 }
 
 // resume sends the rest of a stream.
@@ -138,6 +184,9 @@
 		return
 	}
 	s.cancel()
+	e.mu.Lock()
+	e.cancels++
+	e.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/pkg/standin/engine/options.go
+++ b/pkg/standin/engine/options.go
@@ -16,6 +16,9 @@
 	Slots int
 	// DefaultTokens is the answer's length where the request sets none.
 	DefaultTokens int
+	// Echo makes answers repeat the prompt's last word, so that crossed
+	// answers can be told.
+	Echo bool
 	// ChecksFencing makes orders with an old fencing number refused.
 	ChecksFencing bool
 }
--- a/pkg/standin/engine/stream.go
+++ b/pkg/standin/engine/stream.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+
+	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
 // stream is one running or finished generation, which any number of
@@ -22,16 +24,31 @@
 	return &stream{cancel: cancel, grown: make(chan struct{})}
 }
 
-// add appends an event's data; last ends the stream.
-func (s *stream) add(data string, last bool) {
+// add appends an event's data.
+func (s *stream) add(data string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.events = append(s.events, data)
-	s.done = last
 	close(s.grown)
 	s.grown = make(chan struct{})
 }
 
+// finish ends the stream, whole or cancelled.
+func (s *stream) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.done = true
+	close(s.grown)
+	s.grown = make(chan struct{})
+}
+
+// whole reports whether the stream has come to its end marker.
+func (s *stream) whole() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.events) > 0 && s.events[len(s.events)-1] == target.EndMarker
+}
+
 // after returns the events after the first n, whether the stream is done, and
 // a channel that the next event closes.
 func (s *stream) after(n int) ([]string, bool, <-chan struct{}) {
--- a/pkg/standin/engine/wire.go
+++ b/pkg/standin/engine/wire.go
@@ -58,12 +58,27 @@
 	Content string `json:"content"`
 }
 
-// tokenText is the n-th token of every answer.
-func tokenText(n int) string { return "word" + strconv.Itoa(n) + " " }
+// plainWord is what answers are made of.
+const plainWord = "word"
+
+// word returns what the answer is made of.
+func (b *completionBody) word(echo bool) string {
+	words := strings.Fields(b.Prompt)
+	for _, m := range b.Messages {
+		words = append(words, strings.Fields(m.Content)...)
+	}
+	if !echo || len(words) == 0 {
+		return plainWord
+	}
+	return words[len(words)-1]
+}
+
+// tokenText is the n-th token of an answer.
+func tokenText(word string, n int) string { return word + strconv.Itoa(n) + " " }
 
 // tokenEvent is the event of the n-th token.
-func tokenEvent(n int) string {
-	return encode(chunk{Choices: []choice{{Delta: &delta{Content: tokenText(n)}}}})
+func tokenEvent(word string, n int) string {
+	return encode(chunk{Choices: []choice{{Delta: &delta{Content: tokenText(word, n)}}}})
 }
 
 // usageEvent is the event before the end marker.
@@ -141,10 +156,14 @@
 			return
 		}
 	}
+	if !s.whole() {
+		panic(http.ErrAbortHandler)
+	}
 	tokens := body.tokens(e.opts.DefaultTokens)
+	word := body.word(e.opts.Echo)
 	var text strings.Builder
 	for n := range tokens {
-		text.WriteString(tokenText(n))
+		text.WriteString(tokenText(word, n))
 	}
 	writeJSON(w, chunk{
 		Choices: []choice{{Message: &delta{Content: text.String()}, Text: text.String()}},
--- a/pkg/standin/ledger/ledger.go
+++ b/pkg/standin/ledger/ledger.go
@@ -15,6 +15,8 @@
 	mu       sync.Mutex
 	balances map[string]int64
 	posts    int
+	// runs counts the adjustments by item, and the marks by key.
+	runs map[string]int
 }
 
 // Adjustment is the body of a post.
@@ -31,8 +33,9 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	l := &Ledger{mux: http.NewServeMux(), balances: make(map[string]int64)}
+	l := &Ledger{mux: http.NewServeMux(), balances: make(map[string]int64), runs: make(map[string]int)}
 	l.mux.HandleFunc("POST /adjustments", l.adjust)
+	l.mux.HandleFunc("POST /marks", l.mark)
 	l.mux.HandleFunc("GET /balances/{item}", l.balance)
 	return l
 }
@@ -50,6 +53,23 @@
 	return l.posts
 }
 
+// Runs returns how often an item was adjusted, or a key marked.
+func (l *Ledger) Runs(name string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[name]
+}
+
+// mark counts a call without a body by its idempotency key. It does not look
+// whether it has seen the key before.
+func (l *Ledger) mark(w http.ResponseWriter, r *http.Request) {
+	name := r.Header.Get("Idempotency-Key")
+	l.mu.Lock()
+	l.runs[name]++
+	l.mu.Unlock()
+	writeJSON(w, Balance{Item: name})
+}
+
 // adjust posts one adjustment.
 func (l *Ledger) adjust(w http.ResponseWriter, r *http.Request) {
 	var adjustment Adjustment
@@ -59,6 +79,7 @@
 	}
 	l.mu.Lock()
 	l.posts++
+	l.runs[adjustment.Item]++
 	l.balances[adjustment.Item] += adjustment.Amount
 	balance := Balance{Item: adjustment.Item, Balance: l.balances[adjustment.Item]}
 	l.mu.Unlock()
--- /dev/null
+++ b/pkg/standin/rig/configuration.go
@@ -0,0 +1,70 @@
+package rig
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+const (
+	// Model is what the engines serve.
+	Model ident.Model = "counting"
+	// Service is what the ledgers serve.
+	Service ident.Service = "ledger"
+)
+
+// Key returns the key of a workspace, of which the rig has "one" and "two".
+func Key(workspace ident.Workspace) string { return "secret-of-" + string(workspace) }
+
+// Config is a configuration that tests replace.
+type Config struct {
+	current atomic.Pointer[config.Snapshot]
+	opts    Options
+}
+
+var _ config.Source = (*Config)(nil)
+
+// Current returns the configuration in force.
+func (c *Config) Current() *config.Snapshot { return c.current.Load() }
+
+// Set puts a configuration in force in which the workspaces' keys are valid.
+func (c *Config) Set(workspaces ...ident.Workspace) error {
+	var keys []string
+	for _, workspace := range workspaces {
+		keys = append(keys, fmt.Sprintf(`{"name": %q, "weight": 1, "keys": [{"name": "k", "digest": %q}]}`,
+			workspace, config.DigestKey(Key(workspace))))
+	}
+	document, err := config.Parse(fmt.Appendf(nil, documentText, c.opts.Timeout, c.opts.Silence, strings.Join(keys, ","), Model, Service))
+	if err != nil {
+		return err
+	}
+	for i := range document.Routes {
+		document.Routes[i].Idempotent = document.Routes[i].Idempotent || c.opts.Misdeclared
+	}
+	revision := ident.Revision(1)
+	if current := c.Current(); current != nil {
+		revision = current.Revision + 1
+	}
+	c.current.Store(config.NewSnapshot(revision, document))
+	return nil
+}
+
+// documentText is the rig's configuration.
+const documentText = `{
+	"defaults": {"retry": {"timeout": %q, "silenceTimeout": %q, "budgetBurst": 100}},
+	"workspaces": [%s],
+	"models": [{"name": %q, "version": "1"}],
+	"services": [{"name": %q}],
+	"routes": [
+		{"name": "chat", "path": "/v1/chat/completions", "class": "interactive", "idempotent": true},
+		{"name": "once", "path": "/v1/completions", "class": "interactive", "idempotent": false},
+		{"name": "read", "path": "/services/ledger/balances", "methods": ["GET"], "class": "lookup", "idempotent": true},
+		{"name": "write", "path": "/services/ledger/adjustments", "methods": ["POST"], "class": "interactive", "idempotent": false},
+		{"name": "mark", "path": "/services/ledger/marks", "methods": ["POST"], "class": "interactive", "idempotent": false},
+		{"name": "open", "path": "/services/ledger/open", "class": "lookup", "idempotent": true, "open": true},
+	],
+	"exceptions": [],
+}`
--- /dev/null
+++ b/pkg/standin/rig/recorder.go
@@ -0,0 +1,29 @@
+package rig
+
+import (
+	"sync"
+
+	"amaranthplank.example/amaranthplank/pkg/usage"
+)
+
+// Recorder keeps the usage records.
+type Recorder struct {
+	mu      sync.Mutex
+	records []usage.Record
+}
+
+var _ usage.Recorder = (*Recorder)(nil)
+
+// Record keeps one record.
+func (r *Recorder) Record(record usage.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records = append(r.records, record)
+}
+
+// Records returns the records so far.
+func (r *Recorder) Records() []usage.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]usage.Record(nil), r.records...)
+}
--- /dev/null
+++ b/pkg/standin/rig/rig.go
@@ -0,0 +1,154 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"amaranthplank.example/amaranthplank/pkg/entry"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/relay"
+	"amaranthplank.example/amaranthplank/pkg/routing"
+	"amaranthplank.example/amaranthplank/pkg/standin/engine"
+	"amaranthplank.example/amaranthplank/pkg/standin/faulttarget"
+	"amaranthplank.example/amaranthplank/pkg/standin/ledger"
+	"amaranthplank.example/amaranthplank/pkg/standin/pipenet"
+	"amaranthplank.example/amaranthplank/pkg/target"
+)
+
+const (
+	// slots is how many requests an engine runs at once.
+	slots = 64
+	// defaultTokens is the length of an answer that sets none.
+	defaultTokens = 5
+	// maxBodyBytes bounds a caller's body.
+	maxBodyBytes = 64 << 10
+)
+
+// Rig is one daemon's request path before stand-in targets.
+type Rig struct {
+	Network  *pipenet.Network
+	Config   *Config
+	View     *View
+	Usage    *Recorder
+	Engines  []*engine.Engine
+	Ledgers  []*ledger.Ledger
+	Faults   map[ident.Target]*faulttarget.Target
+	Registry *prometheus.Registry
+	// Handler is what callers reach at DaemonAddress.
+	Handler http.Handler
+
+	opts    Options
+	client  *target.Client
+	servers []*http.Server
+	group   errgroup.Group
+	// running counts the requests that are being served.
+	running sync.WaitGroup
+	stop    context.CancelFunc
+}
+
+// DaemonAddress is where the daemon takes callers' connections.
+const DaemonAddress = "daemon:80"
+
+// New starts a rig.
+func New(opts Options) (*Rig, error) {
+	r := &Rig{
+		Network: pipenet.New(), Config: &Config{opts: opts.withDefaults()}, View: &View{}, Usage: &Recorder{},
+		Faults: make(map[ident.Target]*faulttarget.Target), Registry: prometheus.NewRegistry(), opts: opts.withDefaults(),
+	}
+	if err := r.Config.Set("one", "two"); err != nil {
+		return nil, err
+	}
+	r.startTargets()
+	r.client = target.NewClientWith(r.Network.Dial)
+	relayer := relay.New(relay.Options{
+		Router: r.router(), Client: r.client, Config: r.Config, Credential: "system", Log: r.opts.Log, Registerer: r.Registry,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	r.group.Go(func() error { return relayer.Run(ctx) })
+	r.Handler = entry.New(entry.Options{
+		Config: r.Config, Admission: r.opts.Admission, Relay: relayer, Recorder: r.Usage, Log: r.opts.Log,
+		Registerer: r.Registry, MaxBodyBytes: maxBodyBytes,
+	})
+	r.serve(DaemonAddress, entry.NewServer(r.Handler))
+	return r, nil
+}
+
+// router returns the baseline, or what the options put in its place.
+func (r *Rig) router() routing.Router {
+	if r.opts.Router != nil {
+		return r.opts.Router(r)
+	}
+	return routing.NewLeastOutstanding(r.View)
+}
+
+// startTargets starts the stand-ins.
+func (r *Rig) startTargets() {
+	var states []fleet.TargetState
+	for i := range r.opts.Engines {
+		name := ident.Target(fmt.Sprintf("engine-%d", i+1))
+		e := engine.New(engine.Options{
+			Target: name, Model: Model, TokenInterval: r.opts.TokenInterval, Slots: slots, DefaultTokens: defaultTokens, Echo: true,
+		})
+		r.Engines = append(r.Engines, e)
+		states = append(states, r.startTarget(platform.TargetRecord{Target: name, Model: Model}, e))
+	}
+	for i := range r.opts.Ledgers {
+		name := ident.Target(fmt.Sprintf("ledger-%d", i+1))
+		l := ledger.New()
+		r.Ledgers = append(r.Ledgers, l)
+		states = append(states, r.startTarget(platform.TargetRecord{Target: name, Service: Service}, l))
+	}
+	r.View.current.Store(fleet.NewSnapshot(states))
+}
+
+// startTarget serves one stand-in.
+func (r *Rig) startTarget(record platform.TargetRecord, handler http.Handler) fleet.TargetState {
+	record.Address = string(record.Target) + ":80"
+	faulty := faulttarget.New(handler, r.opts.Late)
+	r.Faults[record.Target] = faulty
+	r.serve(record.Address, &http.Server{Handler: faulty, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: time.Minute})
+	return fleet.TargetState{Record: record}
+}
+
+// serve serves until Close.
+func (r *Rig) serve(address string, server *http.Server) {
+	listener := r.Network.Listen(address)
+	inner := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.running.Add(1)
+		defer r.running.Done()
+		inner.ServeHTTP(w, req)
+	})
+	r.servers = append(r.servers, server)
+	r.group.Go(func() error { return server.Serve(listener) })
+}
+
+// Caller returns a client that reaches the daemon.
+func (r *Rig) Caller() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: r.Network.Dial, DisableCompression: true}}
+}
+
+// Close ends everything.
+func (r *Rig) Close() {
+	r.stop()
+	r.client.Close()
+	for _, server := range r.servers {
+		_ = server.Close()
+	}
+	for _, e := range r.Engines {
+		e.Forget()
+	}
+	r.running.Wait()
+	_ = r.group.Wait()
+}
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -1,6 +1,8 @@
 package target
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 )
@@ -36,20 +38,33 @@
 	transports [ReuseNone + 1]*http.Transport
 }
 
-// NewClient returns a client with pools of its own.
-func NewClient() *Client {
+// Dial makes a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client with pools of its own over TCP.
+func NewClient() *Client { return NewClientWith(newDialer().DialContext) }
+
+// NewClientWith returns a client that makes its connections with dial.
+func NewClientWith(dial Dial) *Client {
+	counted := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
 	c := &Client{}
-	c.transports[ReuseAny] = newTransport(idleTimeout)
-	c.transports[ReuseRecent] = newTransport(recentTimeout)
-	c.transports[ReuseNone] = newTransport(idleTimeout)
+	c.transports[ReuseAny] = newTransport(counted, idleTimeout)
+	c.transports[ReuseRecent] = newTransport(counted, recentTimeout)
+	c.transports[ReuseNone] = newTransport(counted, idleTimeout)
 	c.transports[ReuseNone].DisableKeepAlives = true
 	return c
 }
 
 // newTransport returns a transport whose idle connections last for idle.
-func newTransport(idle time.Duration) *http.Transport {
+func newTransport(dial Dial, idle time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:            newDialer().DialContext,
+		DialContext:            dial,
 		DisableCompression:     true,
 		IdleConnTimeout:        idle,
 		MaxIdleConnsPerHost:    idlePerTarget,
--- a/pkg/target/dialer.go
+++ b/pkg/target/dialer.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"context"
 	"net"
 	"syscall"
 	"time"
@@ -22,30 +21,16 @@
 	probeCount    = 3
 )
 
-// dialer makes connections that count their bytes and end when the other side
-// is silent at the transport.
-type dialer struct {
-	inner net.Dialer
-}
-
-// newDialer returns a dialer.
-func newDialer() *dialer {
-	return &dialer{inner: net.Dialer{
+// newDialer returns a dialer whose connections end when the other side is silent
+// at the transport.
+func newDialer() *net.Dialer {
+	return &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 		},
 		Control: setUserTimeout,
-	}}
-}
-
-// DialContext makes one connection.
-func (d *dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := d.inner.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
 	}
-	return &conn{Conn: c}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket.
