--- /dev/null
+++ b/pkg/config/knob.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"reflect"
+	"strings"
+	"sync"
+)
+
+// Knob describes one value that defaults and exceptions may set.
+type Knob struct {
+	// Path is how exceptions name the knob, such as "retry.maxAttempts".
+	Path string
+	// Unit, Default, Min and Max are as the field's tags give them.
+	Unit    string
+	Default string
+	Min     string
+	Max     string
+	// FleetWide knobs hold for the whole fleet and take no exceptions.
+	FleetWide bool
+
+	index []int
+	kind  reflect.Type
+}
+
+// fleetWide is the value of the scope tag of knobs that take no exceptions.
+const fleetWide = "fleet"
+
+// KnobTable returns every knob in the order of their declaration.
+func KnobTable() []Knob { return knobTable().list }
+
+// knobIndex is the table of knobs with an index by path.
+type knobIndex struct {
+	list   []Knob
+	byPath map[string]*Knob
+}
+
+// knobTable builds the table once, since the types never change.
+var knobTable = sync.OnceValue(func() *knobIndex {
+	index := &knobIndex{byPath: make(map[string]*Knob)}
+	index.collect(reflect.TypeFor[Knobs](), "", nil)
+	for i := range index.list {
+		index.byPath[index.list[i].Path] = &index.list[i]
+	}
+	return index
+})
+
+// collect adds the knobs of one section and of the sections inside it.
+func (x *knobIndex) collect(section reflect.Type, prefix string, at []int) {
+	for i := range section.NumField() {
+		field := section.Field(i)
+		path := prefix + jsonName(field)
+		index := append(append([]int(nil), at...), i)
+		if field.Type.Kind() == reflect.Struct {
+			x.collect(field.Type, path+".", index)
+			continue
+		}
+		x.list = append(x.list, Knob{
+			Path: path, Unit: field.Tag.Get("unit"), Default: field.Tag.Get("default"),
+			Min: field.Tag.Get("min"), Max: field.Tag.Get("max"),
+			FleetWide: field.Tag.Get("scope") == fleetWide, index: index, kind: field.Type,
+		})
+	}
+}
+
+// jsonName returns the name that a field has in the document.
+func jsonName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	return name
+}
+
+// in returns the knob's field of the given values.
+func (k *Knob) in(knobs *Knobs) reflect.Value {
+	return reflect.ValueOf(knobs).Elem().FieldByIndex(k.index)
+}
--- a/pkg/config/selector.go
+++ b/pkg/config/selector.go
@@ -11,3 +11,48 @@
 	Service       ident.Service       `json:"service,omitempty"`
 	FailureDomain ident.FailureDomain `json:"failureDomain,omitempty"`
 }
+
+// specificity counts the fields that are set. Of two exceptions that match,
+// the one with more fields wins.
+func (s *Selector) specificity() int {
+	count := 0
+	for _, field := range s.fields() {
+		if field != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// overlaps reports whether some request matches both selectors.
+func (s *Selector) overlaps(other *Selector) bool {
+	mine, theirs := s.fields(), other.fields()
+	for i := range mine {
+		if mine[i] != "" && theirs[i] != "" && mine[i] != theirs[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// matches reports whether the selector of an exception applies to what is
+// named.
+func (s *Selector) matches(named *Selector) bool {
+	mine, theirs := s.fields(), named.fields()
+	for i := range mine {
+		if mine[i] != "" && mine[i] != theirs[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// selectorFields is how many fields a selector has.
+const selectorFields = 5
+
+// fields returns the selector's fields in their order.
+func (s *Selector) fields() [selectorFields]string {
+	return [selectorFields]string{
+		string(s.Workspace), string(s.Route), string(s.Model), string(s.Service), string(s.FailureDomain),
+	}
+}
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -14,6 +14,7 @@
 	Revision ident.Revision
 	Document *Document
 	keys     map[KeyDigest]keyOwner
+	resolver *resolver
 }
 
 // keyOwner is the workspace and key that a digest belongs to.
@@ -24,7 +25,7 @@
 
 // NewSnapshot indexes a document that was checked.
 func NewSnapshot(revision ident.Revision, document *Document) *Snapshot {
-	s := &Snapshot{Revision: revision, Document: document, keys: make(map[KeyDigest]keyOwner)}
+	s := &Snapshot{Revision: revision, Document: document, keys: make(map[KeyDigest]keyOwner), resolver: newResolver(document)}
 	for i := range document.Workspaces {
 		workspace := &document.Workspaces[i]
 		for j := range workspace.Keys {
@@ -47,8 +48,12 @@
 	return owner.workspace, true
 }
 
-// Route returns the first route that matches, or nil.
+// Route returns the first route that matches, or nil. A path with dot segments
+// has none, since a target may resolve it to the path of another route.
 func (s *Snapshot) Route(method, path string, model ident.Model) *Route {
+	if hasDotSegment(path) {
+		return nil
+	}
 	for i := range s.Document.Routes {
 		route := &s.Document.Routes[i]
 		if route.matches(method, path, model) {
@@ -58,9 +63,6 @@
 	return nil
 }
 
-// Knobs returns the values in force for what the selector names.
-func (s *Snapshot) Knobs(_ Selector) *Knobs { return &s.Document.Defaults }
-
 // matches reports whether a request falls under the route.
 func (r *Route) matches(method, path string, model ident.Model) bool {
 	if !strings.HasPrefix(path, r.Path) {
@@ -69,5 +71,21 @@
 	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
 		return false
 	}
+	if r.Service != "" && !strings.HasPrefix(path, servicePath(r.Service)) {
+		return false
+	}
 	return r.Model == "" || r.Model == model
 }
+
+// servicePath returns the start of the paths of one plain service.
+func servicePath(service ident.Service) string { return "/services/" + string(service) + "/" }
+
+// hasDotSegment reports whether a segment of the path is "." or "..".
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
