--- a/pkg/config/knobs_routing.go
+++ b/pkg/config/knobs_routing.go
@@ -5,4 +5,28 @@
 	// ViewMaxAge is how old the knowledge of a target may be before it gets
 	// no new work.
 	ViewMaxAge Duration `json:"viewMaxAge" default:"5s" unit:"duration" min:"1s" max:"1m"`
+	// ReportMaxAge is how old a load report may be before its figures are
+	// taken as those of an average engine.
+	ReportMaxAge Duration `json:"reportMaxAge" default:"10s" unit:"duration" min:"1s" max:"10m"`
+	// NearEqual is the spread of expected times within which engines count as
+	// equal and one is drawn at random.
+	NearEqual Duration `json:"nearEqual" default:"40ms" unit:"duration" min:"0s" max:"10s"`
+	// PrefillWeight is how much a second of prefill counts beside a second of
+	// waiting, since it also delays the requests behind it.
+	PrefillWeight float64 `json:"prefillWeight" default:"2" unit:"ratio" min:"0" max:"100"`
+	// AffinityBlocks is how many blocks of the prompt name its home engines.
+	AffinityBlocks int64 `json:"affinityBlocks" default:"4" unit:"blocks" min:"1" max:"64"`
+	// AffinityCredit is the share of a prompt that a home engine is taken to
+	// hold while the index does not tell.
+	AffinityCredit float64 `json:"affinityCredit" default:"0.5" unit:"ratio" min:"0" max:"1"`
+	// DomainPenalty is what a target in another failure domain costs.
+	DomainPenalty Duration `json:"domainPenalty" default:"4ms" unit:"duration" min:"0s" max:"1s"`
+	// MoveRate is how fast KV cache moves between engines.
+	MoveRate float64 `json:"moveRate" default:"200000" unit:"tokens/s" min:"1" max:"1000000000"`
+	// OutlierErrors is how many failures in a row eject a service's replica.
+	OutlierErrors int64 `json:"outlierErrors" default:"3" unit:"failures" min:"1" max:"1000"`
+	// OutlierPause is how long an ejected replica gets no new work.
+	OutlierPause Duration `json:"outlierPause" default:"5s" unit:"duration" min:"100ms" max:"10m"`
+	// OutlierShare bounds the share of a service's replicas that are ejected.
+	OutlierShare float64 `json:"outlierShare" default:"0.34" unit:"ratio" min:"0" max:"1"`
 }
--- a/pkg/fault/error.go
+++ b/pkg/fault/error.go
@@ -1,6 +1,8 @@
 package fault
 
 import (
+	"time"
+
 	"github.com/go-faster/errors"
 )
 
@@ -14,6 +16,8 @@
 	Remedy string
 	// Cause is the error beneath, or nil.
 	Cause error
+	// RetryAfter is when to come back; zero says nothing of it.
+	RetryAfter time.Duration
 }
 
 // New returns an error of the given kind.
@@ -26,6 +30,12 @@
 	return &Error{Kind: kind, Reason: reason, Remedy: remedy, Cause: cause}
 }
 
+// After sets when to come back and returns the error.
+func (e *Error) After(delay time.Duration) *Error {
+	e.RetryAfter = delay
+	return e
+}
+
 // Error returns the reason, the cause and the remedy in one line.
 func (e *Error) Error() string {
 	text := string(e.Kind) + ": " + e.Reason
@@ -59,3 +69,12 @@
 	}
 	return Internal
 }
+
+// RetryAfterOf returns when to come back after err, or zero.
+func RetryAfterOf(err error) time.Duration {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.RetryAfter
+	}
+	return 0
+}
--- a/pkg/fleet/loadreport.go
+++ b/pkg/fleet/loadreport.go
@@ -21,6 +21,17 @@
 	Slots int `json:"slots"`
 	// PrefillTokens counts the prompt tokens that are still to be computed.
 	PrefillTokens int `json:"prefillTokens"`
+	// DeferrableRunning and DeferrableQueued are the part of Running and
+	// Queued whose class is deferrable.
+	DeferrableRunning int `json:"deferrableRunning"`
+	DeferrableQueued  int `json:"deferrableQueued"`
+	// ComputedTokens counts the prompt tokens computed since the process
+	// started, GeneratedTokens the output tokens.
+	ComputedTokens  uint64 `json:"computedTokens"`
+	GeneratedTokens uint64 `json:"generatedTokens"`
+	// DeferrableComputed and DeferrableGenerated are the deferrable part.
+	DeferrableComputed  uint64 `json:"deferrableComputed"`
+	DeferrableGenerated uint64 `json:"deferrableGenerated"`
 	// PrefillRate and DecodeRate are in tokens per second; DecodeRate is for
 	// one request in a full batch.
 	PrefillRate float64 `json:"prefillRate"`
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -7,6 +7,9 @@
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
+// PrefixBlockTokens is how many prompt tokens one hash in Prefix stands for.
+const PrefixBlockTokens = 512
+
 // Request is one caller's request after its key was checked. It is not changed
 // once admitted.
 type Request struct {
@@ -29,8 +32,8 @@
 	PromptTokens int
 	// MaxOutputTokens is the caller's bound, or the route's default.
 	MaxOutputTokens int
-	// Prefix holds the hashes of the prompt's successive blocks. Each hash
-	// covers all blocks up to its own.
+	// Prefix holds the hashes of the prompt's successive whole blocks of
+	// PrefixBlockTokens. Each hash covers all blocks up to its own.
 	Prefix []uint64
 	Method string
 	// Path is the path at the target, with its query.
