--- a/pkg/config/knobs_routing.go
+++ b/pkg/config/knobs_routing.go
@@ -21,6 +21,11 @@
 	AffinityCredit float64 `json:"affinityCredit" default:"0.5" unit:"ratio" min:"0" max:"1"`
 	// DomainPenalty is what a target in another failure domain costs.
 	DomainPenalty Duration `json:"domainPenalty" default:"4ms" unit:"duration" min:"0s" max:"1s"`
+	// ReclaimablePenalty is what a reclaimable target costs an interactive
+	// request, and DependablePenalty what a dependable one costs a deferrable
+	// request.
+	ReclaimablePenalty Duration `json:"reclaimablePenalty" default:"20ms" unit:"duration" min:"0s" max:"1m"`
+	DependablePenalty  Duration `json:"dependablePenalty" default:"1s" unit:"duration" min:"0s" max:"1m"`
 	// MoveRate is how fast KV cache moves between engines.
 	MoveRate float64 `json:"moveRate" default:"200000" unit:"tokens/s" min:"1" max:"1000000000"`
 	// OutlierErrors is how many failures in a row eject a service's replica.
--- /dev/null
+++ b/pkg/prefix/index_test.go
@@ -0,0 +1,66 @@
+package prefix
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	_ "amaranthplank.example/amaranthplank/pkg/testseed"
+)
+
+func depthOf(x *Index, target ident.Target, blocks []uint64) int {
+	var depths [MaxEngines]int32
+	x.Depths(blocks, depths[:])
+	return int(depths[x.Slot(target)])
+}
+
+func TestDepthsMatchTheEngineWithoutGaps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x, truth := New(), map[uint64]bool{}
+		blocks := []uint64{1, 2, 3, 4, 5, 6}
+		for sequence := range uint64(rapid.IntRange(1, 60).Draw(t, "events")) {
+			block := rapid.SampledFrom(blocks).Draw(t, "block")
+			removed := rapid.Bool().Draw(t, "removed")
+			truth[block] = !removed
+			x.Apply("a", fleet.CacheEvent{Sequence: sequence + 1, Block: block, Removed: removed})
+		}
+		want := 0
+		for want < len(blocks) && truth[blocks[want]] {
+			want++
+		}
+		must.Eq(t, want, depthOf(x, "a", blocks))
+	})
+}
+
+func TestGapDropsWhatWasKnown(t *testing.T) {
+	x := New()
+	x.Apply("a", fleet.CacheEvent{Sequence: 1, Block: 1})
+	x.Apply("b", fleet.CacheEvent{Sequence: 1, Block: 1})
+	x.Apply("a", fleet.CacheEvent{Sequence: 3, Block: 2})
+	must.Eq(t, 0, depthOf(x, "a", []uint64{1, 2}))
+	must.Eq(t, 1, depthOf(x, "b", []uint64{1, 2}))
+	must.True(t, x.Stale(x.Slot("a")))
+	x.Expect("a", []uint64{1})
+	must.Eq(t, 2, depthOf(x, "a", []uint64{1, 2}))
+}
+
+func TestLateAndRepeatedEventsAreIgnored(t *testing.T) {
+	x := New()
+	x.Apply("a", fleet.CacheEvent{Sequence: 5, Block: 1})
+	x.Apply("a", fleet.CacheEvent{Sequence: 4, Block: 1, Removed: true})
+	must.Eq(t, 1, depthOf(x, "a", []uint64{1}))
+}
+
+func TestEntriesStayBounded(t *testing.T) {
+	x := New()
+	x.SetLimit("a", 8)
+	for block := range uint64(1000) {
+		x.Expect("a", []uint64{block})
+	}
+	must.LessEq(t, 8*overfill, len(x.blocks))
+	x.Forget("a")
+	must.MapEmpty(t, x.blocks)
+}
--- /dev/null
+++ b/pkg/routing/bykind.go
@@ -0,0 +1,48 @@
+package routing
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/request"
+)
+
+// ByKind sends model requests through one router and services through another.
+type ByKind struct {
+	Models   *ModelRouter
+	Services *ServiceRouter
+}
+
+var _ Router = (*ByKind)(nil)
+
+// New returns the routers of a daemon.
+func New(opts Options) *ByKind {
+	return &ByKind{Models: NewModelRouter(opts), Services: NewServiceRouter(opts)}
+}
+
+// Choose returns the target for the request's next attempt.
+func (b *ByKind) Choose(req *request.Request, exclude []ident.Target) (*fleet.TargetState, error) {
+	if req.Service != "" {
+		return b.Services.Choose(req, exclude)
+	}
+	return b.Models.Choose(req, exclude)
+}
+
+// Done tells that an attempt has ended.
+func (b *ByKind) Done(req *request.Request, target ident.Target) {
+	if req.Service != "" {
+		b.Services.Done(req, target)
+		return
+	}
+	b.Models.Done(req, target)
+}
+
+// Wait returns how long the request would wait at the best target, and the
+// share of the targets' slots that are taken.
+func (b *ByKind) Wait(req *request.Request) (wait time.Duration, taken float64) {
+	if req.Service != "" {
+		return b.Services.Wait(req)
+	}
+	return b.Models.Wait(req)
+}
--- /dev/null
+++ b/pkg/routing/estimate.go
@@ -0,0 +1,96 @@
+package routing
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+const (
+	// defaultPrefillRate is taken for an engine without a report, in tokens
+	// per second.
+	defaultPrefillRate = 8000
+	// defaultDecodeRate is likewise in tokens per second for one request.
+	defaultDecodeRate = 30
+	// defaultSlots is the count of slots that is taken likewise.
+	defaultSlots = 16
+	// decodeInterference is the part of an engine that a full batch of
+	// decoding takes from prefill, and prefill from decoding.
+	decodeInterference = 0.5
+)
+
+// estimate is what is expected of one engine now, in seconds and requests.
+type estimate struct {
+	prefillRate float64
+	decodeRate  float64
+	slots       float64
+	// occupied counts requests that run or wait, by the last report and the
+	// daemon's own sends and ends since.
+	occupied float64
+	// backlog is the prompt tokens that are still to be computed.
+	backlog float64
+}
+
+// estimateOf reckons an engine's state at now from its last report and the
+// daemon's own sends since.
+func estimateOf(state *fleet.TargetState, own *ledger, knobs *config.RoutingKnobs, now time.Time) estimate {
+	load := &state.Load
+	e := estimate{prefillRate: load.PrefillRate, decodeRate: load.DecodeRate, slots: float64(load.Slots)}
+	if load.Sequence == 0 || e.prefillRate <= 0 || e.decodeRate <= 0 || e.slots <= 0 {
+		e = estimate{prefillRate: defaultPrefillRate, decodeRate: defaultDecodeRate, slots: defaultSlots}
+	}
+	if load.Sequence == 0 || now.Sub(state.LoadAt) > knobs.ReportMaxAge.D() {
+		e.occupied = float64(own.outstanding)
+		return e
+	}
+	e.occupied = max(0, float64(load.Running+load.Queued+len(own.sends)-own.ended))
+	e.backlog = own.backlog(float64(load.PrefillTokens), e.effectivePrefill(float64(load.Running)), takenAt(state), now)
+	return e
+}
+
+// takenAt returns when a report's figures held. A target's clock that is ahead
+// of the report's arrival isn't believed.
+func takenAt(state *fleet.TargetState) time.Time {
+	if state.Load.TakenAt.IsZero() || state.Load.TakenAt.After(state.LoadAt) {
+		return state.LoadAt
+	}
+	return state.Load.TakenAt
+}
+
+// effectivePrefill is the prefill rate beside a number of decoding requests.
+func (e *estimate) effectivePrefill(decoding float64) float64 {
+	return e.prefillRate * (1 - decodeInterference*min(1, decoding/e.slots))
+}
+
+// prefill returns the seconds until a prompt of so many uncached tokens is
+// computed: the part spent waiting and the part spent on the prompt itself.
+func (e *estimate) prefill(uncached float64) (wait, own float64) {
+	rate := e.effectivePrefill(e.occupied)
+	return e.backlog / rate, uncached / rate
+}
+
+// decode returns the seconds that a request waits for a slot, and those that
+// its output then takes.
+func (e *estimate) decode(output float64) (wait, own float64) {
+	own = output / e.decodeRate
+	if over := e.occupied + 1 - e.slots; over > 0 {
+		wait = over * own / e.slots
+	}
+	busy := min(1, e.backlog/e.prefillRate)
+	return wait, own * (1 + decodeInterference*busy)
+}
+
+// takesNew reports whether new work may go to a target.
+func takesNew(state *fleet.TargetState, knobs *config.RoutingKnobs, now time.Time) bool {
+	if state.Draining || state.Record.Leaving {
+		return false
+	}
+	return now.Sub(state.SeenAt) <= knobs.ViewMaxAge.D()
+}
+
+// reclaimable reports whether the platform may take the target back.
+func reclaimable(state *fleet.TargetState) bool {
+	return state.Record.Kind == platform.Reclaimable
+}
--- /dev/null
+++ b/pkg/routing/models.go
@@ -0,0 +1,174 @@
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/prefix"
+	"amaranthplank.example/amaranthplank/pkg/request"
+)
+
+// retryAfter is what a caller is told where no target takes new work.
+const retryAfter = 2 * time.Second
+
+// ModelRouter places model requests by their expected times.
+type ModelRouter struct {
+	opts Options
+
+	mu sync.Mutex
+	// ledgers holds the daemon's own sends by target.
+	ledgers map[ident.Target]*ledger
+	index   *prefix.Index
+	// seen is the snapshot that refs was made for; refs are the ledgers of its
+	// targets in the same order.
+	seen *fleet.Snapshot
+	refs []*ledger
+	// scores and depths are reused by each decision.
+	scores []score
+	depths [prefix.MaxEngines]int32
+}
+
+var _ Router = (*ModelRouter)(nil)
+
+// NewModelRouter returns a router that has sent nothing yet.
+func NewModelRouter(opts Options) *ModelRouter {
+	return &ModelRouter{opts: opts, ledgers: make(map[ident.Target]*ledger), index: prefix.New()}
+}
+
+// Choose returns the engine that the whole request goes to, and counts it.
+func (r *ModelRouter) Choose(req *request.Request, exclude []ident.Target) (*fleet.TargetState, error) {
+	placement, err := r.place(req, exclude, false)
+	return placement.Target, err
+}
+
+// Place returns where the request's prompt and answer are computed, and counts
+// both. Done must be told of each of the placement's engines.
+func (r *ModelRouter) Place(req *request.Request, exclude []ident.Target) (Placement, error) {
+	return r.place(req, exclude, !r.opts.Off.Apart)
+}
+
+// Done uncounts a request.
+func (r *ModelRouter) Done(req *request.Request, target ident.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if own, ok := r.ledgers[target]; ok {
+		own.done(req.ID)
+	}
+}
+
+// CacheEvent takes in an event of an engine's prefix memory.
+func (r *ModelRouter) CacheEvent(target ident.Target, event fleet.CacheEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.index.Apply(target, event)
+}
+
+// Wait returns the shortest time that the request would wait at an engine
+// before its own prompt is computed, and the share of the engines' slots that
+// are taken. Where no engine takes new work the wait is retryAfter.
+func (r *ModelRouter) Wait(req *request.Request) (wait time.Duration, taken float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	snapshot := r.refresh()
+	knobs, now := r.opts.Knobs(), r.opts.Now()
+	least, slots, occupied := retryAfter.Seconds(), 0.0, 0.0
+	for _, i := range snapshot.Model(req.Model) {
+		state := &snapshot.Targets[i]
+		if !takesNew(state, knobs, now) {
+			continue
+		}
+		e := estimateOf(state, r.own(i), knobs, now)
+		prefillWait, _ := e.prefill(0)
+		decodeWait, _ := e.decode(float64(req.MaxOutputTokens))
+		least = min(least, prefillWait+decodeWait)
+		slots += e.slots
+		occupied += min(e.occupied, e.slots)
+	}
+	return time.Duration(least * float64(time.Second)), occupied / max(1, slots)
+}
+
+// place scores the engines and takes the best.
+func (r *ModelRouter) place(req *request.Request, exclude []ident.Target, apart bool) (Placement, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	snapshot := r.refresh()
+	r.score(snapshot, req, exclude)
+	prefill, decode := r.best(req, apart)
+	if prefill < 0 {
+		return Placement{}, fault.New(fault.Unavailable, "no engine takes new work for the model",
+			"try again after the time in Retry-After").After(retryAfter)
+	}
+	s := &r.scores[prefill]
+	placement := Placement{Target: &snapshot.Targets[s.target]}
+	now := r.opts.Now()
+	r.refs[s.target].sent(send{request: req.ID, at: now, prefill: s.uncached})
+	r.index.Expect(placement.Target.Record.Target, req.Prefix)
+	if decode >= 0 && decode != prefill {
+		d := r.scores[decode].target
+		placement.Decode = &snapshot.Targets[d]
+		r.refs[d].sent(send{request: req.ID, at: now})
+	}
+	return placement, nil
+}
+
+// refresh takes a new snapshot in and returns it.
+func (r *ModelRouter) refresh() *fleet.Snapshot {
+	snapshot := r.opts.View.Snapshot()
+	if snapshot == r.seen {
+		return snapshot
+	}
+	r.seen = snapshot
+	r.refs = r.refs[:0]
+	for i := range snapshot.Targets {
+		r.refs = append(r.refs, r.takeIn(&snapshot.Targets[i]))
+	}
+	if len(r.ledgers) > 2*len(snapshot.Targets) {
+		r.forget(snapshot)
+	}
+	return snapshot
+}
+
+// takeIn brings the ledger of a target up to its last report.
+func (r *ModelRouter) takeIn(state *fleet.TargetState) *ledger {
+	name := state.Record.Target
+	own, ok := r.ledgers[name]
+	if !ok {
+		own = &ledger{slot: -1, hash: xxhash.Sum64String(string(name))}
+		if state.Record.Service == "" {
+			own.slot = r.index.Slot(name)
+		}
+		r.ledgers[name] = own
+	}
+	load := &state.Load
+	if own.sequence != 0 && load.Incarnation != own.incarnation {
+		r.index.Restart(name)
+	}
+	if load.CacheLimit > 0 && own.sequence == 0 {
+		r.index.SetLimit(name, load.CacheLimit)
+	}
+	own.reported(load.Incarnation, load.Sequence, takenAt(state))
+	return own
+}
+
+// forget drops the targets that left the view.
+func (r *ModelRouter) forget(snapshot *fleet.Snapshot) {
+	for name := range r.ledgers {
+		if snapshot.Target(name) == nil {
+			delete(r.ledgers, name)
+			r.index.Forget(name)
+		}
+	}
+}
+
+// own returns the ledger of a target of the snapshot that was last taken in.
+func (r *ModelRouter) own(i int) *ledger {
+	if r.opts.Off.OwnSends {
+		return &ledger{}
+	}
+	return r.refs[i]
+}
--- /dev/null
+++ b/pkg/routing/options.go
@@ -0,0 +1,38 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// Options are what a router needs.
+type Options struct {
+	View fleet.View
+	// Domain is the daemon's own failure domain.
+	Domain ident.FailureDomain
+	// Knobs returns the values in force; it is asked at each decision.
+	Knobs func() *config.RoutingKnobs
+	Now   func() time.Time
+	// Random draws among near equals; the router locks it.
+	Random *rand.Rand
+	// Off switches parts off; it is for measures alone.
+	Off Off
+}
+
+// Off names the parts of a router that a measure leaves out.
+type Off struct {
+	// Affinity leaves out the home engines of a prompt.
+	Affinity bool
+	// Index leaves out the index of prefix memories.
+	Index bool
+	// OwnSends leaves the reports uncorrected.
+	OwnSends bool
+	// Random always takes the first of near equals.
+	Random bool
+	// Apart keeps prefill and decode on one engine.
+	Apart bool
+}
--- /dev/null
+++ b/pkg/routing/rendezvous.go
@@ -0,0 +1,22 @@
+package routing
+
+// mix returns a well spread hash of two.
+func mix(a, b uint64) uint64 {
+	const (
+		multiplier1 = 0xbf58476d1ce4e5b9
+		multiplier2 = 0x94d049bb133111eb
+	)
+	x := a ^ (b + 0x9e3779b97f4a7c15)
+	x = (x ^ (x >> 30)) * multiplier1
+	x = (x ^ (x >> 27)) * multiplier2
+	return x ^ (x >> 31)
+}
+
+// affinityKey returns the hash that names a prompt's home, or false where the
+// prompt is shorter than the blocks that name one.
+func affinityKey(prefix []uint64, blocks int64) (uint64, bool) {
+	if int64(len(prefix)) < blocks || blocks < 1 {
+		return 0, false
+	}
+	return prefix[blocks-1], true
+}
--- /dev/null
+++ b/pkg/routing/roundrobin.go
@@ -0,0 +1,46 @@
+package routing
+
+import (
+	"slices"
+	"sync"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/request"
+)
+
+// RoundRobin sends requests to the targets in turn. It is a baseline.
+type RoundRobin struct {
+	view fleet.View
+
+	mu   sync.Mutex
+	next int
+}
+
+var _ Router = (*RoundRobin)(nil)
+
+// NewRoundRobin returns a router over a view that starts at the given turn.
+func NewRoundRobin(view fleet.View, start int) *RoundRobin {
+	return &RoundRobin{view: view, next: start}
+}
+
+// Choose returns the next target that takes new work.
+func (r *RoundRobin) Choose(req *request.Request, exclude []ident.Target) (*fleet.TargetState, error) {
+	snapshot := r.view.Snapshot()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	targets := candidates(snapshot, req)
+	for range targets {
+		r.next++
+		state := &snapshot.Targets[targets[r.next%len(targets)]]
+		if !state.Draining && !state.Record.Leaving && !slices.Contains(exclude, state.Record.Target) {
+			return state, nil
+		}
+	}
+	return nil, fault.New(fault.Unavailable, "no target takes new work for the request",
+		"try again after the time in Retry-After").After(retryAfter)
+}
+
+// Done does nothing.
+func (r *RoundRobin) Done(*request.Request, ident.Target) {}
--- /dev/null
+++ b/pkg/routing/score.go
@@ -0,0 +1,111 @@
+package routing
+
+import (
+	"slices"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/request"
+)
+
+// lookupBacklogShare is the part of an engine's backlog that a lookup waits
+// for, since engines serve it before other classes.
+const lookupBacklogShare = 0.1
+
+// score is what one engine would cost a request, in seconds.
+type score struct {
+	// target is the engine's index in the snapshot.
+	target int
+	role   fleet.Role
+	// prefill is the cost of the prompt there, decode that of the answer.
+	prefill float64
+	decode  float64
+	// uncached is the expected count of prompt tokens to compute.
+	uncached float64
+}
+
+// score fills the scores of the engines that may take the request.
+func (r *ModelRouter) score(snapshot *fleet.Snapshot, req *request.Request, exclude []ident.Target) {
+	knobs, now := r.opts.Knobs(), r.opts.Now()
+	r.scores = r.scores[:0]
+	engines := snapshot.Model(req.Model)
+	known := r.findDepths(req)
+	home := r.home(snapshot, engines, req, knobs)
+	for _, i := range engines {
+		state := &snapshot.Targets[i]
+		if !takesNew(state, knobs, now) || slices.Contains(exclude, state.Record.Target) {
+			continue
+		}
+		e := estimateOf(state, r.own(i), knobs, now)
+		s := score{target: i, role: state.Load.Role, uncached: r.uncached(i, i == home, known, req, knobs)}
+		wait, own := e.prefill(s.uncached)
+		if req.Class == ident.ClassLookup {
+			wait *= lookupBacklogShare
+		}
+		s.prefill = wait + own*knobs.PrefillWeight + r.penalty(state, req, knobs)
+		wait, own = e.decode(float64(req.MaxOutputTokens))
+		s.decode = wait + own
+		r.scores = append(r.scores, s)
+	}
+}
+
+// findDepths looks the prompt up in the index and reports whether any engine
+// holds a part of it.
+func (r *ModelRouter) findDepths(req *request.Request) bool {
+	clear(r.depths[:])
+	if r.opts.Off.Index || len(req.Prefix) == 0 {
+		return false
+	}
+	r.index.Depths(req.Prefix, r.depths[:])
+	return slices.Max(r.depths[:]) > 0
+}
+
+// home returns the index of the engine that rendezvous hashing names for the
+// prompt, or a negative number.
+func (r *ModelRouter) home(snapshot *fleet.Snapshot, engines []int, req *request.Request, knobs *config.RoutingKnobs) int {
+	key, ok := affinityKey(req.Prefix, knobs.AffinityBlocks)
+	if !ok || r.opts.Off.Affinity {
+		return -1
+	}
+	best, home := uint64(0), -1
+	for _, i := range engines {
+		if snapshot.Targets[i].Load.Role == fleet.Decode {
+			continue
+		}
+		if weight := mix(key, r.refs[i].hash); weight >= best {
+			best, home = weight, i
+		}
+	}
+	return home
+}
+
+// uncached returns how many prompt tokens the engine is expected to compute.
+func (r *ModelRouter) uncached(i int, home, known bool, req *request.Request, knobs *config.RoutingKnobs) float64 {
+	own := r.refs[i]
+	cached := 0.0
+	if own.slot >= 0 {
+		cached = float64(r.depths[own.slot])
+	}
+	untold := !known || own.slot < 0 || r.index.Stale(own.slot)
+	if home && untold {
+		cached = max(cached, knobs.AffinityCredit*float64(len(req.Prefix)))
+	}
+	return max(0, float64(req.PromptTokens)-cached*request.PrefixBlockTokens)
+}
+
+// penalty returns the cost of the place that an engine stands at.
+func (r *ModelRouter) penalty(state *fleet.TargetState, req *request.Request, knobs *config.RoutingKnobs) float64 {
+	cost := 0.0
+	if state.Record.FailureDomain != r.opts.Domain {
+		cost += knobs.DomainPenalty.D().Seconds()
+	}
+	deferrable := req.Class == ident.ClassDeferrable
+	if deferrable && !reclaimable(state) {
+		cost += knobs.DependablePenalty.D().Seconds()
+	}
+	if !deferrable && reclaimable(state) {
+		cost += knobs.ReclaimablePenalty.D().Seconds()
+	}
+	return cost
+}
