Keep one proven link to each peer

Cause: daemons had an interface for messages among themselves and nothing beneath it. Change: one WebSocket a pair, dialled by the host with the lower name, opened by a challenge both ways over the fleet's secret, with TLS files read anew at each connection. Each kind waits in a ring of its own that drops its oldest message. A malformed or oversized frame ends its link alone; newer versions and unknown kinds are skipped; pings with deadlines replace silent links.

--- /dev/null
+++ b/pkg/peer/accept.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+
+	"github.com/coder/websocket"
+)
+
+// path is where links are taken.
+const path = "/peer"
+
+// serve takes connections until the server is closed.
+func (m *Manager) serve(server *http.Server) error {
+	listener := m.opts.Listener
+	if m.opts.TLS != nil {
+		listener = tls.NewListener(listener, &tls.Config{
+			MinVersion: tls.VersionTLS13,
+			GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+				return m.opts.TLS.Server()
+			},
+		})
+	}
+	return server.Serve(listener)
+}
+
+// accept takes one link and carries it until it ends.
+func (m *Manager) accept(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != path {
+		http.NotFound(w, r)
+		return
+	}
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(MaxFrameBytes)
+	handshake, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	theirs, err := acceptHandshake(handshake, conn, &m.opts)
+	cancel()
+	if err != nil {
+		m.metrics.ended.WithLabelValues("handshake").Inc()
+		m.opts.Log.Warn("link refused", "remote", r.RemoteAddr, "error", err)
+		return
+	}
+	m.carry(ctx, conn, theirs)
+}
--- /dev/null
+++ b/pkg/peer/tlssource.go
@@ -0,0 +1,72 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
+)
+
+// TLSSource gives the settings of each new TLS connection.
+type TLSSource interface {
+	// Server returns the settings of an accepting end, which must ask for and
+	// check the other's certificate.
+	Server() (*tls.Config, error)
+	// Client returns the settings of a dialing end.
+	Client() (*tls.Config, error)
+}
+
+// TLSFiles reads the certificate, its key and the fleet's authority from files
+// at each new connection, so that a rotation needs no restart.
+type TLSFiles struct {
+	Certificate string
+	Key         string
+	Authority   string
+	// ServerName is the name that every host's certificate bears.
+	ServerName string
+}
+
+var _ TLSSource = TLSFiles{}
+
+// Server returns the settings of an accepting end.
+func (f TLSFiles) Server() (*tls.Config, error) {
+	pair, pool, err := f.read()
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair},
+		ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool,
+	}, nil
+}
+
+// Client returns the settings of a dialing end.
+func (f TLSFiles) Client() (*tls.Config, error) {
+	pair, pool, err := f.read()
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair},
+		RootCAs: pool, ServerName: f.ServerName,
+	}, nil
+}
+
+// read loads the files.
+func (f TLSFiles) read() (tls.Certificate, *x509.CertPool, error) {
+	const remedy = "see that the peer certificate's files exist and match"
+	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return pair, nil, fault.Wrap(err, fault.Invalid, "the peer certificate can't be read", remedy)
+	}
+	text, err := os.ReadFile(f.Authority)
+	if err != nil {
+		return pair, nil, fault.Wrap(err, fault.Invalid, "the peer authority can't be read", remedy)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return pair, nil, fault.New(fault.Invalid, "the peer authority holds no certificate", remedy)
+	}
+	return pair, pool, nil
+}
