Tell which daemons are alive without a coordination service

Cause: the membership was an interface alone. Change: a table as pure step functions (incarnations, suspicion confirmed by others, ended incarnations stay ended, planned leave told at once, whole tables sent where digests differ) and a manager over the links; neighbours of a bounded degree chosen alike from both ends; the platform's host list read by three members.

--- /dev/null
+++ b/pkg/membership/cluster_test.go
@@ -0,0 +1,169 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// cluster runs tables in fake time over links that fail.
+type cluster struct {
+	now    time.Time
+	random *rand.Rand
+	nodes  []*testNode
+	wire   []delivery
+	loss   float64
+	double float64
+	// cut tells which directions are silent.
+	cut map[[2]ident.Host]bool
+}
+
+type testNode struct {
+	table  *Table
+	host   ident.Host
+	paused bool
+	// ended holds the incarnations that were seen to be over, newest the
+	// newest incarnation of each member.
+	ended  map[Ask]bool
+	newest map[ident.Host]Member
+}
+
+type delivery struct {
+	at       time.Time
+	from, to ident.Host
+	gossip   Gossip
+}
+
+const testTick = time.Second
+
+func newCluster(n int, seed uint64) *cluster {
+	c := &cluster{now: time.Unix(0, 0), random: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]ident.Host]bool)}
+	for i := range n {
+		node := &testNode{host: ident.Host(fmt.Sprintf("h%02d", i))}
+		c.nodes = append(c.nodes, node)
+		c.restart(i, 1)
+	}
+	return c
+}
+
+func (c *cluster) restart(i int, incarnation ident.Incarnation) {
+	node := c.nodes[i]
+	timing := DefaultTiming()
+	node.table = NewTable(Record{Host: node.host, Incarnation: incarnation, Address: string(node.host)}, timing, c.random)
+	node.ended, node.newest, node.paused = make(map[Ask]bool), make(map[ident.Host]Member), false
+}
+
+func (c *cluster) neighbours(self ident.Host) []ident.Host {
+	var hosts []ident.Host
+	for _, n := range c.nodes {
+		if n.host != self {
+			hosts = append(hosts, n.host)
+		}
+	}
+	return Neighbours(self, hosts, len(c.nodes))
+}
+
+func (c *cluster) send(from, to ident.Host, gossip Gossip) {
+	if c.cut[[2]ident.Host{from, to}] || c.random.Float64() < c.loss {
+		return
+	}
+	for copies := 1; copies > 0; copies-- {
+		if c.random.Float64() < c.double {
+			copies++
+		}
+		late := time.Duration(c.random.IntN(1400)) * time.Millisecond
+		c.wire = append(c.wire, delivery{c.now.Add(late), from, to, gossip})
+	}
+}
+
+// step runs one tick at every node and the deliveries after it.
+func (c *cluster) step() error {
+	c.now = c.now.Add(testTick)
+	for _, n := range c.nodes {
+		if n.paused {
+			continue
+		}
+		for _, e := range n.table.Tick(c.now, Beat{Revision: 7, HoldsRevision: 3}, c.neighbours(n.host)) {
+			c.send(n.host, e.To, e.Gossip)
+		}
+	}
+	var later []delivery
+	arrived := c.wire
+	c.wire = nil
+	for _, d := range arrived {
+		n := c.node(d.to)
+		if d.at.After(c.now) || n.paused {
+			later = append(later, d)
+			continue
+		}
+		if answer, due := n.table.Receive(c.now, &d.gossip); due {
+			c.send(d.to, d.from, answer)
+		}
+	}
+	c.wire = append(c.wire, later...)
+	for _, n := range c.nodes {
+		if err := n.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cluster) node(host ident.Host) *testNode {
+	for _, n := range c.nodes {
+		if n.host == host {
+			return n
+		}
+	}
+	return nil
+}
+
+func (c *cluster) run(d time.Duration) error {
+	for end := c.now.Add(d); c.now.Before(end); {
+		if err := c.step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// check reports a view that went back or an ended incarnation that came alive.
+func (n *testNode) check() error {
+	for _, m := range n.table.Members() {
+		old := n.newest[m.Host]
+		if m.Incarnation < old.Incarnation {
+			return errors.Errorf("%s: %s went back to incarnation %d", n.host, m.Host, m.Incarnation)
+		}
+		if m.Incarnation == old.Incarnation && (m.Revision < old.Revision || m.HoldsRevision < old.HoldsRevision) {
+			return errors.Errorf("%s: %s went back to revision %d", n.host, m.Host, m.Revision)
+		}
+		n.newest[m.Host] = m
+		life := Ask{m.Host, m.Incarnation}
+		over := m.Status == Dead || m.Status == Left
+		if n.ended[life] && !over {
+			return errors.Errorf("%s: %s came back to life in incarnation %d", n.host, m.Host, m.Incarnation)
+		}
+		n.ended[life] = over
+	}
+	return nil
+}
+
+// converged reports whether everyone sees everyone alive.
+func (c *cluster) converged() error {
+	for _, n := range c.nodes {
+		members := n.table.Members()
+		if len(members) != len(c.nodes)-1 {
+			return errors.Errorf("%s knows %d members", n.host, len(members))
+		}
+		for _, m := range members {
+			if m.Status != Alive || m.Revision != 7 || m.Incarnation != c.node(m.Host).table.Self().Incarnation {
+				return errors.Errorf("%s sees %s %s in %d", n.host, m.Host, m.Status, m.Incarnation)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/membership/loop.go
@@ -0,0 +1,144 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/peer"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// tick advances the table and sends what it has to say.
+func (m *Manager) tick(now time.Time) {
+	var beat Beat
+	beat.Revision, beat.HoldsRevision = m.opts.Loaded()
+	for _, envelope := range m.table.Tick(now, beat, m.opts.Links.Linked()) {
+		m.send(envelope.To, &envelope.Gossip)
+	}
+}
+
+// take takes one event in.
+func (m *Manager) take(now time.Time, e event) {
+	if e.gossip != nil {
+		before := m.table.Self().Incarnation
+		answer, due := m.table.Receive(now, e.gossip)
+		if m.table.Self().Incarnation != before {
+			m.metrics.renewed.Inc()
+			m.opts.Log.Warn("others had ended this incarnation; a new one is taken", "incarnation", m.table.Self().Incarnation)
+		}
+		if due {
+			answer.From.Revision, answer.From.HoldsRevision = m.opts.Loaded()
+			m.send(e.from, &answer)
+		}
+	}
+	for _, beat := range e.heard {
+		m.table.Heard(now, beat)
+	}
+	if e.ended != "" {
+		m.table.LinkEnded(e.ended)
+	}
+	m.takeHosts(e.hosts)
+	if e.leave != nil {
+		m.table.Leave()
+		m.tick(now)
+		close(e.leave)
+	}
+}
+
+// takeHosts replaces the seeds by a fresh list; an empty one changes nothing.
+func (m *Manager) takeHosts(hosts []platform.HostRecord) {
+	if len(hosts) == 0 {
+		return
+	}
+	clear(m.seeds)
+	for _, host := range hosts {
+		m.seeds[host.Host] = host
+	}
+}
+
+// send queues a gossip for a peer.
+func (m *Manager) send(to ident.Host, gossip *Gossip) {
+	payload, err := peer.EncodeCompact(gossip)
+	if err != nil {
+		m.opts.Log.Error("membership message not sent", "error", err)
+		return
+	}
+	// A peer without a link hears the next heartbeat once it has one.
+	_ = m.opts.Links.Send(to, peer.Message{Kind: peer.KindMembership, Version: peer.KnownVersion, Payload: payload})
+}
+
+// link tells the links which peers to keep.
+func (m *Manager) link() {
+	addresses := make(map[ident.Host]string)
+	for host, seed := range m.seeds {
+		addresses[host] = seed.PeerAddress
+	}
+	for _, record := range m.table.Records()[1:] {
+		if record.Address != "" {
+			addresses[record.Host] = record.Address
+		}
+		if record.Left && m.seeds[record.Host].Host == "" {
+			delete(addresses, record.Host)
+		}
+	}
+	hosts := make([]ident.Host, 0, len(addresses))
+	for host := range addresses {
+		hosts = append(hosts, host)
+	}
+	var wanted []peer.Address
+	for _, host := range Neighbours(m.opts.Self.Host, hosts, m.opts.Degree) {
+		wanted = append(wanted, peer.Address{Host: host, Address: addresses[host]})
+	}
+	m.opts.Links.SetPeers(wanted)
+}
+
+// publish makes the table's state readable by others.
+func (m *Manager) publish() {
+	members := m.table.Members()
+	self := m.table.Self()
+	m.members.Store(&members)
+	m.self.Store(&self)
+	m.metrics.count(members)
+}
+
+// readHosts reads the platform's list at a steady pace where the daemon is one
+// of the few that do, or hears nobody.
+func (m *Manager) readHosts(ctx context.Context) error {
+	if m.opts.Hosts == nil {
+		return nil
+	}
+	ticker := time.NewTicker(m.opts.HostsEvery)
+	defer ticker.Stop()
+	for {
+		if Rank("host list", m.opts.Self.Host, AliveHosts(m.Members())) < listReaders {
+			m.readHostsOnce(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// readHostsOnce reads the platform's list and hands it to the loop.
+func (m *Manager) readHostsOnce(ctx context.Context) {
+	hosts, err := m.opts.Hosts.Hosts(ctx)
+	if err != nil {
+		m.opts.Log.Warn("host list not read", "error", err)
+		return
+	}
+	m.post(event{hosts: hosts})
+}
+
+// AliveHosts returns the hosts of the members that are alive.
+func AliveHosts(members []Member) []ident.Host {
+	var hosts []ident.Host
+	for i := range members {
+		if members[i].Status == Alive {
+			hosts = append(hosts, members[i].Host)
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/pkg/membership/options.go
@@ -0,0 +1,77 @@
+package membership
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/peer"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// Links is what a Manager needs of the links; peer.Manager implements it.
+type Links interface {
+	peer.Mesh
+	// SetPeers replaces the list of peers to keep links to.
+	SetPeers(peers []peer.Address)
+	// Linked returns the hosts with an open link.
+	Linked() []ident.Host
+}
+
+// Options shape a Manager.
+type Options struct {
+	// Self is the daemon's own record; its incarnation rises with each start.
+	Self  Record
+	Links Links
+	// Seeds are hosts known from the settings; Hosts is the platform's list,
+	// or nil.
+	Seeds []platform.HostRecord
+	Hosts platform.HostList
+	// Loaded returns the control state that the daemon has loaded.
+	Loaded func() (revision, holds ident.Revision)
+	// Degree bounds the links that the daemon chooses.
+	Degree     int
+	Timing     Timing
+	Log        *slog.Logger
+	Registerer prometheus.Registerer
+	Random     *rand.Rand
+	// HostsEvery is the time between reads of the platform's list.
+	HostsEvery time.Duration
+}
+
+const (
+	// DefaultDegree bounds the links of a daemon. Fleets up to one more are a
+	// full mesh.
+	DefaultDegree = 8
+	// hostsEvery is the default time between reads of the platform's list.
+	hostsEvery = 15 * time.Second
+	// listReaders is how many members read the platform's list.
+	listReaders = 3
+	// inboxLimit bounds the messages that wait for the manager.
+	inboxLimit = 1024
+)
+
+// fill sets the options that were left out.
+func (o *Options) fill() {
+	if o.Degree == 0 {
+		o.Degree = DefaultDegree
+	}
+	if o.Timing == (Timing{}) {
+		o.Timing = DefaultTiming()
+	}
+	if o.HostsEvery == 0 {
+		o.HostsEvery = hostsEvery
+	}
+	if o.Loaded == nil {
+		o.Loaded = func() (ident.Revision, ident.Revision) { return 0, 0 }
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Random == nil {
+		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+}
