Join links, membership, routing by time and the fair queue into the daemon

Cause: the parts stood beside a daemon that used the baselines. Change: every daemon links to its peers, routes by expected times and admits by the fair queue; settings name seeds; a registry per daemon.

--- a/cmd/amaranthplank/main.go
+++ b/cmd/amaranthplank/main.go
@@ -60,5 +60,9 @@
 	if err != nil {
 		return err
 	}
-	return daemon.New(opts).Run(ctx)
+	d, err := daemon.New(opts)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
 }
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -14,6 +14,7 @@
 	Revision ident.Revision
 	Document *Document
 	keys     map[KeyDigest]keyOwner
+	names    map[ident.Workspace]*Workspace
 	resolver *resolver
 }
 
@@ -25,9 +26,13 @@
 
 // NewSnapshot indexes a document that was checked.
 func NewSnapshot(revision ident.Revision, document *Document) *Snapshot {
-	s := &Snapshot{Revision: revision, Document: document, keys: make(map[KeyDigest]keyOwner), resolver: newResolver(document)}
+	s := &Snapshot{
+		Revision: revision, Document: document, keys: make(map[KeyDigest]keyOwner),
+		names: make(map[ident.Workspace]*Workspace, len(document.Workspaces)), resolver: newResolver(document),
+	}
 	for i := range document.Workspaces {
 		workspace := &document.Workspaces[i]
+		s.names[workspace.Name] = workspace
 		for j := range workspace.Keys {
 			s.keys[workspace.Keys[j].Digest] = keyOwner{workspace: workspace, key: &workspace.Keys[j]}
 		}
@@ -48,6 +53,9 @@
 	return owner.workspace, true
 }
 
+// Workspace returns the workspace of a name, or nil.
+func (s *Snapshot) Workspace(name ident.Workspace) *Workspace { return s.names[name] }
+
 // Route returns the first route that matches, or nil. A path with dot segments
 // has none, since a target may resolve it to the path of another route.
 func (s *Snapshot) Route(method, path string, model ident.Model) *Route {
--- a/pkg/daemon/options.go
+++ b/pkg/daemon/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/peer"
 	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
@@ -17,13 +18,24 @@
 	Log           *slog.Logger
 	// Listener takes callers' connections.
 	Listener net.Listener
-	// AdminListener takes operators' connections; nil means none.
+	// AdminListener takes operators' connections.
 	AdminListener net.Listener
-	Store         platform.Store
-	Targets       platform.TargetOrderer
-	Usage         platform.UsageSink
-	Hosts         platform.HostList
-	Weights       platform.WeightStore
+	// PeerListener takes links from other daemons, which PeerSecret proves and
+	// PeerTLS, where it is set, encrypts.
+	PeerListener net.Listener
+	PeerSecret   []byte
+	PeerTLS      peer.TLSSource
+	// PeerSeeds are hosts to link to before the platform's list is read.
+	PeerSeeds []platform.HostRecord
+	// PeerDegree bounds the links of the daemon; zero takes the default.
+	PeerDegree int
+	// Credential is the system's own towards targets. It may be empty.
+	Credential string
+	Store      platform.Store
+	Targets    platform.TargetOrderer
+	Usage      platform.UsageSink
+	Hosts      platform.HostList
+	Weights    platform.WeightStore
 	// UsageWindow is the length of a usage window, UsageGrace how long after
 	// its end it is closed.
 	UsageWindow time.Duration
--- /dev/null
+++ b/pkg/daemon/path.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/entry"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/relay"
+	"amaranthplank.example/amaranthplank/pkg/request"
+	"amaranthplank.example/amaranthplank/pkg/routing"
+	"amaranthplank.example/amaranthplank/pkg/target"
+)
+
+// maxBodyBytes bounds a caller's body.
+const maxBodyBytes = 8 << 20
+
+// newHandler returns the callers' handler over the daemon's routers.
+func (d *Daemon) newHandler() http.Handler {
+	d.router = routing.New(routing.Options{
+		View: d.targets, Domain: d.opts.FailureDomain, Now: time.Now,
+		Knobs:  func() *config.RoutingKnobs { return &d.knobs(config.Selector{}).Routing },
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	d.relay = relay.New(relay.Options{
+		Router: d.router, Client: target.NewClient(), Config: d.config, Credential: d.opts.Credential,
+		Log: d.opts.Log, Registerer: d.registry,
+	})
+	d.admission = admission.NewFair(admission.Options{
+		Gate: d.router, Elsewhere: admission.Alone{}, Now: time.Now, Knobs: d.admissionKnobs, Weight: d.weight,
+	})
+	return entry.New(entry.Options{
+		Config: d.config, Admission: d.admission, Relay: d.relay, Recorder: d.meter,
+		Log: d.opts.Log, Registerer: d.registry, Ready: d.ready, MaxBodyBytes: maxBodyBytes,
+	})
+}
+
+// knobs returns the values in force, or the built-in ones before the first
+// configuration.
+func (d *Daemon) knobs(selector config.Selector) *config.Knobs {
+	snapshot := d.config.Current()
+	if snapshot == nil {
+		return &d.builtin
+	}
+	return snapshot.Knobs(selector)
+}
+
+// admissionKnobs returns the values in force for a request.
+func (d *Daemon) admissionKnobs(req *request.Request) *config.AdmissionKnobs {
+	selector := config.Selector{Workspace: req.Workspace, Route: req.Route, Model: req.Model, Service: req.Service}
+	return &d.knobs(selector).Admission
+}
+
+// weight returns a workspace's weight, or one for those that are not listed.
+func (d *Daemon) weight(name ident.Workspace) float64 {
+	snapshot := d.config.Current()
+	if snapshot == nil {
+		return 1
+	}
+	workspace := snapshot.Workspace(name)
+	if workspace == nil || workspace.Weight == 0 {
+		return 1
+	}
+	return workspace.Weight
+}
--- /dev/null
+++ b/pkg/daemon/peers.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/membership"
+	"amaranthplank.example/amaranthplank/pkg/peer"
+)
+
+// connect makes the links and the membership. Nothing runs yet.
+func (d *Daemon) connect() error {
+	incarnation := ident.Incarnation(time.Now().UnixNano())
+	links, err := peer.New(peer.Options{
+		Host: d.opts.Host, Incarnation: incarnation, Listener: d.opts.PeerListener,
+		TLS: d.opts.PeerTLS, Secret: d.opts.PeerSecret, Log: d.opts.Log, Registerer: d.registry,
+		LinkChanged: func(host ident.Host, peerIncarnation ident.Incarnation, up bool) {
+			d.members.LinkChanged(host, peerIncarnation, up)
+		},
+	})
+	if err != nil {
+		return err
+	}
+	d.links = links
+	d.members = membership.New(membership.Options{
+		Self: membership.Record{
+			Host: d.opts.Host, Incarnation: incarnation, FailureDomain: d.opts.FailureDomain,
+			Region: d.opts.Region, Address: d.opts.PeerListener.Addr().String(),
+		},
+		Links: links, Seeds: d.opts.PeerSeeds, Hosts: d.opts.Hosts, Loaded: d.loaded, Degree: d.opts.PeerDegree,
+		Log: d.opts.Log, Registerer: d.registry,
+	})
+	return nil
+}
+
+// loaded returns the control state that the daemon has loaded.
+func (d *Daemon) loaded() (revision, holds ident.Revision) {
+	snapshot := d.config.Current()
+	if snapshot == nil {
+		return 0, 0
+	}
+	return snapshot.Revision, 0
+}
+
+// runPeers keeps the links and the membership until ctx ends.
+func (d *Daemon) runPeers(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return d.links.Run(ctx) })
+	group.Go(func() error { return d.members.Run(ctx) })
+}
--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -1,40 +1,97 @@
 package daemon
 
 import (
+	"bytes"
 	"log/slog"
 	"net"
+	"os"
 
 	"github.com/go-faster/errors"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/peer"
+	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/platform/httpclient"
 	"amaranthplank.example/amaranthplank/pkg/settings"
 )
 
+// certificateName is the name that every host's certificate bears for links.
+const certificateName = "amaranthplank"
+
 // FromSettings opens the listeners and the platform's adapters that the
-// settings name.
+// settings name, and reads their files. It fails with kind Invalid, naming the
+// setting.
 func FromSettings(s *settings.Settings, log *slog.Logger) (Options, error) {
-	callers, err := listen(s.Listen.Callers, "listen.callers")
-	if err != nil {
+	knobs := config.BuiltinKnobs()
+	opts := Options{
+		Host: s.Host, FailureDomain: s.FailureDomain, Region: s.Region, Log: log.With("host", s.Host),
+		UsageWindow: knobs.Usage.Window.D(), UsageGrace: knobs.Usage.Grace.D(), PeerDegree: s.Peers.Degree,
+	}
+	for _, seed := range s.Peers.Seeds {
+		opts.PeerSeeds = append(opts.PeerSeeds, platform.HostRecord{
+			Host: seed.Host, FailureDomain: seed.FailureDomain, Region: seed.Region, PeerAddress: seed.Address,
+		})
+	}
+	if err := readFiles(s, &opts); err != nil {
 		return Options{}, err
 	}
-	operators, err := listen(s.Listen.Operators, "listen.operators")
-	if err != nil {
-		return Options{}, errors.Join(err, callers.Close())
+	if err := listenAll(s, &opts); err != nil {
+		return Options{}, err
 	}
 	client := httpclient.New(s.Platform.Address)
-	knobs := config.BuiltinKnobs()
-	return Options{
-		UsageWindow: knobs.Usage.Window.D(), UsageGrace: knobs.Usage.Grace.D(),
-		Host: s.Host, FailureDomain: s.FailureDomain, Region: s.Region, Log: log.With("host", s.Host),
-		Listener: callers, AdminListener: operators,
-		Store:   httpclient.NewStore(client),
-		Targets: httpclient.NewTargetOrderer(client),
-		Usage:   httpclient.NewUsageSink(client),
-		Hosts:   httpclient.NewHostList(client),
-		Weights: httpclient.NewWeightStore(client),
-	}, nil
+	opts.Store = httpclient.NewStore(client)
+	opts.Targets = httpclient.NewTargetOrderer(client)
+	opts.Usage = httpclient.NewUsageSink(client)
+	opts.Hosts = httpclient.NewHostList(client)
+	opts.Weights = httpclient.NewWeightStore(client)
+	return opts, nil
+}
+
+// readFiles reads the secret and the credential and notes the certificates,
+// which are read at each new link.
+func readFiles(s *settings.Settings, opts *Options) error {
+	secret, err := readFile(s.Peers.SecretFile, "peers.secretFile")
+	if err != nil {
+		return err
+	}
+	opts.PeerSecret = secret
+	if s.Peers.CertificateFile != "" {
+		opts.PeerTLS = peer.TLSFiles{
+			Certificate: s.Peers.CertificateFile, Key: s.Peers.KeyFile, Authority: s.Peers.AuthorityFile,
+			ServerName: certificateName,
+		}
+	}
+	if s.Targets.CredentialFile == "" {
+		return nil
+	}
+	credential, err := readFile(s.Targets.CredentialFile, "targets.credentialFile")
+	opts.Credential = string(credential)
+	return err
+}
+
+// readFile reads the file of one setting without the space around its content.
+func readFile(path, setting string) ([]byte, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "can't read the file of "+setting, "name a readable file")
+	}
+	return bytes.TrimSpace(content), nil
+}
+
+// listenAll opens the three addresses.
+func listenAll(s *settings.Settings, opts *Options) error {
+	var err error
+	if opts.Listener, err = listen(s.Listen.Callers, "listen.callers"); err != nil {
+		return err
+	}
+	if opts.AdminListener, err = listen(s.Listen.Operators, "listen.operators"); err != nil {
+		return errors.Join(err, opts.Listener.Close())
+	}
+	if opts.PeerListener, err = listen(s.Listen.Peers, "listen.peers"); err != nil {
+		return errors.Join(err, opts.Listener.Close(), opts.AdminListener.Close())
+	}
+	return nil
 }
 
 // listen opens the address of one setting.
--- a/pkg/devmode/devmode.go
+++ b/pkg/devmode/devmode.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"time"
 
-	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
 	"amaranthplank.example/amaranthplank/pkg/daemon"
-	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/standin/hosts"
 )
 
 const (
@@ -43,12 +42,18 @@
 	if err != nil {
 		return err
 	}
+	slots, err := openSlots(opts)
+	if err != nil {
+		return err
+	}
+	s.hosts = hosts.New(hostLag, recordsOf(slots)...)
 	base, err := s.servePlatform(ctx, group, opts.PlatformPort)
 	if err != nil {
 		return err
 	}
-	for i := range opts.Daemons {
-		if err := startDaemon(ctx, group, opts, s, i); err != nil {
+	secret := []byte(rand.Text())
+	for _, slot := range slots {
+		if err := startDaemon(ctx, group, opts, s, secret, slot); err != nil {
 			return err
 		}
 	}
@@ -56,18 +61,20 @@
 	return group.Wait()
 }
 
-// startDaemon starts the i-th daemon in this process.
-func startDaemon(ctx context.Context, group *errgroup.Group, opts Options, s *standIns, i int) error {
-	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, opts.Port+i))
-	if err != nil {
-		return errors.Wrap(err, "listen for callers; choose another -dev-port")
-	}
-	host := ident.Host(fmt.Sprintf("host-%d", i+1))
-	d := daemon.New(daemon.Options{
-		Host: host, FailureDomain: domainOf(i), Region: devRegion, Log: opts.Log.With("host", host),
-		Listener: listener, Store: s.store, Targets: s.targets, Usage: s.usage,
+// startDaemon starts a daemon in this process.
+func startDaemon(ctx context.Context, group *errgroup.Group, opts Options, s *standIns, secret []byte, slot slot) error {
+	record := slot.record
+	d, err := daemon.New(daemon.Options{
+		Host: record.Host, FailureDomain: record.FailureDomain, Region: record.Region,
+		Log: opts.Log.With("host", record.Host), Listener: slot.callers, AdminListener: slot.operators,
+		PeerListener: slot.peers, PeerSecret: secret,
+		Store: s.store, Targets: s.targets, Usage: s.usage, Hosts: s.hosts, Weights: s.weights,
 		UsageWindow: usageWindow, UsageGrace: usageGrace,
 	})
+	if err != nil {
+		return err
+	}
+	opts.Log.Info("daemon started", "host", record.Host, "callers", slot.callers.Addr(), "operators", slot.operators.Addr())
 	group.Go(func() error { return d.Run(ctx) })
 	return nil
 }
--- /dev/null
+++ b/pkg/devmode/slot.go
@@ -0,0 +1,62 @@
+package devmode
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/go-faster/errors"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// slot is the place of one daemon: its names and its open listeners.
+type slot struct {
+	record    platform.HostRecord
+	callers   net.Listener
+	operators net.Listener
+	peers     net.Listener
+}
+
+// openSlots opens the listeners of all daemons, so that the host list is whole
+// before the first of them starts.
+func openSlots(opts Options) ([]slot, error) {
+	slots := make([]slot, 0, opts.Daemons)
+	for i := range opts.Daemons {
+		s, err := openSlot(opts.Port+i, i)
+		if err != nil {
+			return nil, err
+		}
+		slots = append(slots, s)
+	}
+	return slots, nil
+}
+
+// openSlot opens the listeners of the i-th daemon.
+func openSlot(port, i int) (slot, error) {
+	var s slot
+	var err error
+	if s.callers, err = net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, port)); err != nil {
+		return slot{}, errors.Wrap(err, "listen for callers; choose another -dev-port")
+	}
+	if s.operators, err = net.Listen("tcp", loopback+":0"); err != nil {
+		return slot{}, errors.Wrap(err, "listen for operators")
+	}
+	if s.peers, err = net.Listen("tcp", loopback+":0"); err != nil {
+		return slot{}, errors.Wrap(err, "listen for links")
+	}
+	s.record = platform.HostRecord{
+		Host: ident.Host(fmt.Sprintf("host-%d", i+1)), FailureDomain: domainOf(i), Region: devRegion,
+		PeerAddress: s.peers.Addr().String(),
+	}
+	return s, nil
+}
+
+// recordsOf returns the slots' records for the host list.
+func recordsOf(slots []slot) []platform.HostRecord {
+	records := make([]platform.HostRecord, 0, len(slots))
+	for _, s := range slots {
+		records = append(records, s.record)
+	}
+	return records
+}
--- a/pkg/devmode/standins.go
+++ b/pkg/devmode/standins.go
@@ -61,7 +61,6 @@
 	s := &standIns{
 		store:   memstore.New(clock.Boot{}),
 		usage:   usagesink.New(),
-		hosts:   hosts.New(hostLag),
 		weights: weights.New(weightInterval),
 		key:     newKey(),
 	}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 
 	"amaranthplank.example/amaranthplank/pkg/jsonc"
@@ -75,6 +76,13 @@
 	if len(given) != 0 && len(given) != 3 {
 		c.add("/peers", "names some of the TLS files", "name certificateFile, keyFile and authorityFile, or none")
 	}
+	for i, seed := range p.Seeds {
+		pointer := "/peers/seeds/" + strconv.Itoa(i)
+		c.name(pointer+"/host", string(seed.Host))
+		c.name(pointer+"/failureDomain", string(seed.FailureDomain))
+		c.name(pointer+"/region", string(seed.Region))
+		c.address(pointer+"/address", seed.Address)
+	}
 	if p.Degree < 0 {
 		c.add("/peers/degree", "is negative", "write a count of links, or leave it out")
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -44,10 +44,21 @@
 	CertificateFile string `json:"certificateFile,omitempty"`
 	KeyFile         string `json:"keyFile,omitempty"`
 	AuthorityFile   string `json:"authorityFile,omitempty"`
+	// Seeds are hosts to link to before the platform's list is read.
+	Seeds []Seed `json:"seeds,omitempty"`
 	// Degree bounds the links of one daemon; zero means the built-in bound.
 	Degree int `json:"degree,omitempty"`
 }
 
+// Seed is one host known from the settings.
+type Seed struct {
+	Host          ident.Host          `json:"host"`
+	FailureDomain ident.FailureDomain `json:"failureDomain"`
+	Region        ident.Region        `json:"region"`
+	// Address is where its daemon takes links, as IP and port.
+	Address string `json:"address"`
+}
+
 // Targets says how the daemon reaches targets.
 type Targets struct {
 	// CredentialFile holds the system's own credential towards targets.
