Claim idempotency keys in the store before sending

Two submissions of one key through two daemons both ran. A request that is not idempotent and bears a key now claims it in one of 256 values of the store, grouped per daemon into one compare-and-swap at a time; a lost answer is read back by applying the batch again; without the store the request is refused as not run. Outcomes and small answers are recorded and replayed.

Ruled out, in docs/DECISIONS/idempotency-keys.md: targets' own keys, an owner by hash without the store, one value per key.

Tested: a property over outages, lost answers, killed daemons and both daemons (at most one run of a key), seen to fail on stores apart; the entry's answers for each state; 200 waiting claims take at most 2 writes.

--- /dev/null
+++ b/pkg/claims/registry_test.go
@@ -0,0 +1,164 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/standin/faultstore"
+	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
+	_ "amaranthplank.example/amaranthplank/pkg/testseed"
+)
+
+// start returns running registries over one store, or each over its own.
+func start(n int, apart bool) ([]*Registry, []*faultstore.Store, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	shared := memstore.New(clock.NewRuntime())
+	var registries []*Registry
+	var stores []*faultstore.Store
+	ended := make(chan struct{})
+	for range n {
+		inner := shared
+		if apart {
+			inner = memstore.New(clock.NewRuntime())
+		}
+		store := faultstore.New(inner)
+		registry := New(Options{Store: store, Log: slog.New(slog.DiscardHandler)})
+		go func() {
+			_ = registry.Run(ctx)
+			ended <- struct{}{}
+		}()
+		registries, stores = append(registries, registry), append(stores, store)
+	}
+	return registries, stores, func() {
+		cancel()
+		for range n {
+			<-ended
+		}
+	}
+}
+
+// step is one submission, with what befalls the store and the request.
+type step struct {
+	Daemon, Key int
+	Down        bool
+	// Lose numbers the writes whose answers are lost.
+	Lose []int
+	// End is what becomes of the request where it is sent.
+	End string
+}
+
+// walk makes the submissions and returns how often each key ran.
+func walk(steps []step, apart bool) (map[int]int, error) {
+	registries, stores, stop := start(2, apart)
+	defer stop()
+	ran := make(map[int]int)
+	for _, s := range steps {
+		writes := 0
+		stores[s.Daemon].Set(faultstore.Faults{Down: s.Down, LoseAnswer: func(platform.Key) bool {
+			writes++
+			for _, n := range s.Lose {
+				if n == writes {
+					return true
+				}
+			}
+			return false
+		}})
+		key := Key{Workspace: "w", Route: "r", Text: fmt.Sprint(s.Key)}
+		hold, found, err := registries[s.Daemon].Claim(key, FingerprintOf("POST", "/", nil), time.Now().Add(time.Second))
+		switch {
+		case err != nil && fault.KindOf(err) != fault.Unavailable:
+			return ran, err
+		case err == nil && (hold == nil) == (found == nil):
+			return ran, fmt.Errorf("neither or both of hold and claim")
+		case found != nil && found.State == Answered && (found.Answer == nil || string(found.Answer.Body) != fmt.Sprint(s.Key)):
+			return ran, fmt.Errorf("another request's answer")
+		case hold != nil && s.End == "not run":
+			hold.NotRun()
+		case hold != nil:
+			ran[s.Key]++
+			if s.End == "answered" {
+				hold.Answered(Answer{Status: 200, Body: fmt.Append(nil, s.Key)})
+			}
+			if s.End == "unknown" {
+				hold.Unknown()
+			}
+		}
+		synctest.Wait()
+	}
+	return ran, nil
+}
+
+func TestAKeyRunsOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
+			return step{
+				Daemon: rapid.IntRange(0, 1).Draw(rt, "daemon"), Key: rapid.IntRange(0, 2).Draw(rt, "key"),
+				Down: rapid.IntRange(0, 4).Draw(rt, "down") == 0,
+				Lose: rapid.SliceOfN(rapid.IntRange(1, 9), 0, 9).Draw(rt, "lose"),
+				End:  rapid.SampledFrom([]string{"answered", "unknown", "not run", "killed"}).Draw(rt, "end"),
+			}
+		}), 1, 12).Draw(rt, "steps")
+		var ran map[int]int
+		var err error
+		synctest.Test(t, func(*testing.T) { ran, err = walk(steps, false) })
+		must.NoError(rt, err)
+		for _, n := range ran {
+			must.LessEq(rt, 1, n)
+		}
+	})
+}
+
+// TestAKeyRunsTwiceOnStoresApart sees the check find what it is there for.
+func TestAKeyRunsTwiceOnStoresApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ran, err := walk([]step{{Daemon: 0, End: "answered"}, {Daemon: 1, End: "answered"}}, true)
+		must.NoError(t, err)
+		must.Eq(t, 2, ran[0])
+	})
+}
+
+func TestWritesAreGrouped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registries, stores, stop := start(1, false)
+		defer stop()
+		stores[0].Set(faultstore.Faults{Delay: 5 * time.Millisecond})
+		const claims = 200
+		key := Key{Text: "x"}
+		s := registries[0].shardOf(key.digest())
+		results := make(chan result, claims)
+		for i := range claims {
+			o := operation{key: digest(fmt.Sprint(i)), claim: Claim{ID: fmt.Sprint(i), Until: time.Now().Add(time.Hour)}, kind: take, done: results}
+			s.owe(o)
+		}
+		for range claims {
+			must.NoError(t, (<-results).err)
+		}
+		must.LessEq(t, 2, stores[0].Counts()["claims"].Writes)
+	})
+}
+
+func TestClaimsAreForgottenOnlyAfterTheDeadline(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first := operation{key: "k", kind: take, claim: Claim{ID: "1", Until: now.Add(time.Minute)}}
+	second := operation{key: "k", kind: take, claim: Claim{ID: "2", Until: now.Add(time.Hour)}}
+	d, _ := (&Document{}).apply([]operation{first}, now)
+	d, results := d.apply([]operation{second}, now.Add(time.Minute))
+	must.NotNil(t, results[0].found)
+	_, results = d.apply([]operation{second}, now.Add(time.Minute+1))
+	must.Nil(t, results[0].found)
+	for i := range maxClaims {
+		o := operation{key: digest(fmt.Sprint(i)), kind: take, claim: Claim{ID: "x", Until: now.Add(time.Hour)}}
+		d, results = d.apply([]operation{o}, now)
+	}
+	must.ErrorIs(t, results[0].err, errFull)
+}
--- /dev/null
+++ b/pkg/entry/claimed_test.go
@@ -0,0 +1,72 @@
+package entry_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/standin/faultstore"
+	"amaranthplank.example/amaranthplank/pkg/standin/faulttarget"
+	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
+	"amaranthplank.example/amaranthplank/pkg/standin/rig"
+)
+
+// TestSecondSubmissionFindsTheFirst sends the same key through two daemons that
+// share a store.
+func TestSecondSubmissionFindsTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := faultstore.New(memstore.New(clock.NewRuntime()))
+		var rigs []*rig.Rig
+		for range 2 {
+			r, err := rig.New(rig.Options{Ledgers: 1, Store: store, Late: 3 * time.Second})
+			must.NoError(t, err)
+			defer r.Close()
+			rigs = append(rigs, r)
+		}
+		ask := func(daemon int, word, key string) reply {
+			q := write.make(word)
+			q.Header.Set("Idempotency-Key", key)
+			got := send(rigs[daemon].Caller(), q)
+			synctest.Wait()
+			return got
+		}
+		first := ask(0, "w", "k")
+		again := ask(1, "w", "k")
+		must.Eq(t, "answered", again.outcome)
+		must.Eq(t, first.body, again.body)
+		must.Eq(t, "true", again.header.Get("Amaranth-Replayed"))
+		must.Eq(t, 1, write.runs(rigs[0], "w")+write.runs(rigs[1], "w"))
+		must.Eq(t, 1, len(rigs[0].Usage.Records())+len(rigs[1].Usage.Records()))
+
+		must.Eq(t, 400, ask(1, "other", "k").status, must.Sprint("another request under the same key"))
+
+		rigs[0].Faults["ledger-1"].Script(faulttarget.CloseAfter)
+		must.Eq(t, "unknown", ask(0, "lost", "k2").outcome)
+		must.Eq(t, "unknown", ask(1, "lost", "k2").outcome)
+		must.Eq(t, 0, write.runs(rigs[1], "lost"))
+
+		rigs[0].Network.Refuse("ledger-1:80", true)
+		must.Eq(t, "answered", ask(0, "w", "k").outcome, must.Sprint("a replay needs no target"))
+		time.Sleep(2 * time.Second)
+		must.Eq(t, "not run", ask(0, "free", "k3").outcome)
+		must.Eq(t, "answered", ask(1, "free", "k3").outcome, must.Sprint("what was not run may run"))
+
+		rigs[1].Faults["ledger-1"].Script(faulttarget.Late)
+		running := make(chan reply)
+		go func() { running <- ask(1, "slow", "k4") }()
+		time.Sleep(time.Second)
+		meanwhile := ask(0, "slow", "k4")
+		must.Eq(t, 409, meanwhile.status)
+		must.Eq(t, "2", meanwhile.header.Get("Retry-After"))
+		must.Eq(t, "answered", (<-running).outcome)
+
+		store.Set(faultstore.Faults{Down: true})
+		down := ask(1, "down", "k5")
+		must.Eq(t, "not run", down.outcome)
+		must.Eq(t, 503, down.status)
+		must.Eq(t, 0, write.runs(rigs[1], "down"))
+	})
+}
--- a/pkg/entry/options.go
+++ b/pkg/entry/options.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/usage"
@@ -24,6 +25,9 @@
 	// Ready returns why the daemon may serve nobody at present, such as a
 	// configuration that may be out of date. Nil means that it always may.
 	Ready func() error
+	// Claims make requests with idempotency keys run once in the fleet. Nil
+	// leaves the keys to the targets.
+	Claims *claims.Registry
 	// Observer is told of each request's end; it may be nil.
 	Observer Observer
 	// MaxBodyBytes bounds a request's body.
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -29,6 +30,8 @@
 	req *request.Request
 	// ticket is nil unless the request is admitted.
 	ticket admission.Ticket
+	// hold is the claim of the request's idempotency key, or nil.
+	hold *claims.Hold
 	// figures are what the ticket is given back with.
 	figures request.Figures
 }
@@ -43,6 +46,7 @@
 
 // leave gives back what the session holds, also where it ends by a panic.
 func (s *session) leave() {
+	s.settleClaim(request.Unknown)
 	if s.ticket != nil {
 		s.ticket.Release(s.figures)
 	}
@@ -110,9 +114,13 @@
 
 // run has the request relayed and tells the caller of a failure.
 func (s *session) run() {
+	if s.keyed() && !s.claim() {
+		return
+	}
 	s.life.To(request.Attempting)
 	result := s.handler.opts.Relay.Do(s.http.Context(), s.req, s.writer)
 	s.settle(result)
+	s.settleClaim(result.Outcome)
 	switch {
 	case result.Outcome == request.Answered:
 		if s.writer.Header().Get(HeaderOutcome) == "" {
--- a/pkg/entry/writer.go
+++ b/pkg/entry/writer.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/claims"
 )
 
 // callerWriter is the way to the caller. It moves the write deadline along, so
@@ -16,6 +18,9 @@
 	until time.Time
 	// status is what the caller got; zero while nothing was sent.
 	status int
+	// recording keeps the answer's start in recorded.
+	recording bool
+	recorded  []byte
 }
 
 // newCallerWriter wraps a writer.
@@ -35,6 +40,9 @@
 // Write passes a part of the answer on.
 func (c *callerWriter) Write(data []byte) (int, error) {
 	c.extend()
+	if c.recording && len(c.recorded) <= claims.MaxAnswerBytes {
+		c.recorded = append(c.recorded, data...)
+	}
 	return c.ResponseWriter.Write(data)
 }
 
--- a/pkg/standin/rig/configuration.go
+++ b/pkg/standin/rig/configuration.go
@@ -64,7 +64,7 @@
 		{"name": "read", "path": "/services/ledger/balances", "methods": ["GET"], "class": "lookup", "idempotent": true},
 		{"name": "write", "path": "/services/ledger/adjustments", "methods": ["POST"], "class": "interactive", "idempotent": false},
 		{"name": "mark", "path": "/services/ledger/marks", "methods": ["POST"], "class": "interactive", "idempotent": false},
-		{"name": "open", "path": "/services/ledger/open", "class": "lookup", "idempotent": true, "open": true},
+		{"name": "open", "path": "/services/ledger/open", "methods": ["GET", "POST"], "service": "ledger", "class": "lookup", "idempotent": true, "open": true},
 	],
 	"exceptions": [],
 }`
--- a/pkg/standin/rig/rig.go
+++ b/pkg/standin/rig/rig.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -76,9 +77,14 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
 	r.group.Go(func() error { return relayer.Run(ctx) })
+	var registry *claims.Registry
+	if r.opts.Store != nil {
+		registry = claims.New(claims.Options{Store: r.opts.Store, Log: r.opts.Log})
+		r.group.Go(func() error { return registry.Run(ctx) })
+	}
 	r.Handler = entry.New(entry.Options{
 		Config: r.Config, Admission: r.opts.Admission, Relay: relayer, Recorder: r.Usage, Log: r.opts.Log,
-		Registerer: r.Registry, MaxBodyBytes: maxBodyBytes,
+		Registerer: r.Registry, MaxBodyBytes: maxBodyBytes, Claims: registry,
 	})
 	r.serve(DaemonAddress, entry.NewServer(r.Handler))
 	return r, nil
--- a/pkg/target/prompt.go
+++ b/pkg/target/prompt.go
@@ -1,10 +1,14 @@
 package target
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthplank.example/amaranthplank/pkg/request"
+)
 
 const (
 	// PromptBlockBytes is the length of the blocks that prompts are hashed in.
-	PromptBlockBytes = 1024
+	PromptBlockBytes = request.PrefixBlockTokens * bytesPerToken
 	// maxPromptBlocks bounds the hashes of one prompt.
 	maxPromptBlocks = 1024
 	// bytesPerToken is the mean length of a token.
