--- /dev/null
+++ b/pkg/ctl/drain.go
@@ -0,0 +1,94 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"amaranthplank.example/amaranthplank/pkg/drain"
+)
+
+// drainPoll is the time between looks at a daemon that stops.
+const drainPoll = 500 * time.Millisecond
+
+// drainFlags are the flags of drain.
+type drainFlags struct {
+	operator string
+	wait     bool
+	json     bool
+}
+
+// drainCommand stops one daemon without cutting a request.
+func drainCommand() Command {
+	return Command{
+		Name: "drain", Summary: "stop a daemon without cutting a request",
+		Setup: func(flags *flag.FlagSet) Action {
+			f := &drainFlags{}
+			flags.StringVar(&f.operator, "operator", "http://127.0.0.1:9090", "base URL of the daemon's operator address")
+			flags.BoolVar(&f.wait, "wait", false, "wait until the daemon has ended")
+			flags.BoolVar(&f.json, "json", false, "print the status as JSON")
+			return f.run
+		},
+	}
+}
+
+// run asks for the stop and follows it where asked. A daemon that can no longer
+// be reached after the stop began has ended.
+func (f *drainFlags) run(ctx context.Context, env Env, _ []string) ExitCode {
+	status, err := f.call(ctx, env, http.MethodPost)
+	if err != nil {
+		env.errorf("the stop was not asked for: %v; check -operator", err)
+		return ExitFailed
+	}
+	f.print(env, status)
+	for f.wait && status.Phase != drain.Drained {
+		select {
+		case <-ctx.Done():
+			return ExitUnknown
+		case <-time.After(drainPoll):
+		}
+		next, err := f.call(ctx, env, http.MethodGet)
+		if err != nil && ctx.Err() == nil {
+			return ExitOK
+		}
+		if next != status {
+			f.print(env, next)
+		}
+		status = next
+	}
+	return ExitOK
+}
+
+// call makes one call to the daemon.
+func (f *drainFlags) call(ctx context.Context, env Env, method string) (drain.Status, error) {
+	var status drain.Status
+	request, err := http.NewRequestWithContext(ctx, method, f.operator+"/v1/drain", nil)
+	if err != nil {
+		return status, err
+	}
+	response, err := env.Client.Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return status, errors.Errorf("the daemon answered %s", response.Status)
+	}
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+// print writes the status.
+func (f *drainFlags) print(env Env, status drain.Status) {
+	if !f.json {
+		env.printf("%s, %d requests running", status.Phase, status.Running)
+		return
+	}
+	text, err := json.Marshal(status)
+	if err == nil {
+		env.printf("%s", text)
+	}
+}
--- /dev/null
+++ b/pkg/ctl/drain_test.go
@@ -0,0 +1,27 @@
+package ctl
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestDrainFollowsTheStopToItsEnd(t *testing.T) {
+	answers := []string{`{"phase":"looking away","running":2}`, `{"phase":"drained","running":0}`}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		must.Eq(t, "/v1/drain", r.URL.Path)
+		_, _ = w.Write([]byte(answers[0]))
+		answers = answers[1:]
+	}))
+	defer server.Close()
+	var out, errs bytes.Buffer
+	env := Env{Out: &out, Err: &errs, Client: server.Client()}
+	args := []string{"drain", "-operator", server.URL, "-wait"}
+	must.Eq(t, ExitOK, Run(t.Context(), env, Commands(), args))
+	must.Eq(t, "looking away, 2 requests running\ndrained, 0 requests running\n", out.String())
+	server.Close()
+	must.Eq(t, ExitFailed, Run(t.Context(), env, Commands(), args))
+}
