Let a planned stop end every request

Cause: SIGTERM cut running streams, as the process check showed. Measured: before, the check ended with 'a planned stop cut a running stream' (no end marker in the answer); after, a 100-token stream that ran at the SIGTERM ended with its marker and the daemon exited with 0.

--- a/cmd/amaranthplank/main.go
+++ b/cmd/amaranthplank/main.go
@@ -35,23 +35,41 @@
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	ctx, cut := context.WithCancel(context.Background())
+	defer cut()
+	stop := watchSignals(cut)
 	switch {
 	case *dev && *file == "":
 		opts.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 		opts.Out = os.Stdout
+		opts.Stop = stop
 		return devmode.Run(ctx, opts)
 	case *file != "" && !*dev:
-		return serve(ctx, *file)
+		return serve(ctx, stop, *file)
 	default:
 		flags.Usage()
 		return fault.New(fault.Invalid, "the command line names no settings", "pass either -settings FILE or -dev")
 	}
 }
 
-// serve runs a daemon with the settings of a file.
-func serve(ctx context.Context, file string) error {
+// watchSignals returns a channel that the first signal to stop closes, which
+// asks for a planned stop. The second signal calls cut.
+func watchSignals(cut func()) <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	stop := make(chan struct{})
+	go func() {
+		<-signals
+		close(stop)
+		<-signals
+		cut()
+	}()
+	return stop
+}
+
+// serve runs a daemon with the settings of a file until a planned stop is
+// complete.
+func serve(ctx context.Context, stop <-chan struct{}, file string) error {
 	s, err := settings.Read(file)
 	if err != nil {
 		return err
@@ -64,5 +82,9 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		<-stop
+		d.Stop()
+	}()
 	return d.Run(ctx)
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -12,12 +12,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/drain"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
-	"amaranthplank.example/amaranthplank/pkg/operator"
 	"amaranthplank.example/amaranthplank/pkg/peer"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
@@ -49,7 +50,8 @@
 	relay     *relay.Relay
 	meter     *usage.Meter
 	closer    *usage.Closer
-	server    *http.Server
+	claims    *claims.Registry
+	callers   *drain.Server
 	admin     *http.Server
 }
 
@@ -68,29 +70,55 @@
 		Meter: d.meter, Store: opts.Store, Sink: opts.Usage, Log: opts.Log,
 		Shard: ident.Duty("usage/" + string(opts.Host)), Grace: opts.UsageGrace, Every: closeEvery,
 	})
-	d.server = entry.NewServer(d.newHandler())
-	d.admin = &http.Server{Handler: operator.New(d.registry, d.ready), ReadHeaderTimeout: headerTimeout}
+	d.callers = drain.New(drain.Options{
+		Server: entry.NewServer(d.newHandler()), Listener: opts.Listener, Log: opts.Log,
+		BalancerDelay: opts.BalancerDelay,
+		AtEnd: []drain.Hook{
+			{Name: "leave the membership", Run: func(ctx context.Context) error { d.members.Leave(ctx); return nil }},
+		},
+	})
+	d.admin = &http.Server{Handler: d.newOperator(), ReadHeaderTimeout: headerTimeout}
 	return d, nil
 }
 
-// ready tells whether the daemon may get callers' requests.
-func (d *Daemon) ready() error {
+// Stop asks for a planned stop and returns at once. Run returns when it is
+// complete.
+func (d *Daemon) Stop() { d.callers.Stop() }
+
+// serving tells whether requests may be served: the daemon must know the
+// configuration.
+func (d *Daemon) serving() error {
 	if d.config.Current() == nil {
 		return fault.New(fault.Unavailable, "no configuration was read yet", "look at the store")
 	}
 	return nil
 }
 
-// Run serves until ctx ends, and returns the first failure of a part.
+// ready tells whether the balancer may send requests: beside what serving
+// needs, the daemon must not be stopping.
+func (d *Daemon) ready() error {
+	if err := d.callers.Ready(); err != nil {
+		return err
+	}
+	return d.serving()
+}
+
+// Run serves until a planned stop is complete, or until ctx ends, which cuts
+// what is running. It returns the first failure of a part.
 func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	d.runPeers(ctx, group)
-	group.Go(func() error { return d.config.Run(ctx) })
-	group.Go(func() error { return d.targets.Run(ctx) })
-	group.Go(func() error { return d.closer.Run(ctx) })
-	group.Go(func() error { return d.relay.Run(ctx) })
-	group.Go(func() error { return serve(ctx, d.server, d.opts.Listener) })
+	parts := []func(context.Context) error{d.config.Run, d.targets.Run, d.closer.Run, d.relay.Run, d.claims.Run}
+	for _, run := range parts {
+		group.Go(func() error { return run(ctx) })
+	}
 	group.Go(func() error { return serve(ctx, d.admin, d.opts.AdminListener) })
+	group.Go(func() error {
+		defer cancel()
+		return d.callers.Run(ctx)
+	})
 	return group.Wait()
 }
 
--- a/pkg/daemon/options.go
+++ b/pkg/daemon/options.go
@@ -36,6 +36,9 @@
 	Usage      platform.UsageSink
 	Hosts      platform.HostList
 	Weights    platform.WeightStore
+	// BalancerDelay is how long after readiness fails the balancer may still
+	// send requests.
+	BalancerDelay time.Duration
 	// UsageWindow is the length of a usage window, UsageGrace how long after
 	// its end it is closed.
 	UsageWindow time.Duration
--- a/pkg/daemon/path.go
+++ b/pkg/daemon/path.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -32,9 +33,10 @@
 	d.admission = admission.NewFair(admission.Options{
 		Gate: d.router, Elsewhere: admission.Alone{}, Now: time.Now, Knobs: d.admissionKnobs, Weight: d.weight,
 	})
+	d.claims = claims.New(claims.Options{Store: d.opts.Store, Log: d.opts.Log})
 	return entry.New(entry.Options{
 		Config: d.config, Admission: d.admission, Relay: d.relay, Recorder: d.meter,
-		Log: d.opts.Log, Registerer: d.registry, Ready: d.ready, MaxBodyBytes: maxBodyBytes,
+		Log: d.opts.Log, Registerer: d.registry, Ready: d.serving, Claims: d.claims, MaxBodyBytes: maxBodyBytes,
 	})
 }
 
--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -27,6 +27,7 @@
 	opts := Options{
 		Host: s.Host, FailureDomain: s.FailureDomain, Region: s.Region, Log: log.With("host", s.Host),
 		UsageWindow: knobs.Usage.Window.D(), UsageGrace: knobs.Usage.Grace.D(), PeerDegree: s.Peers.Degree,
+		BalancerDelay: s.Shutdown.BalancerDelay.D(),
 	}
 	for _, seed := range s.Peers.Seeds {
 		opts.PeerSeeds = append(opts.PeerSeeds, platform.HostRecord{
--- a/pkg/devmode/devmode.go
+++ b/pkg/devmode/devmode.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -30,13 +31,18 @@
 	// PlatformPort is where the platform is served over HTTP for daemons in
 	// other processes; zero takes a free one.
 	PlatformPort int
-	Log          *slog.Logger
+	// Stop asks for a planned stop of all daemons when it is closed.
+	Stop <-chan struct{}
+	Log  *slog.Logger
 	// Out takes the key and the example commands.
 	Out io.Writer
 }
 
-// Run runs the stand-ins and the daemons until ctx ends.
+// Run runs the stand-ins and the daemons until a planned stop is complete or
+// ctx ends.
 func Run(ctx context.Context, opts Options) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	s, err := startStandIns(ctx, group)
 	if err != nil {
@@ -52,29 +58,54 @@
 		return err
 	}
 	secret := []byte(rand.Text())
+	var daemons sync.WaitGroup
 	for _, slot := range slots {
-		if err := startDaemon(ctx, group, opts, s, secret, slot); err != nil {
+		d, err := newDaemon(opts, s, secret, slot)
+		if err != nil {
 			return err
 		}
+		daemons.Add(1)
+		group.Go(func() error {
+			defer daemons.Done()
+			return runDaemon(ctx, opts.Stop, d)
+		})
 	}
+	group.Go(func() error {
+		select {
+		case <-opts.Stop:
+			daemons.Wait()
+			cancel()
+		case <-ctx.Done():
+		}
+		return nil
+	})
 	printExamples(opts.Out, base, fmt.Sprintf("http://%s:%d", loopback, opts.Port), s.key)
 	return group.Wait()
 }
 
-// startDaemon starts a daemon in this process.
-func startDaemon(ctx context.Context, group *errgroup.Group, opts Options, s *standIns, secret []byte, slot slot) error {
+// newDaemon makes the daemon of a slot.
+func newDaemon(opts Options, s *standIns, secret []byte, slot slot) (*daemon.Daemon, error) {
 	record := slot.record
-	d, err := daemon.New(daemon.Options{
+	opts.Log.Info("daemon starts", "host", record.Host, "callers", slot.callers.Addr(), "operators", slot.operators.Addr())
+	return daemon.New(daemon.Options{
 		Host: record.Host, FailureDomain: record.FailureDomain, Region: record.Region,
 		Log: opts.Log.With("host", record.Host), Listener: slot.callers, AdminListener: slot.operators,
 		PeerListener: slot.peers, PeerSecret: secret,
 		Store: s.store, Targets: s.targets, Usage: s.usage, Hosts: s.hosts, Weights: s.weights,
 		UsageWindow: usageWindow, UsageGrace: usageGrace,
 	})
-	if err != nil {
-		return err
-	}
-	opts.Log.Info("daemon started", "host", record.Host, "callers", slot.callers.Addr(), "operators", slot.operators.Addr())
-	group.Go(func() error { return d.Run(ctx) })
-	return nil
+}
+
+// runDaemon runs a daemon until its planned stop is complete or ctx ends.
+func runDaemon(ctx context.Context, stop <-chan struct{}, d *daemon.Daemon) error {
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-stop:
+			d.Stop()
+		case <-ended:
+		}
+	}()
+	return d.Run(ctx)
 }
