--- /dev/null
+++ b/bench/shift/replica.go
@@ -0,0 +1,47 @@
+package shift
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// replicaSlots is how many calls a replica of a service runs at once.
+const replicaSlots = 8
+
+// replica is a fake replica of a plain service.
+type replica struct {
+	sim     *simulator
+	record  platform.TargetRecord
+	running int
+	waiting []call
+}
+
+// call is one call of a service.
+type call struct {
+	run  time.Duration
+	done func()
+}
+
+// submit takes a call.
+func (r *replica) submit(c call) {
+	if r.running >= replicaSlots {
+		r.waiting = append(r.waiting, c)
+		return
+	}
+	r.start(c)
+}
+
+// start runs a call.
+func (r *replica) start(c call) {
+	r.running++
+	r.sim.after(c.run, func() {
+		r.running--
+		if len(r.waiting) > 0 {
+			next := r.waiting[0]
+			r.waiting = r.waiting[1:]
+			r.start(next)
+		}
+		c.done()
+	})
+}
--- a/pkg/config/knobs_roles.go
+++ b/pkg/config/knobs_roles.go
@@ -8,6 +8,8 @@
 	Horizon Duration `json:"horizon" default:"60s" unit:"duration" min:"1s" max:"1h"`
 	// Smoothing is the time constant of the demand's mean.
 	Smoothing Duration `json:"smoothing" default:"15s" unit:"duration" min:"1s" max:"1h"`
+	// Dwell is how long the demand must ask for a change before it is ordered.
+	Dwell Duration `json:"dwell" default:"20s" unit:"duration" min:"0s" max:"1h"`
 	// MixedShare is the share of a model's engines that stay mixed; at one no
 	// role is ever changed.
 	MixedShare float64 `json:"mixedShare" default:"0.5" unit:"ratio" min:"0" max:"1"`
--- a/pkg/config/knobs_supply.go
+++ b/pkg/config/knobs_supply.go
@@ -20,6 +20,9 @@
 	// MissingAfter is how long an ordered reclaimable target may stay away
 	// before a dependable one is ordered in its place.
 	MissingAfter Duration `json:"missingAfter" default:"2m" unit:"duration" min:"1s" max:"24h"`
+	// BarredFor is how long no reclaimable targets are ordered in a failure
+	// domain that took some back or did not give what was ordered.
+	BarredFor Duration `json:"barredFor" default:"10m" unit:"duration" min:"0s" max:"24h"`
 	// MoveNotice is the least time before a target is gone at which running
 	// work that would not end in time is moved off.
 	MoveNotice Duration `json:"moveNotice" default:"2s" unit:"duration" min:"0s" max:"10m"`
--- /dev/null
+++ b/pkg/demand/meter.go
@@ -0,0 +1,133 @@
+package demand
+
+import (
+	"math"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// Meter keeps a mean of each model's demand. It is not safe for concurrent
+// use.
+type Meter struct {
+	last   map[ident.Target]fleet.LoadReport
+	models map[ident.Model]*smoothed
+}
+
+// smoothed is the mean of a demand.
+type smoothed struct {
+	demand Demand
+	at     time.Time
+}
+
+// NewMeter returns a meter that has seen nothing.
+func NewMeter() *Meter {
+	return &Meter{last: make(map[ident.Target]fleet.LoadReport), models: make(map[ident.Model]*smoothed)}
+}
+
+// Observe takes a snapshot in. The time constant of the mean is smoothing.
+func (m *Meter) Observe(snapshot *fleet.Snapshot, now time.Time, smoothing time.Duration) {
+	sums, heard := make(map[ident.Model]Demand), make(map[ident.Model]int)
+	for i := range snapshot.Targets {
+		state := &snapshot.Targets[i]
+		if state.Record.Service != "" || state.Load.Sequence == 0 {
+			continue
+		}
+		part, ok := m.part(&state.Load)
+		if !ok {
+			continue
+		}
+		sum := sums[state.Record.Model]
+		sum.Prefill += part.Prefill
+		sum.Decode += part.Decode
+		sum.Deferrable += part.Deferrable
+		sums[state.Record.Model] = sum
+		heard[state.Record.Model]++
+	}
+	for model, sum := range sums {
+		scale := float64(engines(snapshot, model)) / float64(heard[model])
+		m.smooth(model, sum, scale, now, smoothing)
+	}
+	m.forget(snapshot)
+}
+
+// engines counts the engines of a model that report.
+func engines(snapshot *fleet.Snapshot, model ident.Model) int {
+	n := 0
+	for _, i := range snapshot.Model(model) {
+		if snapshot.Targets[i].Load.Sequence > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// part returns one engine's work between its last two reports, or false where
+// there is no new report.
+func (m *Meter) part(load *fleet.LoadReport) (Demand, bool) {
+	before, ok := m.last[load.Target]
+	if ok && before.Incarnation == load.Incarnation && before.Sequence == load.Sequence {
+		return Demand{}, false
+	}
+	m.last[load.Target] = *load
+	elapsed := load.TakenAt.Sub(before.TakenAt).Seconds()
+	if !ok || before.Incarnation != load.Incarnation || elapsed <= 0 || load.PrefillRate <= 0 || load.DecodeRate <= 0 || load.Slots <= 0 {
+		return Demand{}, false
+	}
+	prefill := 1 / (load.PrefillRate * elapsed)
+	decode := 1 / (load.DecodeRate * float64(load.Slots) * elapsed)
+	return Demand{
+		Prefill: prefill * rise(before.ComputedTokens, load.ComputedTokens),
+		Decode:  decode * rise(before.GeneratedTokens, load.GeneratedTokens),
+		Deferrable: prefill*rise(before.DeferrableComputed, load.DeferrableComputed) +
+			decode*rise(before.DeferrableGenerated, load.DeferrableGenerated),
+	}, true
+}
+
+// rise returns by how much a sum rose.
+func rise(before, after uint64) float64 {
+	if after <= before {
+		return 0
+	}
+	return float64(after - before)
+}
+
+// smooth moves a model's mean towards a new value. The first value is taken
+// whole.
+func (m *Meter) smooth(model ident.Model, sum Demand, scale float64, now time.Time, smoothing time.Duration) {
+	mean, ok := m.models[model]
+	if !ok {
+		m.models[model] = new(smoothed)
+		mean = m.models[model]
+	}
+	weight := 1.0
+	if ok && smoothing > 0 {
+		weight = 1 - math.Exp(-now.Sub(mean.at).Seconds()/smoothing.Seconds())
+	}
+	mean.at = now
+	mean.demand.Prefill += (sum.Prefill*scale - mean.demand.Prefill) * weight
+	mean.demand.Decode += (sum.Decode*scale - mean.demand.Decode) * weight
+	mean.demand.Deferrable += (sum.Deferrable*scale - mean.demand.Deferrable) * weight
+}
+
+// forget drops the reports of targets that left.
+func (m *Meter) forget(snapshot *fleet.Snapshot) {
+	if len(m.last) <= 2*len(snapshot.Targets) {
+		return
+	}
+	for name := range m.last {
+		if snapshot.Target(name) == nil {
+			delete(m.last, name)
+		}
+	}
+}
+
+// Of returns a model's demand, or false where none was seen.
+func (m *Meter) Of(model ident.Model) (Demand, bool) {
+	mean, ok := m.models[model]
+	if !ok {
+		return Demand{}, false
+	}
+	return mean.demand, true
+}
--- /dev/null
+++ b/pkg/roles/ask.go
@@ -0,0 +1,70 @@
+package roles
+
+import (
+	"math"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/demand"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+)
+
+// move is a change of one engine's role.
+type move struct {
+	from, to fleet.Role
+}
+
+// none is no change.
+var none = move{}
+
+// moves are the changes that a demand may ask for.
+var moves = []move{
+	{fleet.Prefill, fleet.Mixed}, {fleet.Decode, fleet.Mixed}, {fleet.Mixed, fleet.Prefill}, {fleet.Mixed, fleet.Decode},
+}
+
+// ask returns the change that a demand asks for beside the present roles. An
+// engine loses its one role where the work for it falls short by more than the
+// margin, and gets one where the work would fill it whole.
+func ask(engines []*fleet.TargetState, d demand.Demand, knobs *config.RoleKnobs) move {
+	have := countsOf(engines)
+	margin := margin(knobs)
+	if float64(have.Prefill) > d.Prefill/prefillGain+margin {
+		return moves[0]
+	}
+	if float64(have.Decode) > d.Decode/decodeGain+margin {
+		return moves[1]
+	}
+	sure := demand.Demand{Prefill: d.Prefill - margin, Decode: d.Decode - margin}
+	want := Want(sure, len(engines), knobs.MixedShare)
+	if want.Prefill > have.Prefill && have.Prefill+have.Decode < want.Prefill+want.Decode {
+		return moves[2]
+	}
+	if want.Decode > have.Decode && have.Prefill+have.Decode < want.Prefill+want.Decode {
+		return moves[3]
+	}
+	return none
+}
+
+// margin is the work, in engines, that a change must be worth: the engine
+// seconds that it takes away, spread over the horizon.
+func margin(knobs *config.RoleKnobs) float64 {
+	horizon := knobs.Horizon.D().Seconds()
+	if horizon <= 0 {
+		return math.Inf(1)
+	}
+	return 0.25 + knobs.ChangeSeconds/horizon
+}
+
+// countsOf counts the engines with one role.
+func countsOf(engines []*fleet.TargetState) Counts {
+	var have Counts
+	for _, state := range engines {
+		switch roleOf(state) {
+		case fleet.Prefill:
+			have.Prefill++
+		case fleet.Decode:
+			have.Decode++
+		case fleet.Mixed:
+		}
+	}
+	return have
+}
