Compete for duties as the configuration names them

Cause: duties under lease had no owner in the daemon. Change: the daemon competes for every duty that there is, follows the configuration in which there are, and hands them over first on a planned stop.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -38,32 +38,36 @@
 
 // Daemon is one process of the system.
 type Daemon struct {
-	opts      Options
-	builtin   config.Knobs
-	registry  *prometheus.Registry
-	config    *config.Manager
-	links     *peer.Manager
-	members   *membership.Manager
-	targets   *targetwatch.Watcher
-	router    *routing.ByKind
-	admission *admission.Fair
-	relay     *relay.Relay
-	meter     *usage.Meter
-	closer    *usage.Closer
-	claims    *claims.Registry
-	callers   *drain.Server
-	admin     *http.Server
+	opts Options
+	// incarnation rises with each start of the host's process.
+	incarnation ident.Incarnation
+	builtin     config.Knobs
+	registry    *prometheus.Registry
+	config      *config.Manager
+	links       *peer.Manager
+	members     *membership.Manager
+	targets     *targetwatch.Watcher
+	router      *routing.ByKind
+	admission   *admission.Fair
+	relay       *relay.Relay
+	meter       *usage.Meter
+	closer      *usage.Closer
+	claims      *claims.Registry
+	callers     *drain.Server
+	duties      *duties
+	admin       *http.Server
 }
 
 // New returns a daemon that is ready to run. It fails with kind Invalid where
 // the options leave its links open to anyone.
 func New(opts Options) (*Daemon, error) {
-	d := &Daemon{opts: opts, builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
+	d := &Daemon{opts: opts, incarnation: ident.Incarnation(time.Now().UnixNano()), builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.config = config.NewManager(opts.Store, opts.Log)
 	if err := d.connect(); err != nil {
 		return nil, err
 	}
+	d.duties = d.newDuties(d.works)
 	d.targets = targetwatch.New(opts.Targets, opts.Log, targetsEvery)
 	d.meter = usage.NewMeter(opts.UsageWindow)
 	d.closer = usage.NewCloser(usage.CloserOptions{
@@ -73,6 +77,7 @@
 	d.callers = drain.New(drain.Options{
 		Server: entry.NewServer(d.newHandler()), Listener: opts.Listener, Log: opts.Log,
 		BalancerDelay: opts.BalancerDelay,
+		AtStart:       []drain.Hook{{Name: "hand over the duties", Run: d.duties.handOver}},
 		AtEnd: []drain.Hook{
 			{Name: "leave the membership", Run: func(ctx context.Context) error { d.members.Leave(ctx); return nil }},
 		},
@@ -110,7 +115,7 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	d.runPeers(ctx, group)
-	parts := []func(context.Context) error{d.config.Run, d.targets.Run, d.closer.Run, d.relay.Run, d.claims.Run}
+	parts := []func(context.Context) error{d.config.Run, d.targets.Run, d.closer.Run, d.relay.Run, d.claims.Run, d.duties.run}
 	for _, run := range parts {
 		group.Go(func() error { return run(ctx) })
 	}
--- a/pkg/daemon/path.go
+++ b/pkg/daemon/path.go
@@ -24,7 +24,7 @@
 	d.router = routing.New(routing.Options{
 		View: d.targets, Domain: d.opts.FailureDomain, Now: time.Now,
 		Knobs:  func() *config.RoutingKnobs { return &d.knobs(config.Selector{}).Routing },
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Random: newRandom(),
 	})
 	d.relay = relay.New(relay.Options{
 		Router: d.router, Client: target.NewClient(), Config: d.config, Credential: d.opts.Credential,
@@ -40,6 +40,9 @@
 	})
 }
 
+// newRandom returns a random source of its own seed.
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // knobs returns the values in force, or the built-in ones before the first
 // configuration.
 func (d *Daemon) knobs(selector config.Selector) *config.Knobs {
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -13,9 +12,8 @@
 
 // connect makes the links and the membership. Nothing runs yet.
 func (d *Daemon) connect() error {
-	incarnation := ident.Incarnation(time.Now().UnixNano())
 	links, err := peer.New(peer.Options{
-		Host: d.opts.Host, Incarnation: incarnation, Listener: d.opts.PeerListener,
+		Host: d.opts.Host, Incarnation: d.incarnation, Listener: d.opts.PeerListener,
 		TLS: d.opts.PeerTLS, Secret: d.opts.PeerSecret, Log: d.opts.Log, Registerer: d.registry,
 		LinkChanged: func(host ident.Host, peerIncarnation ident.Incarnation, up bool) {
 			d.members.LinkChanged(host, peerIncarnation, up)
@@ -27,7 +25,7 @@
 	d.links = links
 	d.members = membership.New(membership.Options{
 		Self: membership.Record{
-			Host: d.opts.Host, Incarnation: incarnation, FailureDomain: d.opts.FailureDomain,
+			Host: d.opts.Host, Incarnation: d.incarnation, FailureDomain: d.opts.FailureDomain,
 			Region: d.opts.Region, Address: d.opts.PeerListener.Addr().String(),
 		},
 		Links: links, Seeds: d.opts.PeerSeeds, Hosts: d.opts.Hosts, Loaded: d.loaded, Degree: d.opts.PeerDegree,
