--- a/pkg/standin/rig/configuration.go
+++ b/pkg/standin/rig/configuration.go
@@ -30,6 +30,9 @@
 // Current returns the configuration in force.
 func (c *Config) Current() *config.Snapshot { return c.current.Load() }
 
+// Configure sets the options that configurations are made with.
+func (c *Config) Configure(opts Options) { c.opts = opts.withDefaults() }
+
 // Set puts a configuration in force in which the workspaces' keys are valid.
 func (c *Config) Set(workspaces ...ident.Workspace) error {
 	var keys []string
--- a/pkg/standin/rig/view.go
+++ b/pkg/standin/rig/view.go
@@ -17,6 +17,9 @@
 // Snapshot returns the view in force.
 func (v *View) Snapshot() *fleet.Snapshot { return v.current.Load() }
 
+// Set replaces the targets, which must be ordered by name.
+func (v *View) Set(targets ...fleet.TargetState) { v.current.Store(fleet.NewSnapshot(targets)) }
+
 // Drain marks targets as taking nothing new.
 func (v *View) Drain(targets ...ident.Target) {
 	states := append([]fleet.TargetState(nil), v.Snapshot().Targets...)
