Let a fake engine count its memory when a prompt's computing starts

Cause: requests of one prefix that came together were each computed whole, which engines that serve prompts in order don't do. Also run time is now the router's estimate rather than a mean per output token, which refused short prompts' neighbours wrongly.

--- a/bench/shift/job.go
+++ b/bench/shift/job.go
@@ -13,6 +13,8 @@
 	left float64
 	// output is the tokens that are still to be generated.
 	output float64
+	// started is set once the computing of the prompt has begun.
+	started bool
 	// prompted is set once the prompt was computed.
 	prompted bool
 	// decode takes the job over after its prompt; nil keeps it.
--- a/bench/shift/moveoff.go
+++ b/bench/shift/moveoff.go
@@ -38,6 +38,7 @@
 		return
 	}
 	from.remove(j)
+	j.started = false
 	for _, target := range t.placed {
 		d.router.Done(t.arrival.req, target)
 	}
--- a/pkg/admission/entry.go
+++ b/pkg/admission/entry.go
@@ -31,9 +31,9 @@
 	class int
 	// cost is what the request was charged.
 	cost float64
-	// at is when the request came, admittedAt when it was let through.
-	at         time.Time
-	admittedAt time.Time
+	// at is when the request came, run how long it runs at the least.
+	at  time.Time
+	run time.Duration
 }
 
 // Admitted reports whether the request may run.
--- a/pkg/admission/lane.go
+++ b/pkg/admission/lane.go
@@ -11,8 +11,8 @@
 const (
 	// rateConstant is the time constant of a lane's mean rate of service.
 	rateConstant = 5 * time.Second
-	// runWeight is the part of one run in the mean run time.
-	runWeight = 0.05
+	// shareWeight is the part of one request in the mean output share.
+	shareWeight = 0.05
 )
 
 // lane is the queue before the engines of one model or the replicas of one
@@ -28,9 +28,9 @@
 	// rate is the mean cost admitted a second, at rateAt.
 	rate   float64
 	rateAt time.Time
-	// runSeconds is the mean run time for each output token, or for each call
-	// of a service, by class; zero before the first.
-	runSeconds [classCount]float64
+	// outputShare is the mean share of the bound on its output that a request
+	// used, by class; zero before the first.
+	outputShare [classCount]float64
 }
 
 // share returns a workspace's part, made at its first request.
@@ -78,20 +78,23 @@
 	l.rateAt = now
 }
 
-// ran takes in how long a request ran.
-func (l *lane) ran(e *Entry, run time.Duration, output uint64) {
-	seconds := run.Seconds() / float64(max(1, output))
-	mean := &l.runSeconds[e.class]
+// used takes in how much of its bound a request generated.
+func (l *lane) used(e *Entry, output uint64) {
+	share := min(1, float64(output)/float64(max(1, e.Request.MaxOutputTokens)))
+	mean := &l.outputShare[e.class]
 	if *mean == 0 {
-		*mean = seconds
+		*mean = share
 		return
 	}
-	*mean += (seconds - *mean) * runWeight
+	*mean += (share - *mean) * shareWeight
 }
 
-// expectedRun returns how long a request is expected to run once admitted.
-func (l *lane) expectedRun(req *request.Request, class int) time.Duration {
-	return seconds(l.runSeconds[class] * float64(max(1, req.MaxOutputTokens)))
+// expectedOutput returns how many tokens a request is expected to generate.
+func (l *lane) expectedOutput(req *request.Request, class int) float64 {
+	if l.outputShare[class] == 0 {
+		return float64(req.MaxOutputTokens)
+	}
+	return l.outputShare[class] * float64(req.MaxOutputTokens)
 }
 
 // expectedWait returns how long a new request of a share would wait behind the
--- a/pkg/admission/options.go
+++ b/pkg/admission/options.go
@@ -13,6 +13,9 @@
 	// Wait returns how long the request would wait at the best target, and
 	// the share of the targets' slots that are taken.
 	Wait(req *request.Request) (wait time.Duration, taken float64)
+	// Run returns how long the request would run at the least, if its answer
+	// has so many tokens.
+	Run(req *request.Request, output float64) time.Duration
 }
 
 // Options are what a Queue needs.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -55,6 +55,7 @@
 	line := q.lane(laneKey{model: req.Model, service: req.Service})
 	part := line.share(req.Workspace, bounds)
 	e := &Entry{Request: req, lane: line, share: part, class: q.class(req), at: now, cost: costOf(req, knobs)}
+	e.run = q.opts.Gate.Run(req, line.expectedOutput(req, e.class))
 	if err := q.check(e, knobs, now); err != nil {
 		return nil, err
 	}
@@ -97,7 +98,7 @@
 	if e.Request.Deadline.IsZero() {
 		return false
 	}
-	return start.Add(e.lane.expectedRun(e.Request, e.class)).After(e.Request.Deadline)
+	return start.Add(e.run).After(e.Request.Deadline)
 }
 
 // Pump returns the requests that may run now and those that are refused.
@@ -124,7 +125,6 @@
 		}
 		e.share.remove(e)
 		e.state = admitted
-		e.admittedAt = now
 		e.share.limits.running++
 		line.serve(e, now)
 		run = append(run, e)
@@ -140,11 +140,10 @@
 	}
 	e.state = ended
 	e.share.limits.running--
-	now := q.opts.Now()
 	if figures == (request.Figures{}) && e.Request.Service == "" {
 		return
 	}
-	e.lane.ran(e, now.Sub(e.admittedAt), figures.OutputTokens)
+	e.lane.used(e, figures.OutputTokens)
 	knobs := q.opts.Knobs(e.Request)
 	cost := float64(figures.PromptTokens) + knobs.OutputTokenCost*float64(figures.OutputTokens)
 	e.share.counter += (max(callCost, cost) - e.cost) / e.share.weight
--- a/pkg/admission/sweep.go
+++ b/pkg/admission/sweep.go
@@ -31,8 +31,7 @@
 		if e.Request.Deadline.IsZero() {
 			return
 		}
-		run := e.lane.expectedRun(e.Request, deferrables)
-		slack := time.Duration(float64(run) * q.opts.Knobs(e.Request).DeferrableSlack)
+		slack := time.Duration(float64(e.run) * q.opts.Knobs(e.Request).DeferrableSlack)
 		if e.Request.Deadline.Sub(now) > slack {
 			return
 		}
--- a/pkg/roles/counts.go
+++ b/pkg/roles/counts.go
@@ -9,8 +9,8 @@
 const (
 	// prefillGain and decodeGain are what an engine with one role is expected
 	// to do more than a mixed one.
-	prefillGain = 1.15
-	decodeGain  = 1.25
+	prefillGain = 1.1
+	decodeGain  = 1.15
 )
 
 // Counts are the engines of a model that have one role; the others are mixed.
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -85,6 +85,9 @@
 		e := estimateOf(state, r.own(i), knobs, now)
 		prefillWait, _ := e.prefill(0)
 		decodeWait, _ := e.decode(float64(req.MaxOutputTokens))
+		if req.Class == ident.ClassLookup {
+			prefillWait, decodeWait = prefillWait*lookupBacklogShare, decodeWait*lookupBacklogShare
+		}
 		least = min(least, prefillWait+decodeWait)
 		slots += e.slots
 		occupied += min(e.occupied, e.slots)
@@ -92,6 +95,29 @@
 	return time.Duration(least * float64(time.Second)), occupied / max(1, slots)
 }
 
+// Run returns how long the request would run at an idle engine that holds the
+// most of its prompt, if its answer has so many tokens.
+func (r *ModelRouter) Run(req *request.Request, output float64) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	snapshot := r.refresh()
+	knobs, now := r.opts.Knobs(), r.opts.Now()
+	r.findDepths(req)
+	least := -1.0
+	for _, i := range snapshot.Model(req.Model) {
+		state := &snapshot.Targets[i]
+		if !takesNew(state, knobs, now) {
+			continue
+		}
+		e := estimateOf(state, r.own(i), knobs, now)
+		run := r.uncached(i, false, true, req, knobs)/e.prefillRate + output/e.decodeRate
+		if least < 0 || run < least {
+			least = run
+		}
+	}
+	return time.Duration(max(0, least) * float64(time.Second))
+}
+
 // place scores the engines and takes the best.
 func (r *ModelRouter) place(req *request.Request, exclude []ident.Target, apart bool) (Placement, error) {
 	r.mu.Lock()
