--- /dev/null
+++ b/pkg/target/control.go
@@ -0,0 +1,100 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// maxControlBytes bounds the answer to a control call.
+const maxControlBytes = 1 << 20
+
+// Control makes the calls to targets that are not callers' requests: orders,
+// load reports and cache events.
+type Control struct {
+	client     *Client
+	credential string
+}
+
+// NewControl returns the control calls of a client. The credential is the
+// system's own towards targets and may be empty.
+func NewControl(client *Client, credential string) *Control {
+	return &Control{client: client, credential: credential}
+}
+
+// Send sends an order once. It fails with kind Unknown where the order may have
+// arrived, Fenced where the engine refused its fencing number, Unavailable where
+// it did not arrive, and Invalid where the engine refused it otherwise.
+func (c *Control) Send(ctx context.Context, engine platform.TargetRecord, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "an order could not be encoded", "report the defect")
+	}
+	response, trace, err := c.exchange(ctx, engine, http.MethodPost, PathOrders, body, ReuseRecent)
+	if err != nil {
+		if trace != nil && trace.Poison() {
+			return fault.Wrap(err, fault.Unknown, "the engine did not answer an order", "look at its report for the order's id")
+		}
+		return fault.Wrap(err, fault.Unavailable, "the engine can't be reached", "look at the target")
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch {
+	case response.StatusCode < http.StatusMultipleChoices:
+		return nil
+	case response.StatusCode == http.StatusConflict:
+		return fault.New(fault.Fenced, "the engine refused the order's fencing number", "stop ordering")
+	case response.StatusCode < http.StatusInternalServerError:
+		return fault.New(fault.Invalid, "the engine refused the order", "look at the order's content")
+	}
+	return fault.New(fault.Unknown, "the engine failed at the order", "look at its report for the order's id")
+}
+
+// Report returns a target's own report of itself.
+func (c *Control) Report(ctx context.Context, record platform.TargetRecord) (fleet.LoadReport, error) {
+	var report fleet.LoadReport
+	err := c.get(ctx, record, PathLoad, &report)
+	return report, err
+}
+
+// Events returns an engine's cache events after the given sequence number.
+func (c *Control) Events(ctx context.Context, record platform.TargetRecord, after uint64) ([]fleet.CacheEvent, error) {
+	var events []fleet.CacheEvent
+	err := c.get(ctx, record, PathEvents+"?after="+strconv.FormatUint(after, 10), &events)
+	return events, err
+}
+
+// get reads one answer in JSON. It fails with kind Unavailable.
+func (c *Control) get(ctx context.Context, record platform.TargetRecord, path string, answer any) error {
+	response, _, err := c.exchange(ctx, record, http.MethodGet, path, nil, ReuseAny)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "the target can't be reached", "look at the target")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fault.New(fault.Unavailable, "the target answered "+response.Status, "look at the target")
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(answer); err != nil {
+		return fault.Wrap(err, fault.Unavailable, "the target's answer is malformed", "look at the target")
+	}
+	return nil
+}
+
+// exchange makes one call.
+func (c *Control) exchange(ctx context.Context, record platform.TargetRecord, method, path string, body []byte, reuse Reuse) (*http.Response, *Trace, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+record.Address+path, NewBody(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	r.ContentLength = int64(len(body))
+	r.Header.Set("Content-Type", "application/json")
+	if c.credential != "" {
+		r.Header.Set(HeaderCredential, c.credential)
+	}
+	return c.client.Do(r, reuse)
+}
