Drive a daemon with an open loop of requests

amaranthctl load starts calls by a seeded schedule whatever became of the ones before, and counts their times from the schedule, so that queueing isn't hidden. Bounded in rate, count and time, loopback unless -remote; the key comes from a file or the environment, since a flag would show it.

--- /dev/null
+++ b/pkg/ctl/load.go
@@ -0,0 +1,147 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/load"
+	"amaranthplank.example/amaranthplank/pkg/request"
+)
+
+// keyVariable is the environment variable that may hold the caller's key. A
+// flag would show the key to everyone who lists processes.
+const keyVariable = "AMARANTHPLANK_KEY"
+
+// loadFlags are the flags of load.
+type loadFlags struct {
+	plan    load.Plan
+	caller  load.Caller
+	keyFile string
+	remote  bool
+	json    bool
+}
+
+// loadCommand drives a daemon with requests.
+func loadCommand() Command {
+	return Command{
+		Name: "load", Summary: "drive a daemon with an open loop of requests and report their times; the key comes from -key-file or " + keyVariable,
+		Setup: func(flags *flag.FlagSet) Action {
+			f := &loadFlags{}
+			f.declare(flags)
+			return f.run
+		},
+	}
+}
+
+// declare declares the flags.
+func (f *loadFlags) declare(flags *flag.FlagSet) {
+	flags.StringVar(&f.caller.URL, "url", "http://127.0.0.1:8080", "base URL of the daemon")
+	flags.StringVar(&f.keyFile, "key-file", "", "file with the workspace's key")
+	flags.StringVar(&f.caller.Model, "model", "counting", "model that completions ask for")
+	flags.StringVar(&f.caller.ServicePath, "service", "/services/ledger/balances/rice", "path of the service calls")
+	flags.Float64Var(&f.plan.Rate, "rate", 10, "mean calls per second")
+	flags.DurationVar(&f.plan.Time, "time", 10*time.Second, "length of the run")
+	flags.IntVar(&f.plan.Calls, "count", 100_000, "greatest number of calls")
+	flags.Uint64Var(&f.plan.Seed, "seed", 1, "seed of the schedule")
+	flags.IntVar(&f.plan.Mix.PromptWords, "prompt", 200, "mean words of a prompt")
+	flags.IntVar(&f.plan.Mix.OutputTokens, "output", 50, "mean tokens of an answer")
+	flags.Float64Var(&f.plan.Mix.Stream, "streams", 1, "share of completions that are streamed")
+	flags.Float64Var(&f.plan.Mix.Service, "services", 0.1, "share of calls that go to the service")
+	flags.DurationVar(&f.plan.ShiftAt, "shift-at", 0, "when the mix shifts; 0 means never")
+	flags.IntVar(&f.plan.Then.PromptWords, "shift-prompt", 50, "mean words of a prompt after the shift")
+	flags.IntVar(&f.plan.Then.OutputTokens, "shift-output", 200, "mean tokens of an answer after the shift")
+	flags.BoolVar(&f.remote, "remote", false, "allow a daemon that is not on this machine")
+	flags.BoolVar(&f.json, "json", false, "print the report as JSON")
+}
+
+// run makes the calls and prints the report. It fails where a call broke off or
+// got no answer, and where none was answered.
+func (f *loadFlags) run(ctx context.Context, env Env, _ []string) ExitCode {
+	f.plan.Then.Stream, f.plan.Then.Service = f.plan.Mix.Stream, f.plan.Mix.Service
+	if err := f.check(); err != nil {
+		env.errorf("%v", err)
+		return ExitUsage
+	}
+	f.caller.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}}
+	report := load.Run(ctx, &f.plan, &f.caller).Finish()
+	f.caller.Client.CloseIdleConnections()
+	f.print(env, report)
+	answered := 0
+	for _, part := range []*load.Part{report.Before, report.After} {
+		if part.Outcomes[load.Aborted]+part.Outcomes[load.NoAnswer]+part.Outcomes[load.NotStarted] > 0 {
+			return ExitFailed
+		}
+		answered += part.Outcomes[request.Answered]
+	}
+	if answered == 0 {
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// check reads the key and checks the rest.
+func (f *loadFlags) check() error {
+	if err := f.plan.Check(); err != nil {
+		return err
+	}
+	if !f.remote && !isLoopback(f.caller.URL) {
+		return fault.New(fault.Invalid, "the daemon is not on this machine", "give -remote if it may be loaded")
+	}
+	f.caller.Key = os.Getenv(keyVariable)
+	if f.keyFile != "" {
+		text, err := os.ReadFile(f.keyFile)
+		if err != nil {
+			return fault.Wrap(err, fault.Invalid, "the key can't be read", "name a file with the workspace's key in -key-file")
+		}
+		f.caller.Key = strings.TrimSpace(string(text))
+	}
+	if f.caller.Key == "" {
+		return fault.New(fault.Invalid, "there is no key", "give -key-file or set "+keyVariable)
+	}
+	return nil
+}
+
+// isLoopback reports whether a URL names this machine by its IP number.
+func isLoopback(text string) bool {
+	parsed, err := url.Parse(text)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(parsed.Hostname())
+	return parsed.Hostname() == "localhost" || (ip != nil && ip.IsLoopback())
+}
+
+// print writes the report.
+func (f *loadFlags) print(env Env, report *load.Report) {
+	if f.json {
+		text, err := json.MarshalIndent(report, "", "  ")
+		if err == nil {
+			env.printf("%s", text)
+		}
+		return
+	}
+	f.printPart(env, "before the shift", report.Before)
+	if f.plan.ShiftAt > 0 {
+		f.printPart(env, "after the shift", report.After)
+	}
+}
+
+// printPart writes one part in lines.
+func (f *loadFlags) printPart(env Env, title string, part *load.Part) {
+	env.printf("%s: %d calls, %d tokens, outcomes %v", title, part.Calls, part.Tokens, part.Outcomes)
+	for _, line := range []struct {
+		name  string
+		times load.Times
+	}{{"first token", part.FirstToken}, {"whole answer", part.Total}, {"token gap", part.Gap}} {
+		env.printf("  %-12s ms  p50 %8.1f  p95 %8.1f  p99 %8.1f  max %8.1f",
+			line.name, line.times.P50, line.times.P95, line.times.P99, line.times.Max)
+	}
+}
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -189,6 +190,17 @@
 		return
 	}
 	s.handler.metrics.ended(route, outcome, string(fault.KindOf(err)))
-	s.handler.opts.Log.Warn("request not answered",
+	s.handler.opts.Log.Log(s.http.Context(), levelOf(fault.KindOf(err)), "request not answered",
 		"request", s.id, "workspace", s.from.workspace, "route", route, "outcome", outcome, "error", err)
 }
+
+// levelOf returns the level that a failure is logged at. What callers bring
+// about themselves is kept out of the way, since they could flood the log.
+func levelOf(kind fault.Kind) slog.Level {
+	switch kind {
+	case fault.Unauthenticated, fault.Forbidden, fault.Invalid, fault.NotFound, fault.Limited:
+		return slog.LevelDebug
+	default:
+		return slog.LevelWarn
+	}
+}
--- /dev/null
+++ b/pkg/load/mix.go
@@ -0,0 +1,45 @@
+package load
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Mix is what requests look like.
+type Mix struct {
+	// PromptWords and OutputTokens are the means of the lengths, which vary
+	// by a half either way.
+	PromptWords, OutputTokens int
+	// Stream is the share of completions that are streamed, and Service the
+	// share of calls that go to the plain service.
+	Stream, Service float64
+}
+
+// Call is one request of the schedule.
+type Call struct {
+	// Number counts the calls from zero.
+	Number int
+	// At is when the call starts, from the start of the run.
+	At time.Duration
+	// Shifted says that the call belongs to the second mix.
+	Shifted      bool
+	Service      bool
+	Stream       bool
+	PromptWords  int
+	OutputTokens int
+}
+
+// draw returns a call of the mix.
+func (m *Mix) draw(random *rand.Rand) Call {
+	return Call{
+		Service:      random.Float64() < m.Service,
+		Stream:       random.Float64() < m.Stream,
+		PromptWords:  vary(random, m.PromptWords),
+		OutputTokens: vary(random, m.OutputTokens),
+	}
+}
+
+// vary returns a length within a half of the mean, at least one.
+func vary(random *rand.Rand, mean int) int {
+	return max(1, mean/2+random.IntN(mean+1))
+}
