--- a/pkg/config/knobs_routing.go
+++ b/pkg/config/knobs_routing.go
@@ -12,13 +12,17 @@
 	// equal and one is drawn at random.
 	NearEqual Duration `json:"nearEqual" default:"40ms" unit:"duration" min:"0s" max:"10s"`
 	// PrefillWeight is how much a second of prefill counts beside a second of
-	// waiting, since it also delays the requests behind it.
-	PrefillWeight float64 `json:"prefillWeight" default:"2" unit:"ratio" min:"0" max:"100"`
+	// waiting, since it delays the requests behind it and drives other prompts out of
+	// the memory.
+	PrefillWeight float64 `json:"prefillWeight" default:"12" unit:"ratio" min:"0" max:"100"`
 	// AffinityBlocks is how many blocks of the prompt name its home engines.
 	AffinityBlocks int64 `json:"affinityBlocks" default:"4" unit:"blocks" min:"1" max:"64"`
 	// AffinityCredit is the share of a prompt that a home engine is taken to
 	// hold while the index does not tell.
 	AffinityCredit float64 `json:"affinityCredit" default:"0.5" unit:"ratio" min:"0" max:"1"`
+	// StaleCredit is the share of what the index tells of an engine that is
+	// counted on after a gap in its events.
+	StaleCredit float64 `json:"staleCredit" default:"0.9" unit:"ratio" min:"0" max:"1"`
 	// DomainPenalty is what a target in another failure domain costs.
 	DomainPenalty Duration `json:"domainPenalty" default:"4ms" unit:"duration" min:"0s" max:"1s"`
 	// ReclaimablePenalty is what a reclaimable target costs an interactive
--- a/pkg/prefix/index.go
+++ b/pkg/prefix/index.go
@@ -9,6 +9,9 @@
 // before it is taken to be wrong and dropped.
 const overfill = 2
 
+// staleEvents is how many events after a gap an entry counts as stale.
+const staleEvents = 128
+
 // Index tells how much of a prompt each engine holds. It is not safe for
 // concurrent use.
 type Index struct {
@@ -28,9 +31,9 @@
 	held int
 	// limit is the greatest held; zero sets none.
 	limit int
-	// stale is set once what was known of the engine had to be dropped while
-	// it may still hold it.
-	stale bool
+	// stale counts the events until the engine's entry is trusted again after
+	// a gap: by then most of its memory has changed hands.
+	stale int
 }
 
 // New returns an empty index.
@@ -75,8 +78,9 @@
 	}
 }
 
-// Apply takes in an engine's event. A gap in the sequence drops what was known
-// of the engine: removals may have been missed.
+// Apply takes in an engine's event. A gap in the sequence makes the engine's
+// entry stale, since removals may have been missed. It is kept: a prompt that
+// is sent for a wrong entry makes the entry true.
 func (x *Index) Apply(target ident.Target, event fleet.CacheEvent) {
 	slot := x.Slot(target)
 	if slot < 0 {
@@ -87,9 +91,9 @@
 		return
 	}
 	if state.next != 0 && event.Sequence > state.next {
-		x.clear(slot)
-		state.stale = true
+		state.stale = staleEvents
 	}
+	state.stale = max(0, state.stale-1)
 	state.next = event.Sequence + 1
 	x.mark(slot, event.Block, !event.Removed)
 }
@@ -110,13 +114,13 @@
 	if slot, ok := x.engines[target]; ok {
 		x.clear(slot)
 		x.state[slot].next = 0
-		x.state[slot].stale = false
+		x.state[slot].stale = 0
 	}
 }
 
-// Stale reports whether events of the engine were missed, so that it may hold
-// more than the index says.
-func (x *Index) Stale(slot int) bool { return x.state[slot].stale }
+// Stale reports whether events of the engine were missed lately, so that it
+// may hold less than the index says.
+func (x *Index) Stale(slot int) bool { return x.state[slot].stale > 0 }
 
 // Depths writes into depths, by slot, how many leading blocks of the prompt
 // each engine holds. It allocates nothing; depths must be zeroed and have room
@@ -152,7 +156,6 @@
 	if held {
 		if state.limit > 0 && state.held >= state.limit {
 			x.clear(slot)
-			state.stale = true
 			set = x.blocks[block]
 		}
 		set.Add(slot)
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -86,10 +86,12 @@
 	cached := 0.0
 	if own.slot >= 0 {
 		cached = float64(r.depths[own.slot])
+		if r.index.Stale(own.slot) {
+			cached *= knobs.StaleCredit
+		}
 	}
-	untold := !known || own.slot < 0 || r.index.Stale(own.slot)
-	if home && untold {
-		cached = max(cached, knobs.AffinityCredit*float64(len(req.Prefix)))
+	if home && !known {
+		cached = knobs.AffinityCredit * float64(len(req.Prefix))
 	}
 	return max(0, float64(req.PromptTokens)-cached*request.PrefixBlockTokens)
 }
