--- /dev/null
+++ b/pkg/dissemination/ids.go
@@ -0,0 +1,58 @@
+package dissemination
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// OriginID names an origin on the links: a hash of host and incarnation.
+type OriginID uint32
+
+// Version numbers the bundles of an origin from one.
+type Version uint64
+
+// ItemID numbers the items of an origin.
+type ItemID uint32
+
+// Life is one incarnation of one daemon.
+type Life struct {
+	Host        ident.Host
+	Incarnation ident.Incarnation
+}
+
+// ID returns the life's name on the links.
+func (l Life) ID() OriginID {
+	var tail [8]byte
+	binary.BigEndian.PutUint64(tail[:], uint64(l.Incarnation))
+	return OriginID(xxhash.Sum64(append([]byte(l.Host), tail[:]...)))
+}
+
+// Section says what an item is about.
+type Section uint8
+
+// The sections.
+const (
+	// SectionLife holds the one item that names the origin.
+	SectionLife Section = 1
+	// SectionRevisions holds the loaded revisions of configuration and holds.
+	SectionRevisions Section = 2
+	// SectionTarget holds the platform's records of targets.
+	SectionTarget Section = 3
+	// SectionListed counts the reads of the platform's list of targets.
+	SectionListed Section = 4
+	// SectionLoad holds targets' load.
+	SectionLoad Section = 5
+	// SectionEvents holds the newest cache events of targets.
+	SectionEvents Section = 6
+	// SectionConsumption holds what workspaces have consumed.
+	SectionConsumption Section = 7
+)
+
+// Key names an item within its origin.
+type Key struct {
+	Section Section
+	Name    string
+}
--- /dev/null
+++ b/pkg/dissemination/timing.go
@@ -0,0 +1,43 @@
+package dissemination
+
+import "time"
+
+// Timing holds the periods of a node.
+type Timing struct {
+	// BundleEvery is the time between an origin's bundles.
+	BundleEvery time.Duration
+	// CompareEvery is the time between comparisons with another daemon.
+	CompareEvery time.Duration
+	// ForgetAfter is how long a silent origin's items are kept. It exceeds
+	// every parting that consumption must survive.
+	ForgetAfter time.Duration
+}
+
+const (
+	// TickEvery is the time between ticks of a node; what came in between is
+	// forwarded in one frame.
+	TickEvery = 100 * time.Millisecond
+	// hostShare is the bundle period's part for each host.
+	hostShare = 10 * time.Millisecond
+	// minBundleEvery and maxBundleEvery bound the bundle period.
+	minBundleEvery = 500 * time.Millisecond
+	maxBundleEvery = 4 * time.Second
+	// compareEvery is the time between comparisons.
+	compareEvery = 10 * time.Second
+	// forgetAfter is how long a silent origin is kept.
+	forgetAfter = time.Hour
+	// overdueBundles is how many periods an origin is silent before it is
+	// asked after.
+	overdueBundles = 2.5
+	// maxAsks bounds the questions after one silent origin.
+	maxAsks = 3
+)
+
+// TimingFor returns the periods for a fleet of so many hosts.
+func TimingFor(hosts int) Timing {
+	return Timing{
+		BundleEvery:  min(max(time.Duration(hosts)*hostShare, minBundleEvery), maxBundleEvery),
+		CompareEvery: compareEvery,
+		ForgetAfter:  forgetAfter,
+	}
+}
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -40,10 +40,10 @@
 	defaultPingTimeout = 3 * time.Second
 	defaultQueueLimit  = 64
 	// handshakeTimeout bounds the opening of a link.
-	handshakeTimeout = 5 * time.Second
+	handshakeTimeout = 1500 * time.Millisecond
 	// redialMin and redialMax bound the pause between dials.
-	redialMin = 200 * time.Millisecond
-	redialMax = 5 * time.Second
+	redialMin = 100 * time.Millisecond
+	redialMax = 500 * time.Millisecond
 )
 
 // fill sets the options that were left out.
