--- a/pkg/standin/engine/options.go
+++ b/pkg/standin/engine/options.go
@@ -21,4 +21,7 @@
 	Echo bool
 	// ChecksFencing makes orders with an old fencing number refused.
 	ChecksFencing bool
+	// ChangeTime is how long a change of role or version, or a restart, keeps
+	// the engine from answering.
+	ChangeTime time.Duration
 }
--- a/pkg/standin/faultstore/store.go
+++ b/pkg/standin/faultstore/store.go
@@ -125,17 +125,25 @@
 	return err
 }
 
-// Watch passes a watch on, or waits for ever where watches are silent.
+// Watch passes a watch on, late where watches are held back, or waits for ever
+// where they are silent.
 func (s *Store) Watch(ctx context.Context, prefix platform.Key, after platform.Cursor) (platform.Changes, error) {
 	s.count(prefix, func(c *Counts) { c.Watches++ })
 	if err := s.read(ctx, prefix); err != nil {
 		return platform.Changes{}, err
 	}
+	if delay := s.snapshot().WatchDelay; delay > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(delay):
+		}
+	}
+	changes, err := s.inner.Watch(ctx, prefix, after)
 	if s.snapshot().SilentWatches {
 		<-ctx.Done()
 		return platform.Changes{Next: after}, nil
 	}
-	return s.inner.Watch(ctx, prefix, after)
+	return changes, err
 }
 
 // leaseKey is what lease calls are counted under.
