--- a/pkg/duty/rank.go
+++ b/pkg/duty/rank.go
@@ -58,6 +58,33 @@
 	return slices.IndexFunc(Rank(d, candidates), func(c Candidate) bool { return c.Host == host })
 }
 
+// PlaceWithin returns the rank of a host where it is below limit, else
+// NotRanked. It takes one pass over the candidates for most hosts, since a host
+// comes after as many candidates of each failure domain as precede it in its
+// own.
+func PlaceWithin(d ident.Duty, candidates []Candidate, self Candidate, limit int) int {
+	own := Score(d, self.Host)
+	round := 0
+	sizes := make(map[ident.FailureDomain]int, limit)
+	for _, c := range candidates {
+		sizes[c.FailureDomain]++
+		if c.FailureDomain == self.FailureDomain && Score(d, c.Host) > own {
+			round++
+		}
+	}
+	before := 0
+	for _, size := range sizes {
+		before += min(size, round)
+	}
+	if before >= limit {
+		return NotRanked
+	}
+	if place := Place(d, candidates, self.Host); place < limit {
+		return place
+	}
+	return NotRanked
+}
+
 // byScore orders candidates by falling score, and by host where scores tie.
 func byScore(a, b scored) int {
 	if order := cmp.Compare(b.score, a.score); order != 0 {
--- a/pkg/duty/rank_test.go
+++ b/pkg/duty/rank_test.go
@@ -63,3 +63,17 @@
 		}
 	})
 }
+
+func TestPlaceWithinAgreesWithPlace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := drawCandidates(t)
+		limit := rapid.IntRange(1, 5).Draw(t, "limit")
+		for _, c := range candidates {
+			want := duty.Place("duty", candidates, c.Host)
+			if want >= limit {
+				want = duty.NotRanked
+			}
+			must.Eq(t, want, duty.PlaceWithin("duty", candidates, c, limit))
+		}
+	})
+}
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -55,15 +55,17 @@
 // Held returns how many duties the process holds.
 func (m *Manager) Held() int { return int(m.held.Load()) }
 
-// place returns the process's rank for a duty among the members that are alive.
+// place returns the process's rank for a duty among the members that are alive,
+// or duty.NotRanked where others come first.
 func (m *Manager) place(d ident.Duty) int {
-	candidates := []duty.Candidate{{Host: m.opts.Host, FailureDomain: m.opts.FailureDomain}}
+	self := duty.Candidate{Host: m.opts.Host, FailureDomain: m.opts.FailureDomain}
+	candidates := []duty.Candidate{self}
 	for _, member := range m.opts.Members.Members() {
 		if member.Status == membership.Alive && member.Host != m.opts.Host {
 			candidates = append(candidates, duty.Candidate{Host: member.Host, FailureDomain: member.FailureDomain})
 		}
 	}
-	return duty.Place(d, candidates, m.opts.Host)
+	return duty.PlaceWithin(d, candidates, self, m.terms.Candidates)
 }
 
 // ready reports whether the process has a view to act on.
--- a/pkg/lease/manager_test.go
+++ b/pkg/lease/manager_test.go
@@ -131,7 +131,7 @@
 			w := newWorld(newStore(), 4, 1, terms, evenRate)
 			w.start()
 			w.advance(10 * time.Second)
-			w.holder(0).process.Cut(faultstore.SideStore, true)
+			w.holder().process.Cut(faultstore.SideStore, true)
 			w.advance(20 * time.Second)
 			w.stop()
 			must.ErrorContains(t, w.violation(), "believers")
@@ -143,7 +143,7 @@
 			w := newWorld(store, 4, 1, lease.DefaultTerms(), evenRate)
 			w.start()
 			w.advance(10 * time.Second)
-			w.holder(0).process.Kill()
+			w.holder().process.Kill()
 			w.advance(25 * time.Second)
 			w.stop()
 			must.ErrorContains(t, w.violation(), "fencing")
@@ -151,11 +151,11 @@
 	})
 }
 
-// holder returns the node that believes to hold the i-th duty, or nil.
-func (w *world) holder(i int) *node {
+// holder returns the node that believes to hold the first duty, or nil.
+func (w *world) holder() *node {
 	for _, n := range w.nodes {
 		n.mu.Lock()
-		authority := n.grants[w.duties[i]]
+		authority := n.grants[w.duties[0]]
 		n.mu.Unlock()
 		if authority != nil && authority.Check() == nil {
 			return n
@@ -170,7 +170,7 @@
 		w := newWorld(newStore(), 4, 1, terms, evenRate)
 		w.start()
 		w.advance(10 * time.Second)
-		first := w.holder(0)
+		first := w.holder()
 		first.cancel()
 		first.work.Wait()
 		released := time.Now()
--- /dev/null
+++ b/pkg/orders/readjournal.go
@@ -0,0 +1,26 @@
+package orders
+
+import (
+	"context"
+
+	"amaranthplank.example/amaranthplank/pkg/duty"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// ReadJournal returns the orders to engines as the journal has them, by key.
+// Any process may call it; only the holder knows what holds an order back.
+func ReadJournal(ctx context.Context, store platform.Store) ([]OrderStatus, error) {
+	entries, err := store.List(ctx, KeyPrefix+platform.Key(duty.Engines("")))
+	if err != nil {
+		return nil, err
+	}
+	list := make([]OrderStatus, 0, len(entries))
+	for _, entry := range entries {
+		record, err := decode(entry)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, statusOf(record, Decision{}))
+	}
+	return list, nil
+}
