Follow the control state by watch, peers and reads, and serve only while it is fresh

Cause: a daemon served on whatever it had read last, so that a withdrawn key lived on wherever the store was out of reach.

Ruled out: confirming by a read of the whole document, which at 330 daemons is tens of megabytes a second; confirming by a bounded watch, since silence is no answer.

--- /dev/null
+++ b/pkg/config/acceptance.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/membership"
+)
+
+// Acceptance tells when a revision is accepted and when it is in force at every
+// daemon that serves.
+type Acceptance struct {
+	manager *Manager
+
+	mu sync.Mutex
+	// acceptedAt is when each part's newest accepted revision was first found
+	// to be accepted.
+	acceptedAt map[Part]acceptedRevision
+}
+
+// acceptedRevision is a revision with the time of its acceptance.
+type acceptedRevision struct {
+	revision ident.Revision
+	at       time.Duration
+}
+
+// NewAcceptance returns the acceptance as seen from one daemon.
+func NewAcceptance(manager *Manager) *Acceptance {
+	return &Acceptance{manager: manager, acceptedAt: make(map[Part]acceptedRevision)}
+}
+
+// HoldsAccepted reports whether a revision of the holds is in force at every
+// daemon that serves. It raises the store's marker, so that daemons which only
+// reach the store learn of it, and never waits for long; call it again while it
+// returns false.
+func (a *Acceptance) HoldsAccepted(ctx context.Context, revision ident.Revision) (bool, error) {
+	return a.inForce(ctx, PartHolds, revision)
+}
+
+// inForce marks the revision and reports whether every daemon that serves has
+// it.
+func (a *Acceptance) inForce(ctx context.Context, part Part, revision ident.Revision) (bool, error) {
+	at, accepted, err := a.accepted(ctx, part, revision)
+	if err != nil || !accepted {
+		return false, err
+	}
+	return a.manager.opts.Clock.Now()-at >= a.manager.opts.Timing.InForceAfter(), nil
+}
+
+// accepted reports whether a majority of the hosts has loaded the revision
+// after the marker was raised, and when that was first found.
+func (a *Acceptance) accepted(ctx context.Context, part Part, revision ident.Revision) (time.Duration, bool, error) {
+	if known := a.known(part); revision != 0 && known.revision >= revision {
+		return known.at, true, nil
+	}
+	if err := raiseMarker(ctx, a.manager.opts.Store, part.revisions(revision)); err != nil {
+		return 0, false, err
+	}
+	if !a.manager.majorityLoaded(part.revisions(revision)) {
+		return 0, false, nil
+	}
+	now := a.manager.opts.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.acceptedAt[part].revision < revision {
+		a.acceptedAt[part] = acceptedRevision{revision: revision, at: now}
+	}
+	return a.acceptedAt[part].at, true, nil
+}
+
+// known returns what is known to be accepted of a part.
+func (a *Acceptance) known(part Part) acceptedRevision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.acceptedAt[part]
+}
+
+// majorityLoaded reports whether the hosts that were lately heard from and have
+// loaded the revisions are a majority. Before the first roster the daemon's own
+// load is enough, since every daemon then serves by the store alone.
+func (m *Manager) majorityLoaded(wanted Revisions) bool {
+	now := m.opts.Clock.Now()
+	m.mu.Lock()
+	facts := m.facts(now)
+	m.mu.Unlock()
+	if !facts.Own.Covers(wanted) {
+		return false
+	}
+	if facts.Roster.Empty() {
+		return true
+	}
+	var loaded []Loaded
+	if facts.Loaded {
+		loaded = append(loaded, Loaded{Host: facts.Self, Revisions: facts.Own})
+	}
+	for _, s := range facts.Statements {
+		if now-s.At < m.opts.Timing.PeersMaxAge && s.Host != facts.Self {
+			loaded = append(loaded, s.Loaded)
+		}
+	}
+	return facts.Roster.Accepts(loaded, wanted)
+}
+
+// selfMember returns the daemon as the other daemons see it.
+func (m *Manager) selfMember() membership.Member {
+	revision, holds := m.Loaded()
+	return membership.Member{
+		Host: m.opts.Host, Status: membership.Alive, HeardAt: time.Now(), Revision: revision, HoldsRevision: holds,
+	}
+}
+
+// selfAndPeers returns every member that is known, the daemon included.
+func (m *Manager) selfAndPeers() []membership.Member {
+	members := []membership.Member{m.selfMember()}
+	if m.opts.View != nil {
+		members = append(members, m.opts.View.Members()...)
+	}
+	return members
+}
--- a/pkg/config/holds.go
+++ b/pkg/config/holds.go
@@ -1,12 +1,20 @@
 package config
 
-import "amaranthplank.example/amaranthplank/pkg/ident"
+import (
+	"encoding/json"
 
-// Holds lists the targets that get no new work since an order for them is being
-// carried out. It stands in the store beside the configuration and spreads as
-// the configuration does.
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// Holds is the part of the control state that the daemons themselves write. It
+// lists the targets that get no new work since an order for them is being
+// carried out, and the roster. It stands in the store beside the configuration
+// and spreads as the configuration does.
 type Holds struct {
 	Targets []Hold `json:"targets"`
+	// Roster must be kept as it is by those who write the targets.
+	Roster Roster `json:"roster,omitzero"`
 }
 
 // Hold is one target that gets no new work.
@@ -16,3 +24,32 @@
 	Fencing ident.Fencing `json:"fencing"`
 	Reason  string        `json:"reason"`
 }
+
+// HoldsSnapshot is one state of the holds in the form that the request path
+// reads. It is never changed.
+type HoldsSnapshot struct {
+	Revision ident.Revision
+	Holds    Holds
+	held     map[ident.Target]bool
+}
+
+// newHoldsSnapshot indexes the holds.
+func newHoldsSnapshot(revision ident.Revision, holds Holds) *HoldsSnapshot {
+	s := &HoldsSnapshot{Revision: revision, Holds: holds, held: make(map[ident.Target]bool, len(holds.Targets))}
+	for _, hold := range holds.Targets {
+		s.held[hold.Target] = true
+	}
+	return s
+}
+
+// Held reports whether the target gets no new work.
+func (s *HoldsSnapshot) Held(target ident.Target) bool { return s != nil && s.held[target] }
+
+// ParseHolds reads holds as they stand in the store.
+func ParseHolds(value []byte) (Holds, error) {
+	var holds Holds
+	if err := json.Unmarshal(value, &holds); err != nil {
+		return holds, fault.Wrap(err, fault.Invalid, "the holds in the store are malformed", "remove the key "+string(HoldsKey)+" once no order is open")
+	}
+	return holds, nil
+}
--- /dev/null
+++ b/pkg/config/options.go
@@ -0,0 +1,49 @@
+package config
+
+import (
+	"log/slog"
+	"math/rand/v2"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/membership"
+	"amaranthplank.example/amaranthplank/pkg/peer"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// Options are what a Manager works on.
+type Options struct {
+	Host  ident.Host
+	Store platform.Store
+	// Mesh and View reach the other daemons. Both are nil where there are
+	// none.
+	Mesh peer.Mesh
+	View membership.View
+	// Clock runs through suspension.
+	Clock      clock.Clock
+	Log        *slog.Logger
+	Registerer prometheus.Registerer
+	Random     *rand.Rand
+	Timing     Timing
+}
+
+// fill sets the options that were left out.
+func (o *Options) fill() {
+	if o.Clock == nil {
+		o.Clock = clock.Boot{}
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Registerer == nil {
+		o.Registerer = prometheus.NewRegistry()
+	}
+	if o.Random == nil {
+		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if o.Timing == (Timing{}) {
+		o.Timing = DefaultTiming()
+	}
+}
--- a/pkg/config/storekey.go
+++ b/pkg/config/storekey.go
@@ -10,5 +10,10 @@
 // revision.
 const HoldsKey platform.Key = "config/holds"
 
-// KeyPrefix starts both keys, so that one watch follows them.
+// KeyPrefix starts the keys, so that one watch follows them.
 const KeyPrefix platform.Key = "config/"
+
+// MarkerKey is where the newest revisions stand in the store, so that a daemon
+// can confirm its own by a read of a few bytes. It is raised after a change was
+// written and before the change is accepted.
+const MarkerKey platform.Key = "config/marker"
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -42,7 +42,7 @@
 // New returns a daemon that is ready to run.
 func New(opts Options) *Daemon {
 	d := &Daemon{opts: opts}
-	d.config = config.NewManager(opts.Store, opts.Log)
+	d.config = config.NewManager(config.Options{Host: opts.Host, Store: opts.Store, Log: opts.Log})
 	d.targets = targetwatch.New(opts.Targets, opts.Log, targetsEvery)
 	d.meter = usage.NewMeter(opts.UsageWindow)
 	d.closer = usage.NewCloser(usage.CloserOptions{
