Checkpoint, seal, freeze and report usage

Cause: figures lived in one process until their window closed, and a successor could not know what had been reported.

Ruled out: recording which sources each window holds without watermarks, which needs every earlier window to be read to tell late figures from billed ones.

--- /dev/null
+++ b/pkg/usage/reporterstore.go
@@ -0,0 +1,79 @@
+package usage
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"amaranthplank.example/amaranthplank/pkg/lease"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// readHead returns the shard's head with its version. Before the first it is
+// empty.
+func (r *Reporter) readHead(ctx context.Context) (Head, platform.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := r.Store.Get(ctx, headKey(r.Shard))
+	if errors.Is(err, platform.ErrKeyNotFound) {
+		return Head{Shard: r.Shard}, platform.NoVersion, nil
+	}
+	if err != nil {
+		return Head{}, 0, err
+	}
+	head, err := decodeHead(entry.Value)
+	return head, entry.Version, err
+}
+
+// writeHead notes what was reported. Where the answer is lost the next step
+// reads the head first, and at worst sends a window again with the same
+// figures.
+func (r *Reporter) writeHead(ctx context.Context, authority lease.Authority, head *Head, base platform.Version) (platform.Version, error) {
+	value, err := encodeHead(head)
+	if err != nil {
+		return 0, err
+	}
+	if err := authority.Check(); err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return r.Store.CompareAndSwap(ctx, platform.Swap{Key: headKey(r.Shard), Base: base, Value: value})
+}
+
+// readFrozen returns a frozen window, or nil where it does not exist.
+func (r *Reporter) readFrozen(ctx context.Context, sequence uint64) (*Frozen, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := r.Store.Get(ctx, frozenKey(r.Shard, sequence))
+	if errors.Is(err, platform.ErrKeyNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return decodeFrozen(entry.Value)
+}
+
+// checkpoints returns every source's checkpoint. One that can't be read stops
+// the window, since its figures would be missed.
+func (r *Reporter) checkpoints(ctx context.Context) ([]Checkpoint, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entries, err := r.Store.List(ctx, OpenPrefix)
+	if err != nil {
+		return nil, err
+	}
+	checkpoints := make([]Checkpoint, 0, len(entries))
+	for _, entry := range entries {
+		checkpoint, err := decodeCheckpoint(entry.Value)
+		if err != nil {
+			return nil, errors.Wrapf(err, "read %s", entry.Key)
+		}
+		checkpoints = append(checkpoints, checkpoint)
+	}
+	return checkpoints, nil
+}
+
+// isNotFound reports whether the error says that a key does not exist.
+func isNotFound(err error) bool { return errors.Is(err, platform.ErrKeyNotFound) }
