--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -16,9 +16,9 @@
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/drain"
 	"amaranthplank.example/amaranthplank/pkg/entry"
-	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
+	"amaranthplank.example/amaranthplank/pkg/orders"
 	"amaranthplank.example/amaranthplank/pkg/peer"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
@@ -32,8 +32,6 @@
 	headerTimeout = 10 * time.Second
 	// targetsEvery is the time between reads of the target list.
 	targetsEvery = time.Second
-	// closeEvery is the time between looks for ended usage windows.
-	closeEvery = time.Second
 )
 
 // Daemon is one process of the system.
@@ -50,30 +48,32 @@
 	router      *routing.ByKind
 	admission   *admission.Fair
 	relay       *relay.Relay
-	meter       *usage.Meter
-	closer      *usage.Closer
+	acceptance  *config.Acceptance
+	meter       *usage.Source
+	tails       *usage.Keeper
 	claims      *claims.Registry
 	callers     *drain.Server
 	duties      *duties
+	engines     *orders.EngineManager
 	admin       *http.Server
 }
 
 // New returns a daemon that is ready to run. It fails with kind Invalid where
 // the options leave its links open to anyone.
 func New(opts Options) (*Daemon, error) {
-	d := &Daemon{opts: opts, incarnation: ident.Incarnation(time.Now().UnixNano()), builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
+	d := &Daemon{
+		opts: opts, incarnation: ident.Incarnation(time.Now().UnixNano()),
+		builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry(),
+	}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	d.config = config.NewManager(opts.Store, opts.Log)
 	if err := d.connect(); err != nil {
 		return nil, err
 	}
-	d.duties = d.newDuties(d.works)
+	d.newControl()
+	d.newUsage()
 	d.targets = targetwatch.New(opts.Targets, opts.Log, targetsEvery)
-	d.meter = usage.NewMeter(opts.UsageWindow)
-	d.closer = usage.NewCloser(usage.CloserOptions{
-		Meter: d.meter, Store: opts.Store, Sink: opts.Usage, Log: opts.Log,
-		Shard: ident.Duty("usage/" + string(opts.Host)), Grace: opts.UsageGrace, Every: closeEvery,
-	})
+	d.newOrders()
+	d.duties = d.newDuties(d.works)
 	d.callers = drain.New(drain.Options{
 		Server: entry.NewServer(d.newHandler()), Listener: opts.Listener, Log: opts.Log,
 		BalancerDelay: opts.BalancerDelay,
@@ -90,14 +90,9 @@
 // complete.
 func (d *Daemon) Stop() { d.callers.Stop() }
 
-// serving tells whether requests may be served: the daemon must know the
-// configuration.
-func (d *Daemon) serving() error {
-	if d.config.Current() == nil {
-		return fault.New(fault.Unavailable, "no configuration was read yet", "look at the store")
-	}
-	return nil
-}
+// serving tells whether requests may be served: the control state must be
+// fresh.
+func (d *Daemon) serving() error { return d.config.Ready() }
 
 // ready tells whether the balancer may send requests: beside what serving
 // needs, the daemon must not be stopping.
@@ -115,7 +110,7 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	d.runPeers(ctx, group)
-	parts := []func(context.Context) error{d.config.Run, d.targets.Run, d.closer.Run, d.relay.Run, d.claims.Run, d.duties.run}
+	parts := []func(context.Context) error{d.config.Run, d.targets.Run, d.meter.Run, d.tails.Run, d.relay.Run, d.claims.Run, d.duties.run}
 	for _, run := range parts {
 		group.Go(func() error { return run(ctx) })
 	}
