--- a/pkg/daemon/options.go
+++ b/pkg/daemon/options.go
@@ -39,8 +39,4 @@
 	// BalancerDelay is how long after readiness fails the balancer may still
 	// send requests.
 	BalancerDelay time.Duration
-	// UsageWindow is the length of a usage window, UsageGrace how long after
-	// its end it is closed.
-	UsageWindow time.Duration
-	UsageGrace  time.Duration
 }
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -28,21 +28,12 @@
 			Host: d.opts.Host, Incarnation: d.incarnation, FailureDomain: d.opts.FailureDomain,
 			Region: d.opts.Region, Address: d.opts.PeerListener.Addr().String(),
 		},
-		Links: links, Seeds: d.opts.PeerSeeds, Hosts: d.opts.Hosts, Loaded: d.loaded, Degree: d.opts.PeerDegree,
+		Links: links, Seeds: d.opts.PeerSeeds, Hosts: d.opts.Hosts, Loaded: func() (ident.Revision, ident.Revision) { return d.config.Loaded() }, Degree: d.opts.PeerDegree,
 		Log: d.opts.Log, Registerer: d.registry,
 	})
 	return nil
 }
 
-// loaded returns the control state that the daemon has loaded.
-func (d *Daemon) loaded() (revision, holds ident.Revision) {
-	snapshot := d.config.Current()
-	if snapshot == nil {
-		return 0, 0
-	}
-	return snapshot.Revision, 0
-}
-
 // runPeers keeps the links and the membership until ctx ends.
 func (d *Daemon) runPeers(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { return d.links.Run(ctx) })
--- a/pkg/daemon/works.go
+++ b/pkg/daemon/works.go
@@ -1,11 +1,46 @@
 package daemon
 
 import (
+	"github.com/google/uuid"
+
+	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/duty"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
+	"amaranthplank.example/amaranthplank/pkg/orders"
+	"amaranthplank.example/amaranthplank/pkg/roles"
+	"amaranthplank.example/amaranthplank/pkg/target"
+	"amaranthplank.example/amaranthplank/pkg/usage"
 )
 
+// newOrders makes what carries out orders to engines.
+func (d *Daemon) newOrders() {
+	d.engines = orders.NewEngineManager(orders.EngineOptions{
+		Host: d.opts.Host, Incarnation: d.incarnation, View: d.targets, Store: d.opts.Store,
+		Planner: roles.NewPlanner(d.roleKnobs), Client: target.NewControl(target.NewClient(), d.opts.Credential),
+		Holds: holds{acceptance: d.acceptance}, Fates: fates{members: d.members}, Weights: d.opts.Weights,
+		Clock: clock.Boot{}, NewID: uuid.NewString, Terms: orders.DefaultTerms(), Log: d.opts.Log, Registerer: d.registry,
+	})
+}
+
+// roleKnobs returns the values in force for a model.
+func (d *Daemon) roleKnobs(model ident.Model) *config.RoleKnobs {
+	return &d.knobs(config.Selector{Model: model}).Roles
+}
+
 // works returns the work of every duty that there is at present.
 func (d *Daemon) works() map[ident.Duty]lease.Work {
-	return map[ident.Duty]lease.Work{}
+	works := map[ident.Duty]lease.Work{config.RosterDuty: d.rosterKeeper().Work}
+	for shard := range usage.Shards {
+		works[usage.Duty(shard)] = d.usageReporter(shard).Work
+	}
+	snapshot := d.config.Current()
+	if snapshot == nil {
+		return works
+	}
+	for i := range snapshot.Document.Models {
+		works[duty.Engines(snapshot.Document.Models[i].Name)] = d.engines.Work
+	}
+	return works
 }
