Give each hold of a duty a planner of its own

Cause: planners keep state and are not safe for concurrent use, but one would have served all shards of a process at once, and planned models whose duty another process holds. Change: the options take a maker of planners; a shard's planner sees its model's engines alone. The daemon runs the manager that writes statements.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -110,7 +110,7 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	d.runPeers(ctx, group)
-	parts := []func(context.Context) error{d.config.Run, d.targets.Run, d.meter.Run, d.tails.Run, d.relay.Run, d.claims.Run, d.duties.run}
+	parts := []func(context.Context) error{d.config.Run, d.targets.Run, d.meter.Run, d.tails.Run, d.relay.Run, d.claims.Run, d.engines.Run, d.duties.run}
 	for _, run := range parts {
 		group.Go(func() error { return run(ctx) })
 	}
--- a/pkg/daemon/works.go
+++ b/pkg/daemon/works.go
@@ -18,7 +18,7 @@
 func (d *Daemon) newOrders() {
 	d.engines = orders.NewEngineManager(orders.EngineOptions{
 		Host: d.opts.Host, Incarnation: d.incarnation, View: d.targets, Store: d.opts.Store,
-		Planner: roles.NewPlanner(d.roleKnobs), Client: target.NewControl(target.NewClient(), d.opts.Credential),
+		NewPlanner: func(ident.Model) orders.EnginePlanner { return roles.NewPlanner(d.roleKnobs) }, Client: target.NewControl(target.NewClient(), d.opts.Credential),
 		Holds: holds{acceptance: d.acceptance}, Fates: fates{members: d.members}, Weights: d.opts.Weights,
 		Clock: clock.Boot{}, NewID: uuid.NewString, Terms: orders.DefaultTerms(), Log: d.opts.Log, Registerer: d.registry,
 	})
--- a/pkg/orders/engineoptions.go
+++ b/pkg/orders/engineoptions.go
@@ -15,13 +15,15 @@
 type EngineOptions struct {
 	Host        ident.Host
 	Incarnation ident.Incarnation
-	Planner     EnginePlanner
-	View        fleet.View
-	Client      EngineClient
-	Store       platform.Store
-	Holds       HoldAcceptance
-	Fates       ProcessFate
-	Weights     platform.WeightStore
+	// NewPlanner returns a planner for one hold of a duty. It is called by one
+	// goroutine at a time and sees the engines of the model alone.
+	NewPlanner func(model ident.Model) EnginePlanner
+	View       fleet.View
+	Client     EngineClient
+	Store      platform.Store
+	Holds      HoldAcceptance
+	Fates      ProcessFate
+	Weights    platform.WeightStore
 	// Clock runs through suspension.
 	Clock clock.Clock
 	// NewID returns an id that no other order has.
--- a/pkg/orders/shard.go
+++ b/pkg/orders/shard.go
@@ -17,6 +17,7 @@
 	manager   *EngineManager
 	authority lease.Authority
 	model     ident.Model
+	planner   EnginePlanner
 	journal   *journal
 	holds     *holdKeeper
 	running   sync.WaitGroup
@@ -34,7 +35,7 @@
 func newShard(m *EngineManager, authority lease.Authority) *shard {
 	model, _ := duty.EnginesModel(authority.Duty())
 	return &shard{
-		manager: m, authority: authority, model: model,
+		manager: m, authority: authority, model: model, planner: m.opts.NewPlanner(model),
 		journal: &journal{scribe: m.scribe, authority: authority},
 		holds:   &holdKeeper{scribe: m.scribe, authority: authority},
 		last:    make(map[ident.Target]Record),
@@ -133,9 +134,8 @@
 
 // plan asks the planner and begins what may begin.
 func (s *shard) plan(ctx context.Context) {
-	opts := &s.manager.opts
-	snapshot := opts.View.Snapshot()
-	list := opts.Planner.PlanEngines(snapshot, time.Now())
+	snapshot := ofModel(s.manager.opts.View.Snapshot(), s.model)
+	list := s.planner.PlanEngines(snapshot, time.Now())
 	wanted := make(map[ident.Target]target.Order, len(list))
 	for _, w := range list {
 		wanted[w.Target] = w.Order
@@ -153,7 +153,7 @@
 // admit begins one wanted order if the target and the gate are free.
 func (s *shard) admit(ctx context.Context, snapshot *fleet.Snapshot, w Wanted) {
 	state := snapshot.Target(w.Target)
-	if state == nil || state.Record.Leaving || state.Record.Model != s.model || state.Record.Service != "" {
+	if state == nil || state.Record.Leaving {
 		return
 	}
 	open := s.open()
@@ -249,6 +249,15 @@
 	return ok && !sameContent(order, record.Order)
 }
 
+// ofModel returns the part of a snapshot that has the engines of a model.
+func ofModel(snapshot *fleet.Snapshot, model ident.Model) *fleet.Snapshot {
+	var engines []fleet.TargetState
+	for _, i := range snapshot.Model(model) {
+		engines = append(engines, snapshot.Targets[i])
+	}
+	return fleet.NewSnapshot(engines)
+}
+
 // wait waits, or returns early when ctx ends.
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/pkg/orders/supplyoptions.go
+++ b/pkg/orders/supplyoptions.go
@@ -12,10 +12,11 @@
 type SupplyOptions struct {
 	Host        ident.Host
 	Incarnation ident.Incarnation
-	Planner     SupplyPlanner
-	View        fleet.View
-	Platform    platform.TargetOrderer
-	Store       platform.Store
+	// NewPlanner returns a planner for one hold of the duty.
+	NewPlanner func() SupplyPlanner
+	View       fleet.View
+	Platform   platform.TargetOrderer
+	Store      platform.Store
 	// NewID returns an id that no other order has.
 	NewID func() string
 	Terms Terms
--- a/pkg/orders/supplyshard.go
+++ b/pkg/orders/supplyshard.go
@@ -17,6 +17,7 @@
 	manager   *SupplyManager
 	authority lease.Authority
 	journal   *supplyJournal
+	planner   SupplyPlanner
 	limiter   *rate.Limiter
 	records   map[SupplyGroup]SupplyRecord
 	why       map[SupplyGroup]string
@@ -29,6 +30,7 @@
 	return &supplyShard{
 		manager: m, authority: authority,
 		journal: &supplyJournal{scribe: m.scribe, authority: authority},
+		planner: m.opts.NewPlanner(),
 		limiter: rate.NewLimiter(rate.Limit(m.opts.Terms.SupplyPerSecond), 1),
 		why:     make(map[SupplyGroup]string),
 	}
@@ -68,7 +70,7 @@
 
 // round goes through all groups once.
 func (s *supplyShard) round(ctx context.Context) {
-	plan := s.manager.opts.Planner.PlanSupply(s.manager.opts.View.Snapshot(), time.Now())
+	plan := s.planner.PlanSupply(s.manager.opts.View.Snapshot(), time.Now())
 	wanted := make(map[SupplyGroup]*platform.TargetOrder, len(plan))
 	for i := range plan {
 		wanted[groupOf(plan[i])] = &plan[i]
--- a/pkg/orders/world_test.go
+++ b/pkg/orders/world_test.go
@@ -118,11 +118,12 @@
 		Members: others{w, n.host}, Log: log, Random: rand.New(rand.NewPCG(3, uint64(i))),
 	})
 	n.engines = orders.NewEngineManager(orders.EngineOptions{
-		Host: n.host, Incarnation: 1, Planner: w, View: w, Client: client{n}, Store: store, Holds: w, Fates: w,
+		Host: n.host, Incarnation: 1, NewPlanner: func(ident.Model) orders.EnginePlanner { return w }, View: w,
+		Client: client{n}, Store: store, Holds: w, Fates: w,
 		Clock: clk, NewID: w.newID, Terms: orders.DefaultTerms(), Log: log,
 	})
 	n.supply = orders.NewSupplyManager(orders.SupplyOptions{
-		Host: n.host, Incarnation: 1, Planner: w, View: w, Platform: supplier{n}, Store: store,
+		Host: n.host, Incarnation: 1, NewPlanner: func() orders.SupplyPlanner { return w }, View: w, Platform: supplier{n}, Store: store,
 		NewID: w.newID, Terms: orders.DefaultTerms(), Log: log,
 	})
 	return n
