Order targets in the daemon

Cause: the supply planner had no executor in the daemon. Change: the duty supply with its planner; failure domains are those of the hosts and targets that are known when the duty is taken.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -55,6 +55,7 @@
 	callers     *drain.Server
 	duties      *duties
 	engines     *orders.EngineManager
+	supply      *orders.SupplyManager
 	admin       *http.Server
 }
 
@@ -73,6 +74,7 @@
 	d.newUsage()
 	d.targets = targetwatch.New(opts.Targets, opts.Log, targetsEvery)
 	d.newOrders()
+	d.newSupply()
 	d.duties = d.newDuties(d.works)
 	d.callers = drain.New(drain.Options{
 		Server: entry.NewServer(d.newHandler()), Listener: opts.Listener, Log: opts.Log,
--- a/pkg/daemon/works.go
+++ b/pkg/daemon/works.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"slices"
+
 	"github.com/google/uuid"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
@@ -10,6 +12,7 @@
 	"amaranthplank.example/amaranthplank/pkg/lease"
 	"amaranthplank.example/amaranthplank/pkg/orders"
 	"amaranthplank.example/amaranthplank/pkg/roles"
+	"amaranthplank.example/amaranthplank/pkg/supply"
 	"amaranthplank.example/amaranthplank/pkg/target"
 	"amaranthplank.example/amaranthplank/pkg/usage"
 )
@@ -24,6 +27,37 @@
 	})
 }
 
+// newSupply makes what orders targets from the platform.
+func (d *Daemon) newSupply() {
+	d.supply = orders.NewSupplyManager(orders.SupplyOptions{
+		Host: d.opts.Host, Incarnation: d.incarnation, View: d.targets, Store: d.opts.Store, Platform: d.opts.Targets,
+		NewPlanner: func() orders.SupplyPlanner {
+			return supply.NewPlanner(supply.Options{Domains: d.failureDomains(), Knobs: d.supplyKnobs})
+		},
+		NewID: uuid.NewString, Terms: orders.DefaultTerms(), Log: d.opts.Log,
+	})
+}
+
+// failureDomains returns the failure domains of the hosts and targets that are
+// known, in order.
+func (d *Daemon) failureDomains() []ident.FailureDomain {
+	domains := []ident.FailureDomain{d.opts.FailureDomain}
+	for _, member := range d.members.Members() {
+		domains = append(domains, member.FailureDomain)
+	}
+	snapshot := d.targets.Snapshot()
+	for i := range snapshot.Targets {
+		domains = append(domains, snapshot.Targets[i].Record.FailureDomain)
+	}
+	slices.Sort(domains)
+	return slices.Compact(domains)
+}
+
+// supplyKnobs returns the values in force for a model.
+func (d *Daemon) supplyKnobs(model ident.Model) *config.SupplyKnobs {
+	return &d.knobs(config.Selector{Model: model}).Supply
+}
+
 // roleKnobs returns the values in force for a model.
 func (d *Daemon) roleKnobs(model ident.Model) *config.RoleKnobs {
 	return &d.knobs(config.Selector{Model: model}).Roles
@@ -31,7 +65,7 @@
 
 // works returns the work of every duty that there is at present.
 func (d *Daemon) works() map[ident.Duty]lease.Work {
-	works := map[ident.Duty]lease.Work{config.RosterDuty: d.rosterKeeper().Work}
+	works := map[ident.Duty]lease.Work{config.RosterDuty: d.rosterKeeper().Work, duty.Supply: d.supply.Work}
 	for shard := range usage.Shards {
 		works[usage.Duty(shard)] = d.usageReporter(shard).Work
 	}
