State a sending that was journalled unawares

Cause: a holder cut off while the store took the journalling of a sending left the duty without a word; the target was held until the host was replaced. Change: the very same write is repeated until it is known, and is stated as not sent when the duty is lost meanwhile.

--- a/pkg/orders/enginemanager.go
+++ b/pkg/orders/enginemanager.go
@@ -7,7 +7,6 @@
 	"slices"
 	"sync"
 
-	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
 )
@@ -61,8 +60,7 @@
 	for ctx.Err() == nil {
 		wait(ctx, m.opts.Terms.StateEvery)
 		for name, p := range m.due() {
-			err := p.journal.state(ctx, p.record)
-			if err == nil || fault.KindOf(err) == fault.Conflict {
+			if p.journal.state(ctx, p.record) {
 				m.stated(name, p.record)
 			}
 		}
--- a/pkg/orders/execution.go
+++ b/pkg/orders/execution.go
@@ -27,7 +27,9 @@
 	publish func(Record, Decision)
 
 	record Record
-	quiet  quietWatch
+	// attempt is a sending whose journalling was not answered, or nil.
+	attempt *Record
+	quiet   quietWatch
 	// endedAt is when the sender was first known to send no more, on the
 	// options' clock; ended is set from then on.
 	ended   bool
@@ -65,11 +67,14 @@
 // leave hands on what this process knows of its own sending when it stops, so
 // that the successor need not wait for the process to be gone.
 func (e *execution) leave() {
-	if e.record.Phase != PhaseSent {
+	record, state := e.record, e.sendState()
+	if e.attempt != nil && record.Phase == PhaseWanted {
+		record, state = *e.attempt, SendDue
+	}
+	if record.Phase != PhaseSent {
 		return
 	}
-	record := e.record
-	switch e.sendState() {
+	switch state {
 	case SendAccepted:
 		record.Phase = PhaseDone
 	case SendDue, SendRefused:
@@ -82,7 +87,7 @@
 	// From here on the process may not send under this entry.
 	e.sends.set(record.Sender, ended(e.sends.get(record.Sender)))
 	record.WrittenAt = time.Now()
-	if e.authority.Check() == nil && e.journal.state(context.Background(), record) == nil {
+	if e.authority.Check() == nil && e.journal.state(context.Background(), record) {
 		return
 	}
 	e.state(record)
@@ -106,9 +111,7 @@
 	case StepReleaseHold:
 		return e.holds.release(ctx, record.Target)
 	case StepJournalSend:
-		record.Phase = PhaseSent
-		e.ended = false
-		return e.keep(e.journal.writeSend(ctx, record))
+		return e.journalSend(ctx, record)
 	case StepSend:
 		return e.send(ctx, engine)
 	case StepRecordDone:
@@ -122,6 +125,18 @@
 	return nil
 }
 
+// journalSend journals that the order is about to be sent. A write whose answer
+// was lost may have taken effect, so the same one is repeated until it is known.
+func (e *execution) journalSend(ctx context.Context, record Record) error {
+	e.ended = false
+	if e.attempt == nil {
+		record.Phase = PhaseSent
+		stamped := e.journal.stampSend(record)
+		e.attempt = &stamped
+	}
+	return e.keep(e.journal.put(ctx, *e.attempt))
+}
+
 // send sends the order once, unless the authority has ended.
 func (e *execution) send(ctx context.Context, engine platform.TargetRecord) error {
 	order := e.record.Order
@@ -158,7 +173,7 @@
 // keep takes a written record in.
 func (e *execution) keep(record Record, err error) error {
 	if err == nil {
-		e.record = record
+		e.record, e.attempt = record, nil
 	}
 	return err
 }
@@ -168,6 +183,9 @@
 func (e *execution) recover(ctx context.Context, err error) {
 	if fault.KindOf(err) == fault.Conflict {
 		if record, readErr := e.journal.reload(ctx, e.record.Target); readErr == nil {
+			if record.version != e.record.version {
+				e.attempt = nil
+			}
 			e.record = record
 			e.ended = false
 		}
--- a/pkg/orders/journal.go
+++ b/pkg/orders/journal.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
 	"amaranthplank.example/amaranthplank/pkg/platform"
@@ -54,23 +55,37 @@
 	return j.put(ctx, record)
 }
 
-// writeSend writes a record whose order is sent next.
-func (j *journal) writeSend(ctx context.Context, record Record) (Record, error) {
+// stampSend prepares the record of an order that is sent next.
+func (j *journal) stampSend(record Record) Record {
 	record.Duty = j.authority.Duty()
 	record.Fencing = j.authority.Fencing()
 	record.Writer = j.scribe.stamp()
 	record.Sender, record.SendEnded = record.Writer, false
-	return j.put(ctx, record)
+	return record
 }
 
 // state writes what a sender says of its own sending, over the very entry that
-// it journalled it by. That is a fact and no decision, so it needs no authority;
-// the swap fails where a successor has gone on.
-func (j *journal) state(ctx context.Context, record Record) error {
+// it was journalled by. That is a fact and no decision, so it needs no
+// authority; the swap fails where a successor has gone on. settled is set once
+// there is nothing more to state. While the entry still stands where the
+// sending was to be journalled, that write may yet take effect.
+func (j *journal) state(ctx context.Context, record Record) (settled bool) {
+	entry, err := j.scribe.read(ctx, keyOf(record.Duty, record.Target))
+	if err != nil {
+		return false
+	}
+	found, err := decode(entry)
+	if entry.Version == platform.NoVersion || err != nil {
+		return true
+	}
+	if found.Sender != record.Sender || found.Phase != PhaseSent {
+		return found.version > record.version
+	}
+	record.version = found.version
 	record.Writer = j.scribe.stamp()
 	plain := &journal{scribe: j.scribe, authority: statement{j.authority}}
-	_, err := plain.put(ctx, record)
-	return err
+	_, err = plain.put(ctx, record)
+	return err == nil || fault.KindOf(err) == fault.Conflict
 }
 
 // put swaps a stamped record in.
--- a/pkg/orders/scenarios_test.go
+++ b/pkg/orders/scenarios_test.go
@@ -102,6 +102,25 @@
 	})
 }
 
+// TestEngineCrashMidChange crashes engines while they change, and right after
+// an order was journalled as done.
+func TestEngineCrashMidChange(t *testing.T) {
+	for _, checking := range []int{0, 2} {
+		for _, after := range []time.Duration{0, tick, changeLength / 2, changeLength} {
+			scene(t, checking, func(w *world, _ *node) {
+				w.want(fleet.Prefill)
+				for w.effects() == 0 {
+					w.advance(tick)
+				}
+				w.advance(after)
+				w.engines["engine-0"].crash()
+				w.advance(time.Minute)
+				must.True(t, w.settled(fleet.Prefill))
+			})
+		}
+	}
+}
+
 // TestUncheckedTargetWaitsForItsSender pauses the holder for ever between its
 // last check and the sending to an engine that does not check.
 func TestUncheckedTargetWaitsForItsSender(t *testing.T) {
