--- a/pkg/devmode/standins.go
+++ b/pkg/devmode/standins.go
@@ -15,6 +15,7 @@
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/standin/engine"
+	"amaranthplank.example/amaranthplank/pkg/standin/faultstore"
 	"amaranthplank.example/amaranthplank/pkg/standin/hosts"
 	"amaranthplank.example/amaranthplank/pkg/standin/ledger"
 	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
@@ -41,13 +42,16 @@
 	hostLag = 2 * time.Second
 	// weightInterval is the time between weight loads.
 	weightInterval = time.Second
+	// storeWrites and storeReads bound the store's calls per second.
+	storeWrites = 500
+	storeReads  = 2000
 	// loopback is the address that every part listens on.
 	loopback = "127.0.0.1"
 )
 
 // standIns are the platform and the targets of a development run.
 type standIns struct {
-	store   *memstore.Store
+	store   *faultstore.Store
 	targets *targets.Orderer
 	usage   *usagesink.Sink
 	hosts   *hosts.List
@@ -59,11 +63,12 @@
 // startStandIns starts the targets and writes the first configuration.
 func startStandIns(ctx context.Context, group *errgroup.Group) (*standIns, error) {
 	s := &standIns{
-		store:   memstore.New(clock.Boot{}),
+		store:   faultstore.New(memstore.New(clock.Boot{})),
 		usage:   usagesink.New(),
 		weights: weights.New(weightInterval),
 		key:     newKey(),
 	}
+	s.setFaults(faultstore.Faults{})
 	text := documentText(config.DigestKey(s.key))
 	if _, err := config.Parse(text); err != nil {
 		return nil, err
@@ -79,10 +84,18 @@
 	return s, nil
 }
 
+// setFaults sets the store's failures beside its rates.
+func (s *standIns) setFaults(faults faultstore.Faults) {
+	faults.WritesPerSecond = storeWrites
+	faults.ReadsPerSecond = storeReads
+	s.store.Set(faults)
+}
+
 // servePlatform serves the platform over HTTP and returns its base URL.
 func (s *standIns) servePlatform(ctx context.Context, group *errgroup.Group, port int) (string, error) {
 	handler := platformserver.New(platformserver.Systems{
 		Store: s.store, Usage: s.usage, Targets: s.targets, Hosts: s.hosts, Weights: s.weights, Reports: s.usage.Reports,
+		SetFaults: s.setFaults, SetHosts: s.hosts.Set,
 	})
 	address, err := serve(ctx, group, port, handler)
 	return "http://" + address, err
--- a/pkg/platform/wire/messages.go
+++ b/pkg/platform/wire/messages.go
@@ -78,3 +78,13 @@
 type ReserveAnswer struct {
 	Wait time.Duration `json:"wait"`
 }
+
+// FaultsRequest sets the failures of the store's stand-in. Empty, it ends them.
+type FaultsRequest struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// Delay is added to every call.
+	Delay time.Duration `json:"delay"`
+	// SilentWatches makes watches wait without an end.
+	SilentWatches bool `json:"silentWatches"`
+}
--- a/pkg/platform/wire/paths.go
+++ b/pkg/platform/wire/paths.go
@@ -17,4 +17,8 @@
 	PathTargets   = "/targets/list"
 	PathHosts     = "/hosts/list"
 	PathReserve   = "/weights/reserve"
+	// PathSetHosts sets the host list of the stand-in.
+	PathSetHosts = "/hosts/set"
+	// PathFaults sets the failures of the store's stand-in.
+	PathFaults = "/store/faults"
 )
--- a/pkg/standin/platformserver/server.go
+++ b/pkg/standin/platformserver/server.go
@@ -10,6 +10,7 @@
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/platform/wire"
+	"amaranthplank.example/amaranthplank/pkg/standin/faultstore"
 )
 
 // New returns a handler that serves the platform's calls.
@@ -19,9 +20,6 @@
 	handle(mux, wire.PathReport, func(ctx context.Context, report platform.UsageReport) (wire.Empty, error) {
 		return wire.Empty{}, systems.Usage.Report(ctx, report)
 	})
-	handle(mux, wire.PathReports, func(context.Context, wire.Empty) (wire.ReportList, error) {
-		return wire.ReportList{Reports: systems.Reports()}, nil
-	})
 	handle(mux, wire.PathOrder, func(ctx context.Context, order platform.TargetOrder) (wire.Empty, error) {
 		return wire.Empty{}, systems.Targets.Order(ctx, order)
 	})
@@ -41,9 +39,25 @@
 		wait, err := systems.Weights.Reserve(ctx, message.Model)
 		return wire.ReserveAnswer{Wait: wait}, err
 	})
+	addControls(mux, systems)
 	return mux
 }
 
+// addControls serves the calls that shape the stand-ins and look at them.
+func addControls(mux *http.ServeMux, systems Systems) {
+	handle(mux, wire.PathReports, func(context.Context, wire.Empty) (wire.ReportList, error) {
+		return wire.ReportList{Reports: systems.Reports()}, nil
+	})
+	handle(mux, wire.PathSetHosts, func(_ context.Context, message wire.HostList) (wire.Empty, error) {
+		systems.SetHosts(message.Hosts)
+		return wire.Empty{}, nil
+	})
+	handle(mux, wire.PathFaults, func(_ context.Context, message wire.FaultsRequest) (wire.Empty, error) {
+		systems.SetFaults(faultstore.Faults{Down: message.Down, Delay: message.Delay, SilentWatches: message.SilentWatches})
+		return wire.Empty{}, nil
+	})
+}
+
 // addStore serves the store's calls.
 func addStore(mux *http.ServeMux, store platform.Store) {
 	handle(mux, wire.PathGet, func(ctx context.Context, message wire.KeyRequest) (platform.Entry, error) {
--- a/pkg/standin/platformserver/systems.go
+++ b/pkg/standin/platformserver/systems.go
@@ -2,6 +2,7 @@
 
 import (
 	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/standin/faultstore"
 )
 
 // Systems are what the server serves.
@@ -11,6 +12,10 @@
 	Targets platform.TargetOrderer
 	Hosts   platform.HostList
 	Weights platform.WeightStore
+	// SetHosts replaces the host list.
+	SetHosts func(records []platform.HostRecord)
+	// SetFaults sets the store's failures.
+	SetFaults func(faults faultstore.Faults)
 	// Reports returns the usage reports taken so far, for those who look at
 	// the stand-in.
 	Reports func() []platform.UsageReport
