--- /dev/null
+++ b/pkg/entry/build_test.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/request"
+)
+
+// FuzzReadModel sees that no body makes the reader fail otherwise than as
+// invalid, and that what it takes is bounded by the body.
+func FuzzReadModel(f *testing.F) {
+	f.Add([]byte(`{"model":"m","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"x"}]}`))
+	f.Add([]byte(`{"model":"m","prompt":["a",{"b":null}],"max_completion_tokens":-1}`))
+	f.Add([]byte(`{"messages":[{"content":[{"type":"image_url"}]},null]}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var req request.Request
+		if err := readModel(&req, body); err != nil {
+			must.Eq(t, fault.Invalid, fault.KindOf(err))
+			return
+		}
+		must.True(t, json.Valid(body))
+		must.LessEq(t, len(body)+1, req.PromptTokens)
+		must.GreaterEq(t, 0, req.MaxOutputTokens)
+	})
+}
+
+func TestPrefixHashesAgreeUpToTheFirstDifference(t *testing.T) {
+	long := make([]byte, 10_000)
+	for i := range long {
+		long[i] = 'a'
+	}
+	read := func(model, end string) []uint64 {
+		var req request.Request
+		must.NoError(t, readModel(&req, []byte(`{"model":"`+model+`","messages":[{"role":"system","content":"`+string(long)+end+`"}]}`)))
+		return req.Prefix
+	}
+	one, two, other := read("m", "x"), read("m", "y"), read("n", "x")
+	must.Positive(t, len(one))
+	must.Eq(t, one, two)
+	must.NotEq(t, one[0], other[0])
+}
+
+func TestCallersDeadlineIsBounded(t *testing.T) {
+	knobs := config.BuiltinKnobs().Retry
+	for text, want := range map[string]time.Duration{
+		"": knobs.Timeout.D(), "250": 250 * time.Millisecond, "2000000000": knobs.MaxTimeout.D(),
+	} {
+		got, err := timeoutOf(text, &knobs)
+		must.NoError(t, err)
+		must.Eq(t, want, got)
+	}
+	for _, text := range []string{"0", "-5", "1s", "9999999999999"} {
+		_, err := timeoutOf(text, &knobs)
+		must.Eq(t, fault.Invalid, fault.KindOf(err))
+	}
+}
--- a/pkg/entry/faults_test.go
+++ b/pkg/entry/faults_test.go
@@ -97,8 +97,9 @@
 		}), 1, 8).Draw(rt, "plans")
 		silenceAt := time.Duration(rapid.IntRange(0, 30).Draw(rt, "silence at")) * time.Millisecond
 		refuse := rapid.Bool().Draw(rt, "refuse")
+		hedge := time.Duration(rapid.IntRange(0, 20).Draw(rt, "hedge")) * time.Millisecond
 		var broken []string
-		synctest.Test(t, func(*testing.T) { broken = interleave(rig.Options{}, plans, silenceAt, refuse) })
+		synctest.Test(t, func(*testing.T) { broken = interleave(rig.Options{Hedge: hedge}, plans, silenceAt, refuse) })
 		must.SliceEmpty(rt, broken)
 	})
 }
--- a/pkg/entry/handler_test.go
+++ b/pkg/entry/handler_test.go
@@ -265,3 +265,21 @@
 		must.SliceEmpty(t, r.Faults["ledger-1"].Seen())
 	})
 }
+
+func TestLookupIsHedged(t *testing.T) {
+	inFakeTime(t, rig.Options{Ledgers: 2, Hedge: 10 * time.Millisecond}, func(t *testing.T, r *rig.Rig) {
+		r.Faults["ledger-1"].Script(faulttarget.Late)
+		began := time.Now()
+		got := send(r.Caller(), read.make("w"))
+		must.True(t, read.wholeAnswer(got, "w"), must.Sprint(got.String()))
+		must.Eq(t, 10*time.Millisecond, time.Since(began))
+		synctest.Wait()
+		must.Eq(t, 1, len(r.Usage.Records()))
+		r.Faults["ledger-1"].Script(faulttarget.Late)
+		must.Eq(t, "answered", send(r.Caller(), write.make("w")).outcome)
+		must.Eq(t, 0, r.Ledgers[1].Runs("w"), must.Sprint("a request that must run once was hedged"))
+		r.Faults["ledger-1"].Script(faulttarget.CloseAfter)
+		r.Faults["ledger-2"].Script(faulttarget.CloseAfter)
+		must.True(t, read.wholeAnswer(send(r.Caller(), read.make("v")), "v"))
+	})
+}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -17,6 +17,7 @@
 type attempt struct {
 	call    *call
 	id      ident.Attempt
+	target  ident.Target
 	address string
 	// phase only rises.
 	phase retry.Phase
@@ -32,12 +33,16 @@
 	// quiet counts the resumes since the last event.
 	quiet int
 	pause backoff.BackOff
+	// win reports whether the attempt is the one that may answer. It is nil
+	// where there is no other.
+	win func() bool
 }
 
 // newAttempt returns an attempt that has sent nothing.
 func newAttempt(c *call, state *fleet.TargetState) *attempt {
 	return &attempt{
-		call: c, id: ident.Attempt(uuid.NewString()), address: state.Record.Address, pause: newPause(),
+		call: c, id: ident.Attempt(uuid.NewString()), target: state.Record.Target,
+		address: state.Record.Address, pause: newPause(),
 	}
 }
 
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -46,6 +46,11 @@
 
 // do makes attempts until one is answered or none may follow.
 func (c *call) do(ctx context.Context) Result {
+	if c.hedgeable() {
+		if result, ended := c.hedge(ctx); ended {
+			return result
+		}
+	}
 	for {
 		state, err := c.choose()
 		if err != nil {
--- a/pkg/relay/failure.go
+++ b/pkg/relay/failure.go
@@ -37,6 +37,8 @@
 	errStreamGone = errors.New("the target does not hold the stream")
 	// errTooLarge says that an answer exceeds its bound.
 	errTooLarge = errors.New("the answer is too large")
+	// errLost says that a hedged request was answered by its other attempt.
+	errLost = errors.New("another attempt has answered")
 	// errSilence says that nothing came in time.
 	errSilence = errors.New("the stream brought nothing for too long")
 )
--- a/pkg/relay/whole.go
+++ b/pkg/relay/whole.go
@@ -42,13 +42,16 @@
 	}
 	got := &answer{status: response.StatusCode, header: response.Header, body: body.Bytes()}
 	w.patient()
-	if body.Len() > bufferBytes {
-		return a.large(ctx, got, response.Body)
-	}
-	if refuses(response.StatusCode) {
+	if refuses(response.StatusCode) && body.Len() <= bufferBytes {
 		a.refusal = got
 		return &exchangeError{failure: retry.Refused, cause: errRefused}
 	}
+	if a.win != nil && !a.win() {
+		return &exchangeError{failure: retry.CallerGone, cause: errLost}
+	}
+	if body.Len() > bufferBytes {
+		return a.large(ctx, got, response.Body)
+	}
 	a.readUsage(got)
 	if err := got.writeTo(a.call); err != nil {
 		return &exchangeError{failure: retry.CallerGone, cause: err}
--- a/pkg/retry/run.go
+++ b/pkg/retry/run.go
@@ -30,6 +30,16 @@
 	r.resumes = 0
 }
 
+// Hedge counts an attempt beside one that has not answered yet, or reports that
+// none is allowed. Only idempotent requests may be hedged.
+func (r *Run) Hedge(now time.Time) bool {
+	if !r.allowed.Idempotent || !r.mayRetry(now) {
+		return false
+	}
+	r.Begin()
+	return true
+}
+
 // Progress tells that the attempt has brought something new.
 func (r *Run) Progress() { r.resumes = 0 }
 
--- a/pkg/standin/rig/configuration.go
+++ b/pkg/standin/rig/configuration.go
@@ -40,7 +40,7 @@
 		keys = append(keys, fmt.Sprintf(`{"name": %q, "weight": 1, "keys": [{"name": "k", "digest": %q}]}`,
 			workspace, config.DigestKey(Key(workspace))))
 	}
-	document, err := config.Parse(fmt.Appendf(nil, documentText, c.opts.Timeout, c.opts.Silence, strings.Join(keys, ","), Model, Service))
+	document, err := config.Parse(fmt.Appendf(nil, documentText, c.opts.Timeout, c.opts.Silence, c.opts.Hedge, strings.Join(keys, ","), Model, Service))
 	if err != nil {
 		return err
 	}
@@ -57,7 +57,7 @@
 
 // documentText is the rig's configuration.
 const documentText = `{
-	"defaults": {"retry": {"timeout": %q, "silenceTimeout": %q, "budgetBurst": 100}},
+	"defaults": {"retry": {"timeout": %q, "silenceTimeout": %q, "budgetBurst": 100, "hedgeAfter": %q}},
 	"workspaces": [%s],
 	"models": [{"name": %q, "version": "1"}],
 	"services": [{"name": %q}],
--- a/pkg/standin/rig/options.go
+++ b/pkg/standin/rig/options.go
@@ -19,7 +19,9 @@
 	Late time.Duration
 	// Silence and Timeout are the knobs of the same names.
 	Silence, Timeout time.Duration
-	Admission        admission.Controller
+	// Hedge is the knob hedgeAfter; zero means never.
+	Hedge     time.Duration
+	Admission admission.Controller
 	// Store holds the claims of idempotency keys; nil goes without.
 	Store platform.Store
 	// Misdeclared declares every route idempotent, so that the checks can be
