--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-faster/errors"
 
-	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/peer"
 	"amaranthplank.example/amaranthplank/pkg/platform"
@@ -23,10 +22,9 @@
 // settings name, and reads their files. It fails with kind Invalid, naming the
 // setting.
 func FromSettings(s *settings.Settings, log *slog.Logger) (Options, error) {
-	knobs := config.BuiltinKnobs()
 	opts := Options{
 		Host: s.Host, FailureDomain: s.FailureDomain, Region: s.Region, Log: log.With("host", s.Host),
-		UsageWindow: knobs.Usage.Window.D(), UsageGrace: knobs.Usage.Grace.D(), PeerDegree: s.Peers.Degree,
+		PeerDegree:    s.Peers.Degree,
 		BalancerDelay: s.Shutdown.BalancerDelay.D(),
 	}
 	for _, seed := range s.Peers.Seeds {
