--- a/pkg/drain/server_test.go
+++ b/pkg/drain/server_test.go
@@ -47,13 +47,21 @@
 		}}}
 	}
 	b.server = New(Options{
-		Server: &http.Server{Handler: handler}, Listener: b.network.Listen("d:80"), Log: slog.New(slog.DiscardHandler),
+		Server: &http.Server{Handler: handler, Protocols: bothProtocols()}, Listener: b.network.Listen("d:80"), Log: slog.New(slog.DiscardHandler),
 		BalancerDelay: 5 * time.Second, AtStart: hook("start"), AtEnd: hook("end"),
 	})
 	go func() { b.ran <- b.server.Run(ctx) }()
 	return b
 }
 
+// bothProtocols returns HTTP/1.1 and HTTP/2 without TLS.
+func bothProtocols() *http.Protocols {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
 // get sends a request on an open connection.
 func get(c net.Conn, parts int) (int, *http.Response, error) {
 	request, _ := http.NewRequest(http.MethodGet, "http://d/"+strconv.Itoa(parts), nil)
@@ -69,47 +77,56 @@
 }
 
 func TestStopUnderLoadCutsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBed(t.Context())
-		client := &http.Client{Transport: &http.Transport{DialContext: b.network.Dial}}
-		var wait sync.WaitGroup
-		served := make([]int, 20)
-		for i := range served {
-			wait.Go(func() {
-				// The balancer looks away 3 s after readiness fails.
-				var until time.Time
-				for until.IsZero() || time.Now().Before(until) {
-					if b.server.Ready() != nil && until.IsZero() {
-						until = time.Now().Add(3 * time.Second)
-					}
-					response, err := client.Get("http://d:80/" + strconv.Itoa(1+i))
-					must.NoError(t, err)
-					body, err := io.ReadAll(response.Body)
-					must.NoError(t, err)
-					must.Eq(t, 4*(1+i), len(body))
-					served[i]++
-				}
-			})
-		}
-		long, err := b.network.Dial(t.Context(), "tcp", "d:80")
-		must.NoError(t, err)
+	for _, http2 := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) { stopUnderLoad(t, http2) })
+	}
+}
+
+// stopUnderLoad stops a bed while twenty callers keep it busy and a stream of a
+// minute runs.
+func stopUnderLoad(t *testing.T, http2 bool) {
+	b := newBed(t.Context())
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(!http2)
+	protocols.SetUnencryptedHTTP2(http2)
+	client := &http.Client{Transport: &http.Transport{DialContext: b.network.Dial, Protocols: protocols}}
+	var wait sync.WaitGroup
+	served := make([]int, 20)
+	for i := range served {
 		wait.Go(func() {
-			parts, _, err := get(long, 6000)
-			must.NoError(t, err)
-			must.Eq(t, 6000, parts)
+			// The balancer looks away 3 s after readiness fails.
+			var until time.Time
+			for until.IsZero() || time.Now().Before(until) {
+				if b.server.Ready() != nil && until.IsZero() {
+					until = time.Now().Add(3 * time.Second)
+				}
+				response, err := client.Get("http://d:80/" + strconv.Itoa(1+i))
+				must.NoError(t, err)
+				body, err := io.ReadAll(response.Body)
+				must.NoError(t, err)
+				must.Eq(t, 4*(1+i), len(body))
+				served[i]++
+			}
 		})
-		time.Sleep(time.Second)
-		b.server.Stop()
-		wait.Wait()
-		must.NoError(t, <-b.ran)
-		must.Eq(t, []string{"start", "end"}, b.hooks)
-		must.Eq(t, Status{Phase: Drained}, b.server.Status())
-		for i := range served {
-			must.Positive(t, served[i])
-		}
-		client.CloseIdleConnections()
-		must.NoError(t, long.Close())
+	}
+	long, err := b.network.Dial(t.Context(), "tcp", "d:80")
+	must.NoError(t, err)
+	wait.Go(func() {
+		parts, _, err := get(long, 6000)
+		must.NoError(t, err)
+		must.Eq(t, 6000, parts)
 	})
+	time.Sleep(time.Second)
+	b.server.Stop()
+	wait.Wait()
+	must.NoError(t, <-b.ran)
+	must.Eq(t, []string{"start", "end"}, b.hooks)
+	must.Eq(t, Status{Phase: Drained}, b.server.Status())
+	for i := range served {
+		must.Positive(t, served[i])
+	}
+	client.CloseIdleConnections()
+	must.NoError(t, long.Close())
 }
 
 // TestRequestOnIdleConnectionInTheInstant sends on a kept connection as the
