Try throttled claims again, and always say when to come back

A claim that the store refused for its rate was refused to the caller at once. It is tried again within the batch's 2 s now, and what comes meanwhile goes with the next batch.

Refusals that name no wait advise one second.

--- a/pkg/claims/registry_test.go
+++ b/pkg/claims/registry_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,6 +149,43 @@
 	})
 }
 
+// TestClaimsFitTheirShareOfTheStore has eight daemons claim and settle 40 keys a
+// second for 20 s against a store that takes 100 writes a second.
+func TestClaimsFitTheirShareOfTheStore(t *testing.T) {
+	const daemons, claims, writes = 8, 800, 100
+	synctest.Test(t, func(t *testing.T) {
+		store := faultstore.New(memstore.New(clock.NewRuntime()))
+		store.Set(faultstore.Faults{Delay: 5 * time.Millisecond, WritesPerSecond: writes})
+		ctx, cancel := context.WithCancel(t.Context())
+		var run, wait sync.WaitGroup
+		var refused atomic.Int64
+		registries := make([]*Registry, daemons)
+		for i := range registries {
+			registries[i] = New(Options{Store: store, Log: slog.New(slog.DiscardHandler)})
+			run.Go(func() { _ = registries[i].Run(ctx) })
+		}
+		for i := range claims {
+			wait.Go(func() {
+				hold, _, err := registries[i%daemons].Claim(Key{Text: fmt.Sprint(i)}, "f", time.Now().Add(time.Minute))
+				if err != nil {
+					refused.Add(1)
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+				hold.Answered(Answer{Status: 200})
+			})
+			time.Sleep(25 * time.Millisecond)
+		}
+		wait.Wait()
+		time.Sleep(5 * time.Second)
+		counts := store.Counts()["claims"]
+		t.Logf("refused %d of %d, %d writes, %d reads", refused.Load(), claims, counts.Writes, counts.Reads)
+		must.Eq(t, 0, refused.Load())
+		cancel()
+		run.Wait()
+	})
+}
+
 func TestClaimsAreForgottenOnlyAfterTheDeadline(t *testing.T) {
 	now := time.Unix(1000, 0)
 	first := operation{key: "k", kind: take, claim: Claim{ID: "1", Until: now.Add(time.Minute)}}
--- a/pkg/claims/shard.go
+++ b/pkg/claims/shard.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -17,6 +18,9 @@
 	writeTimeout = 2 * time.Second
 	// writeAttempts bounds the compare-and-swaps of one batch.
 	writeAttempts = 8
+	// throttledWait is the mean wait before a write that the store refused
+	// for its rate.
+	throttledWait = 100 * time.Millisecond
 	// owedRetry is the pause before operations that nobody waits for are
 	// tried again.
 	owedRetry = time.Second
@@ -190,16 +194,32 @@
 		if err == nil {
 			return results, false, nil
 		}
-		kind := fault.KindOf(err)
-		if kind == fault.Unavailable || kind == fault.Limited {
+		switch fault.KindOf(err) {
+		case fault.Unavailable:
 			return nil, sent, err
+		case fault.Limited:
+			s.backOff(ctx)
+		case fault.Conflict:
+			s.document = nil
+		default:
+			sent = true
+			s.document = nil
 		}
-		sent = sent || kind != fault.Conflict
-		s.document = nil
 	}
 	return nil, sent, err
 }
 
+// backOff waits before a write that the store refused for its rate. What comes
+// meanwhile goes with the next batch.
+func (s *shard) backOff(ctx context.Context) {
+	timer := time.NewTimer(throttledWait/2 + rand.N(throttledWait))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // read reads the shard's value.
 func (s *shard) read(ctx context.Context) error {
 	entry, err := s.store.Get(ctx, s.key)
--- a/pkg/entry/errorbody.go
+++ b/pkg/entry/errorbody.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -39,7 +40,7 @@
 		detail.Message = typed.Reason
 		detail.Remedy = typed.Remedy
 	}
-	if wait := fault.RetryAfterOf(err); wait > 0 {
+	if wait := waitOf(err, kind); wait > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -48,3 +49,20 @@
 	// A failed write means that the connection is gone, which needs no answer.
 	_ = json.NewEncoder(w).Encode(ErrorBody{Error: detail})
 }
+
+// waitOf returns how long the caller should wait before asking again. Zero
+// means that asking again is of no use.
+func waitOf(err error, kind fault.Kind) time.Duration {
+	if wait := fault.RetryAfterOf(err); wait > 0 {
+		return wait
+	}
+	switch kind {
+	case fault.Unavailable, fault.Limited, fault.Timeout:
+		return defaultWait
+	default:
+		return 0
+	}
+}
+
+// defaultWait is advised where an error names no wait.
+const defaultWait = time.Second
