Gate a request by the engine that it would be placed at

Cause: the gate looked at the least busy engine, then routing sent the request to the one that holds its prompt, where one workspace's flood had piled up. The wait told to callers counted other workspaces' whole queues.

--- a/pkg/admission/lane.go
+++ b/pkg/admission/lane.go
@@ -97,20 +97,22 @@
 	return l.outputShare[class] * float64(req.MaxOutputTokens)
 }
 
-// expectedWait returns how long a new request of a share would wait behind the
-// share's own at the lane's present rate.
+// expectedWait returns how long a new request of a share would wait at the
+// lane's present rate: for the share's own requests before it, and for those of
+// the others that are served until their counters reach the one that it starts
+// at.
 func (l *lane) expectedWait(s *share, class int) time.Duration {
-	ahead := s.ahead(class)
-	if ahead == 0 || l.rate <= 0 {
+	if l.rate <= 0 {
 		return 0
 	}
-	weights := s.weight
+	before := s.ahead(class)
+	start := s.counter + before/s.weight
 	for _, other := range l.order {
-		if other != s && other.length() > 0 {
-			weights += other.weight
+		if other != s {
+			before += min(other.ahead(class), max(0, start-other.counter)*other.weight)
 		}
 	}
-	return min(longWait, seconds(ahead/(l.rate*s.weight/weights)))
+	return min(longWait, seconds(before/l.rate))
 }
 
 // seconds makes a duration of a number of seconds.
--- a/pkg/admission/next.go
+++ b/pkg/admission/next.go
@@ -1,8 +1,19 @@
 package admission
 
-// next returns the request of a class that goes next, or nil.
+import (
+	"cmp"
+	"slices"
+)
+
+// lookAhead bounds the requests of a class that are tried in one look. More
+// than one is tried since those before may wait for engines that are busy
+// while others are not.
+const lookAhead = 16
+
+// next returns the request of a class that goes next, or nil where the targets
+// of those that come first are busy.
 func (q *Queue) next(line *lane, class int) *Entry {
-	var best *Entry
+	q.heads = q.heads[:0]
 	for _, part := range line.order {
 		if len(part.queued[class]) == 0 {
 			continue
@@ -11,19 +22,24 @@
 		if class != lookups && !part.limits.mayRun(q.opts.Knobs(e.Request), q.daemons) {
 			continue
 		}
-		if best == nil || q.before(e, best) {
-			best = e
+		q.heads = append(q.heads, e)
+	}
+	slices.SortStableFunc(q.heads, q.compare)
+	for _, e := range q.heads[:min(lookAhead, len(q.heads))] {
+		if q.open(e) {
+			return e
 		}
 	}
-	return best
+	return nil
 }
 
-// before reports whether a goes before b within a class.
-func (q *Queue) before(a, b *Entry) bool {
+// compare orders two requests of a class: the workspace that was served least
+// goes first.
+func (q *Queue) compare(a, b *Entry) int {
 	if q.opts.Off.Fair {
-		return a.at.Before(b.at)
+		return a.at.Compare(b.at)
 	}
-	return a.share.counter < b.share.counter
+	return cmp.Compare(a.share.counter, b.share.counter)
 }
 
 // open reports whether the targets can take the request without a long wait.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -28,6 +28,8 @@
 	lanes  map[laneKey]*lane
 	order  []*lane
 	limits map[ident.Workspace]*limits
+	// heads is reused by each look for the next request.
+	heads []*Entry
 	// chargedAt is when the use elsewhere was last looked at.
 	chargedAt time.Time
 	// daemons counts the fleet's daemons, this one included.
@@ -56,16 +58,16 @@
 	part := line.share(req.Workspace, bounds)
 	e := &Entry{Request: req, lane: line, share: part, class: q.class(req), at: now, cost: costOf(req, knobs)}
 	e.run = q.opts.Gate.Run(req, line.expectedOutput(req, e.class))
+	if part.length() == 0 {
+		part.weight = max(leastWeight, q.opts.Weight(req.Workspace))
+		line.wake(part)
+	}
 	if err := q.check(e, knobs, now); err != nil {
 		return nil, err
 	}
 	if err := bounds.take(req, knobs, q.daemons); err != nil {
 		return nil, err
 	}
-	if part.length() == 0 {
-		part.weight = max(leastWeight, q.opts.Weight(req.Workspace))
-		line.wake(part)
-	}
 	part.push(e)
 	return e, nil
 }
@@ -120,9 +122,6 @@
 		if e == nil {
 			continue
 		}
-		if !q.open(e) {
-			return run
-		}
 		e.share.remove(e)
 		e.state = admitted
 		e.share.limits.running++
--- a/pkg/config/knobs_admission.go
+++ b/pkg/config/knobs_admission.go
@@ -17,7 +17,7 @@
 	// LookupWait is the expected wait at the targets above which lookups stay
 	// in the daemon's queue; likewise for the other classes.
 	LookupWait      Duration `json:"lookupWait" default:"1s" unit:"duration" min:"0s" max:"1m"`
-	InteractiveWait Duration `json:"interactiveWait" default:"500ms" unit:"duration" min:"0s" max:"1m"`
+	InteractiveWait Duration `json:"interactiveWait" default:"2s" unit:"duration" min:"0s" max:"1m"`
 	DeferrableWait  Duration `json:"deferrableWait" default:"50ms" unit:"duration" min:"0s" max:"1m"`
 	// DeferrableShare is the share of the engines' slots above which
 	// deferrable requests stay in the daemon's queue.
--- a/pkg/config/knobs_routing.go
+++ b/pkg/config/knobs_routing.go
@@ -15,6 +15,9 @@
 	// waiting, since it delays the requests behind it and drives other prompts out of
 	// the memory.
 	PrefillWeight float64 `json:"prefillWeight" default:"12" unit:"ratio" min:"0" max:"100"`
+	// UnseenAge is the age of a report at which the other daemons' sends since
+	// are fully reckoned, as many for each as this daemon's own.
+	UnseenAge Duration `json:"unseenAge" default:"5s" unit:"duration" min:"1ms" max:"1h"`
 	// AffinityBlocks is how many blocks of the prompt name its home engines.
 	AffinityBlocks int64 `json:"affinityBlocks" default:"4" unit:"blocks" min:"1" max:"64"`
 	// AffinityCredit is the share of a prompt that a home engine is taken to
--- a/pkg/config/knobs_supply.go
+++ b/pkg/config/knobs_supply.go
@@ -7,16 +7,16 @@
 	// MaxTargets is the greatest count of targets of a model.
 	MaxTargets int64 `json:"maxTargets" default:"64" unit:"targets" min:"0" max:"10000"`
 	// Headroom is the capacity that is held for each unit of demand.
-	Headroom float64 `json:"headroom" default:"1.2" unit:"ratio" min:"1" max:"10"`
+	Headroom float64 `json:"headroom" default:"1.35" unit:"ratio" min:"1" max:"10"`
 	// DependableShare is the least share of the interactive need that
 	// dependable targets carry.
 	DependableShare float64 `json:"dependableShare" default:"0.5" unit:"ratio" min:"0" max:"1"`
 	// ReclaimablePrice is what a reclaimable target costs beside a dependable one.
 	ReclaimablePrice float64 `json:"reclaimablePrice" default:"0.35" unit:"ratio" min:"0" max:"1"`
 	// Smoothing is the time constant of the demand's mean.
-	Smoothing Duration `json:"smoothing" default:"60s" unit:"duration" min:"1s" max:"24h"`
+	Smoothing Duration `json:"smoothing" default:"20s" unit:"duration" min:"1s" max:"24h"`
 	// ShrinkDelay is how long a lower need must last before targets are returned.
-	ShrinkDelay Duration `json:"shrinkDelay" default:"3m" unit:"duration" min:"0s" max:"24h"`
+	ShrinkDelay Duration `json:"shrinkDelay" default:"5m" unit:"duration" min:"0s" max:"24h"`
 	// MissingAfter is how long an ordered reclaimable target may stay away
 	// before a dependable one is ordered in its place.
 	MissingAfter Duration `json:"missingAfter" default:"2m" unit:"duration" min:"1s" max:"24h"`
--- a/pkg/roles/ask.go
+++ b/pkg/roles/ask.go
@@ -1,7 +1,7 @@
 package roles
 
 import (
-	"math"
+	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/demand"
@@ -26,7 +26,6 @@
 // margin, and gets one where the work would fill it whole.
 func ask(engines []*fleet.TargetState, d demand.Demand, knobs *config.RoleKnobs) move {
 	have := countsOf(engines)
-	margin := margin(knobs)
 	if float64(have.Prefill) > d.Prefill/prefillGain+margin {
 		return moves[0]
 	}
@@ -44,14 +43,16 @@
 	return none
 }
 
-// margin is the work, in engines, that a change must be worth: the engine
-// seconds that it takes away, spread over the horizon.
-func margin(knobs *config.RoleKnobs) float64 {
-	horizon := knobs.Horizon.D().Seconds()
-	if horizon <= 0 {
-		return math.Inf(1)
-	}
-	return 0.25 + knobs.ChangeSeconds/horizon
+// margin is the work, in engines, by which a role must be off before a change
+// is asked for.
+const margin = 0.25
+
+// dwell is how long the demand must ask for a change: what the engine loses
+// while it drains and changes is repaid in that time, and a need that has
+// lasted so long is taken to last as long again.
+func dwell(knobs *config.RoleKnobs) time.Duration {
+	lost := knobs.ChangeSeconds + knobs.DrainSeconds
+	return time.Duration(lost / knobs.Gain * float64(time.Second))
 }
 
 // countsOf counts the engines with one role.
--- a/pkg/roles/planner.go
+++ b/pkg/roles/planner.go
@@ -129,7 +129,7 @@
 		s.since[asked.to] = now
 		return
 	}
-	if now.Sub(since) < knobs.Dwell.D() {
+	if now.Sub(since) < dwell(knobs) {
 		return
 	}
 	chosen := s.choose(engines, asked.from, knobs, now)
--- a/pkg/routing/estimate.go
+++ b/pkg/routing/estimate.go
@@ -35,7 +35,11 @@
 
 // estimateOf reckons an engine's state at now from its last report and the
 // daemon's own sends since.
-func estimateOf(state *fleet.TargetState, own *ledger, knobs *config.RoutingKnobs, now time.Time) estimate {
+//
+// The sends of the other daemons since the report can't be seen. They are
+// reckoned at a number for each send of this daemon's own that rises with the
+// report's age: with a fresh report it would be noise.
+func estimateOf(state *fleet.TargetState, own *ledger, daemons int, knobs *config.RoutingKnobs, now time.Time) estimate {
 	load := &state.Load
 	e := estimate{prefillRate: load.PrefillRate, decodeRate: load.DecodeRate, slots: float64(load.Slots)}
 	if load.Sequence == 0 || e.prefillRate <= 0 || e.decodeRate <= 0 || e.slots <= 0 {
@@ -45,8 +49,11 @@
 		e.occupied = float64(own.outstanding)
 		return e
 	}
-	e.occupied = max(0, float64(load.Running+load.Queued+len(own.sends)-own.ended))
-	e.backlog = own.backlog(float64(load.PrefillTokens), e.effectivePrefill(float64(load.Running)), takenAt(state), now)
+	at := takenAt(state)
+	known := min(1, max(0, now.Sub(at).Seconds()/knobs.UnseenAge.D().Seconds()))
+	factor := 1 + float64(daemons-1)*known
+	e.occupied = max(0, float64(load.Running+load.Queued)+factor*float64(len(own.sends)-own.ended))
+	e.backlog = own.backlog(float64(load.PrefillTokens), e.effectivePrefill(float64(load.Running)), 1, at, now)
 	return e
 }
 
--- a/pkg/routing/ledger.go
+++ b/pkg/routing/ledger.go
@@ -68,12 +68,13 @@
 }
 
 // backlog returns the prompt tokens left at now, from those reported at a time
-// and those sent since, computed at rate tokens per second.
-func (l *ledger) backlog(reported, rate float64, at, now time.Time) float64 {
+// and those sent since, computed at rate tokens per second. Each send counts
+// factor times.
+func (l *ledger) backlog(reported, rate, factor float64, at, now time.Time) float64 {
 	left := reported
 	for i := range l.sends {
 		s := &l.sends[i]
-		left = max(0, left-rate*s.at.Sub(at).Seconds()) + s.prefill
+		left = max(0, left-rate*s.at.Sub(at).Seconds()) + factor*s.prefill
 		at = s.at
 	}
 	return max(0, left-rate*max(0, now.Sub(at).Seconds()))
--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -17,6 +17,8 @@
 	// Knobs returns the values in force; it is asked at each decision.
 	Knobs func() *config.RoutingKnobs
 	Now   func() time.Time
+	// Daemons returns how many daemons serve, this one included.
+	Daemons func() int
 	// Random draws among near equals; the router locks it.
 	Random *rand.Rand
 	// Off switches parts off; it is for measures alone.
@@ -31,6 +33,8 @@
 	Index bool
 	// OwnSends leaves the reports uncorrected.
 	OwnSends bool
+	// Unseen leaves out the sends of other daemons since the last report.
+	Unseen bool
 	// Random always takes the first of near equals.
 	Random bool
 	// Apart keeps prefill and decode on one engine.
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -21,6 +21,12 @@
 	// prefill is the cost of the prompt there, decode that of the answer.
 	prefill float64
 	decode  float64
+	// wait is the time before the prompt is looked at, slotWait that before
+	// the answer gets its slot.
+	wait     float64
+	slotWait float64
+	slots    float64
+	occupied float64
 	// uncached is the expected count of prompt tokens to compute.
 	uncached float64
 }
@@ -37,15 +43,21 @@
 		if !takesNew(state, knobs, now) || slices.Contains(exclude, state.Record.Target) {
 			continue
 		}
-		e := estimateOf(state, r.own(i), knobs, now)
-		s := score{target: i, role: state.Load.Role, uncached: r.uncached(i, i == home, known, req, knobs)}
-		wait, own := e.prefill(s.uncached)
+		e := estimateOf(state, r.own(i), r.daemons(), knobs, now)
+		s := score{
+			target: i, role: state.Load.Role, slots: e.slots, occupied: e.occupied,
+			uncached: r.uncached(i, i == home, known, req, knobs),
+		}
+		var own float64
+		s.wait, own = e.prefill(s.uncached)
+		s.prefill = own*knobs.PrefillWeight + r.penalty(state, req, knobs)
+		s.slotWait, s.decode = e.decode(float64(req.MaxOutputTokens))
 		if req.Class == ident.ClassLookup {
-			wait *= lookupBacklogShare
+			s.wait *= lookupBacklogShare
+			s.slotWait *= lookupBacklogShare
 		}
-		s.prefill = wait + own*knobs.PrefillWeight + r.penalty(state, req, knobs)
-		wait, own = e.decode(float64(req.MaxOutputTokens))
-		s.decode = wait + own
+		s.prefill += s.wait
+		s.decode += s.slotWait
 		r.scores = append(r.scores, s)
 	}
 }
