--- a/pkg/config/knobs_routing.go
+++ b/pkg/config/knobs_routing.go
@@ -18,6 +18,9 @@
 	// UnseenAge is the age of a report at which the other daemons' sends since
 	// are fully reckoned, as many for each as this daemon's own.
 	UnseenAge Duration `json:"unseenAge" default:"5s" unit:"duration" min:"1ms" max:"1h"`
+	// CrowdWeight is how much of an answer's own time a full batch counts for,
+	// so that engines fill evenly before any runs out of slots.
+	CrowdWeight float64 `json:"crowdWeight" default:"0.25" unit:"ratio" min:"0" max:"10"`
 	// AffinityBlocks is how many blocks of the prompt name its home engines.
 	AffinityBlocks int64 `json:"affinityBlocks" default:"4" unit:"blocks" min:"1" max:"64"`
 	// AffinityCredit is the share of a prompt that a home engine is taken to
--- a/pkg/routing/estimate.go
+++ b/pkg/routing/estimate.go
@@ -89,6 +89,12 @@
 	return wait, own * (1 + decodeInterference*busy)
 }
 
+// crowd is the square of the share of the slots that are taken, at most one.
+func (e *estimate) crowd() float64 {
+	fill := min(1, e.occupied/e.slots)
+	return fill * fill
+}
+
 // takesNew reports whether new work may go to a target.
 func takesNew(state *fleet.TargetState, knobs *config.RoutingKnobs, now time.Time) bool {
 	if state.Draining || state.Record.Leaving {
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -52,6 +52,7 @@
 		s.wait, own = e.prefill(s.uncached)
 		s.prefill = own*knobs.PrefillWeight + r.penalty(state, req, knobs)
 		s.slotWait, s.decode = e.decode(float64(req.MaxOutputTokens))
+		s.decode *= 1 + knobs.CrowdWeight*e.crowd()
 		if req.Class == ident.ClassLookup {
 			s.wait *= lookupBacklogShare
 			s.slotWait *= lookupBacklogShare
