Run the dissemination over links, and count consumption exactly

Cause: the node had no adapter, and totals of consumption no owner. Change: a manager that ticks the node, feeds the membership with signs of life that came through others, and renews its origin with the membership's incarnation; a ledger of cumulative sums by life.

--- a/pkg/dissemination/fleet_test.go
+++ b/pkg/dissemination/fleet_test.go
@@ -46,6 +46,8 @@
 	seen map[bool]map[ident.Host]bool
 	// later holds what is found out at a later time.
 	later []finding
+	// quiet stops further consumption.
+	quiet bool
 	born  map[birth]time.Time
 	delay *hdrhistogram.Histogram
 }
@@ -56,7 +58,9 @@
 	down      bool
 	startedAt time.Time
 	sent, got int
-	consumed  map[string]uint64
+	ledger    *Ledger
+	// total is what the process has consumed of each workspace.
+	total map[ident.Workspace]uint64
 }
 
 type flight struct {
@@ -91,6 +95,9 @@
 		f.nodes = append(f.nodes, new(fleetNode))
 		f.start(i, 1)
 	}
+	for i := range f.nodes {
+		f.refresh(i)
+	}
 	return f
 }
 
@@ -99,7 +106,7 @@
 // start gives a host a fresh process.
 func (f *fleet) start(i int, incarnation ident.Incarnation) {
 	n := f.nodes[i]
-	*n = fleetNode{life: Life{f.ring[i], incarnation}, startedAt: f.now, sent: n.sent, got: n.got, consumed: make(map[string]uint64)}
+	*n = fleetNode{life: Life{f.ring[i], incarnation}, startedAt: f.now, sent: n.sent, got: n.got, ledger: NewLedger(Life{f.ring[i], incarnation}), total: make(map[ident.Workspace]uint64)}
 	n.Node = NewNode(n.life, f.strategy, f.timing(), f.random)
 	// Daemons don't start in step.
 	n.bundledAt = f.now.Add(-time.Duration(f.random.Int64N(int64(f.timing().BundleEvery))))
@@ -109,7 +116,11 @@
 
 // refresh gives a node what its side takes for up.
 func (f *fleet) refresh(i int) {
-	peers := &Peers{Ring: f.ring, Up: f.seen[f.side[i]], self: i, beside: make(map[int][]ident.Host)}
+	up := make(map[ident.Host]bool, len(f.ring))
+	for host, is := range f.seen[f.side[i]] {
+		up[host] = is
+	}
+	peers := &Peers{Ring: f.ring, Up: up, self: i, beside: make(map[int][]ident.Host)}
 	f.nodes[i].SetPeers(peers, f.timing())
 }
 
@@ -209,10 +220,16 @@
 			n.Publish(Key{SectionLoad, fmt.Sprintf("engine-%s-%d", n.life.Host, i)}, value, false)
 		}
 	}
-	for range max(2, 64/len(f.ring)) {
+	for range max(minSums, sumsPerFleet/len(f.ring)) {
 		name := fmt.Sprintf("workspace-%d", f.random.IntN(min(310, len(f.ring))))
-		n.consumed[name] += uint64(f.random.IntN(5000))
-		n.Publish(Key{SectionConsumption, name}, binary.AppendUvarint(nil, n.consumed[name]), false)
+		if !f.quiet {
+			amount := uint64(f.random.IntN(5000))
+			n.total[ident.Workspace(name)] += amount
+			n.ledger.Add(ident.Workspace(name), amount)
+		}
+	}
+	for _, sum := range n.ledger.Pick(max(minSums, sumsPerFleet/len(f.ring))) {
+		n.Publish(Key{SectionConsumption, string(sum.Workspace)}, binary.AppendUvarint(nil, sum.Sum), false)
 	}
 }
 
@@ -255,12 +272,7 @@
 	}
 }
 
-func (n *fleetNode) whole(id OriginID) Version {
-	if o := n.origins[id]; o != nil {
-		return o.whole
-	}
-	return 0
-}
+func (n *fleetNode) whole(id OriginID) Version { return n.wholeOf(id) }
 
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
--- a/pkg/dissemination/lane.go
+++ b/pkg/dissemination/lane.go
@@ -12,6 +12,9 @@
 	// got is the number of the last frame received, missed what was jumped.
 	got    uint32
 	missed []uint32
+	// asked is what the last frame asked for, which the next asks for again
+	// in case that frame is lost.
+	asked  []uint32
 	usedAt time.Time
 }
 
@@ -27,8 +30,8 @@
 	l.sent++
 	l.usedAt = now
 	l.recent[l.sent%recentFrames] = frame.Bundles
-	frame.Sequence, frame.Missed = l.sent, l.missed
-	l.missed = nil
+	frame.Sequence, frame.Missed = l.sent, append(l.asked, l.missed...)
+	l.asked, l.missed = l.missed, nil
 }
 
 // open notes a frame's number and returns what is to be sent again.
@@ -40,8 +43,9 @@
 			l.missed = append(l.missed, number)
 		}
 	}
-	// A late frame doesn't take the count back; a restarted neighbour does.
-	if jump < 1<<31 || frame.Sequence == 1 {
+	// A late frame doesn't take the count back; a restarted neighbour, which
+	// counts from one again, does.
+	if jump < 1<<31 || l.got-frame.Sequence > recentFrames {
 		l.got = frame.Sequence
 	}
 	var again []Bundle
--- /dev/null
+++ b/pkg/dissemination/loop.go
@@ -0,0 +1,169 @@
+package dissemination
+
+import (
+	"encoding/binary"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/membership"
+	"amaranthplank.example/amaranthplank/pkg/peer"
+)
+
+// Revisions is the value of the revisions' item.
+type Revisions struct {
+	Revision ident.Revision
+	Holds    ident.Revision
+}
+
+// receive takes a frame in and sends the answer.
+func (m *Manager) receive(now time.Time, r received) {
+	m.mu.Lock()
+	answer, due := m.node.Receive(now, r.from, r.frame)
+	m.takeConsumption(r.frame)
+	m.mu.Unlock()
+	if due {
+		m.send(Envelope{To: r.from, Frame: answer})
+	}
+}
+
+// tick advances the node and sends what it has to say.
+func (m *Manager) tick(now time.Time) {
+	members := m.opts.Members.Members()
+	m.mu.Lock()
+	m.renew(now)
+	m.takePeers(members)
+	var revisions Revisions
+	revisions.Revision, revisions.Holds = m.opts.Loaded()
+	// Two numbers always encode.
+	data, _ := peer.EncodeCompact(revisions)
+	m.publish(Key{Section: SectionRevisions}, data, true)
+	if m.node.Due(now) {
+		m.publishConsumption(len(members) + 1)
+	}
+	out := m.node.Tick(now)
+	beats := m.beats(now)
+	m.metrics.origins.Set(float64(len(m.node.origins)))
+	m.metrics.gaps.Set(float64(m.node.Gaps()))
+	m.mu.Unlock()
+	for _, envelope := range out {
+		m.send(envelope)
+	}
+	if len(beats) > 0 {
+		m.opts.Members.Heard(beats)
+	}
+}
+
+// renew goes on under the membership's newest incarnation.
+func (m *Manager) renew(now time.Time) {
+	self := m.opts.Members.Self()
+	life := Life{self.Host, self.Incarnation}
+	if life == m.life {
+		return
+	}
+	m.life = life
+	m.node.Renew(now, life)
+	m.ledger.Renew(life)
+	for key, value := range m.last {
+		if key.Section == SectionConsumption {
+			delete(m.last, key)
+			continue
+		}
+		m.node.Publish(key, value, false)
+	}
+}
+
+// takePeers tells the node which hosts there are and which are up.
+func (m *Manager) takePeers(members []membership.Member) {
+	linked := make(map[ident.Host]bool)
+	for _, host := range m.opts.Links.Linked() {
+		linked[host] = true
+	}
+	up := map[ident.Host]bool{m.life.Host: true}
+	hosts := make([]ident.Host, 0, len(members))
+	for i := range members {
+		if members[i].Status == membership.Left {
+			continue
+		}
+		hosts = append(hosts, members[i].Host)
+		up[members[i].Host] = linked[members[i].Host] || members[i].Status == membership.Alive
+	}
+	strategy := StrategyFor(len(hosts)+1, m.opts.Degree)
+	if _, flat := strategy.(Flat); flat {
+		for _, host := range hosts {
+			up[host] = linked[host]
+		}
+	}
+	m.node.strategy = strategy
+	m.node.SetPeers(NewPeers(m.life.Host, hosts, up), TimingFor(len(hosts)+1))
+	for host := range linked {
+		if !m.linked[host] {
+			m.node.Greet(host)
+		}
+	}
+	m.linked = linked
+}
+
+// publishConsumption stages the sums that changed the most.
+func (m *Manager) publishConsumption(hosts int) {
+	for _, sum := range m.ledger.Pick(max(minSums, sumsPerFleet/hosts)) {
+		key := Key{SectionConsumption, string(sum.Workspace)}
+		m.publish(key, binary.AppendUvarint(nil, sum.Sum), false)
+	}
+}
+
+// takeConsumption hands the sums of the origins that a frame touched to the
+// ledger.
+func (m *Manager) takeConsumption(frame *Frame) {
+	touched := make(map[OriginID]bool)
+	for i := range frame.Bundles {
+		touched[frame.Bundles[i].Origin] = len(frame.Bundles[i].Items) > 0
+	}
+	for i := range frame.Repairs {
+		touched[frame.Repairs[i].Origin] = true
+	}
+	for id, changed := range touched {
+		o := m.node.origins[id]
+		if o == nil || !o.known || !changed {
+			continue
+		}
+		for _, h := range o.items {
+			if h.key.Section != SectionConsumption {
+				continue
+			}
+			if sum, n := binary.Uvarint(h.value); n > 0 {
+				m.ledger.Take(o.life, Sum{ident.Workspace(h.key.Name), sum})
+			}
+		}
+	}
+}
+
+// beats returns a sign of life of each origin that was heard since the last
+// tick.
+func (m *Manager) beats(now time.Time) []membership.Beat {
+	var beats []membership.Beat
+	for id, o := range m.node.origins {
+		if !o.known || id == m.node.self || now.Sub(o.heardAt) > TickEvery {
+			continue
+		}
+		beat := membership.Beat{Host: o.life.Host, Incarnation: o.life.Incarnation}
+		for _, h := range o.items {
+			var revisions Revisions
+			if h.key.Section == SectionRevisions && peer.Decode(h.value, &revisions) == nil {
+				beat.Revision, beat.HoldsRevision = revisions.Revision, revisions.Holds
+			}
+		}
+		beats = append(beats, beat)
+	}
+	return beats
+}
+
+// send queues a frame for a peer.
+func (m *Manager) send(envelope Envelope) {
+	payload, err := peer.EncodeCompact(envelope.Frame)
+	if err != nil {
+		m.opts.Log.Error("state message not sent", "error", err)
+		return
+	}
+	// A peer without a link is compared with once it has one.
+	_ = m.opts.Links.Send(envelope.To, peer.Message{Kind: peer.KindState, Version: peer.KnownVersion, Payload: payload})
+}
--- /dev/null
+++ b/pkg/dissemination/manager.go
@@ -0,0 +1,156 @@
+package dissemination
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/membership"
+	"amaranthplank.example/amaranthplank/pkg/peer"
+)
+
+// Manager runs the dissemination over links.
+type Manager struct {
+	opts    Options
+	metrics *metrics
+	inbox   chan received
+
+	mu     sync.Mutex
+	node   *Node
+	ledger *Ledger
+	life   Life
+	// last holds the newest value of each item, so that an unchanged one is
+	// not published again, and a new life can publish all.
+	last map[Key][]byte
+	// linked holds the hosts that had a link at the last tick.
+	linked map[ident.Host]bool
+}
+
+// received is a frame with its sender.
+type received struct {
+	from  ident.Host
+	frame *Frame
+}
+
+// New returns a manager that holds nothing.
+func New(opts Options) *Manager {
+	opts.fill()
+	self := opts.Members.Self()
+	life := Life{self.Host, self.Incarnation}
+	m := &Manager{
+		opts: opts, metrics: newMetrics(opts.Registerer), inbox: make(chan received, inboxLimit),
+		node: NewNode(life, Flat{}, TimingFor(1), opts.Random), ledger: NewLedger(life), life: life,
+		last: make(map[Key][]byte), linked: make(map[ident.Host]bool),
+	}
+	opts.Links.Handle(peer.KindState, m.handle)
+	return m
+}
+
+// handle takes a message from a peer.
+func (m *Manager) handle(from ident.Host, message peer.Message) {
+	frame := new(Frame)
+	if err := peer.Decode(message.Payload, frame); err != nil {
+		m.opts.Log.Warn("state message skipped", "peer", from, "error", err)
+		return
+	}
+	select {
+	case m.inbox <- received{from, frame}:
+	default:
+		m.metrics.dropped.Inc()
+	}
+}
+
+// Publish sets an item of this daemon's. An urgent change goes out at once.
+func (m *Manager) Publish(key Key, value any, urgent bool) error {
+	data, err := peer.EncodeCompact(value)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.publish(key, data, urgent)
+	return nil
+}
+
+// Withdraw removes an item of this daemon's.
+func (m *Manager) Withdraw(key Key) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.last[key]; ok {
+		m.node.Publish(key, nil, false)
+		delete(m.last, key)
+	}
+}
+
+// publish hands a changed value to the node.
+func (m *Manager) publish(key Key, data []byte, urgent bool) {
+	old, ok := m.last[key]
+	if ok && bytes.Equal(old, data) {
+		return
+	}
+	m.last[key] = data
+	m.node.Publish(key, data, urgent)
+}
+
+// Found is an item as a daemon holds it.
+type Found struct {
+	Life Life
+	Name string
+	// Value is CBOR; peer.Decode reads it.
+	Value []byte
+	// At is when the value came, HeardAt when its daemon was last heard.
+	At      time.Time
+	HeardAt time.Time
+	// Own says that this daemon has published it.
+	Own bool
+}
+
+// Items returns every item of a section, of all lives that are not over.
+func (m *Manager) Items(section Section) []Found {
+	over := make(map[Life]bool)
+	for _, member := range m.opts.Members.Members() {
+		over[Life{member.Host, member.Incarnation}] = member.Status == membership.Dead || member.Status == membership.Left
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var found []Found
+	m.node.Each(section, func(life Life, name string, value []byte, at, heardAt time.Time) {
+		if !over[life] {
+			found = append(found, Found{life, name, value, at, heardAt, life == m.life})
+		}
+	})
+	return found
+}
+
+// Consume counts consumption of a workspace on this daemon.
+func (m *Manager) Consume(workspace ident.Workspace, amount uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ledger.Add(workspace, amount)
+}
+
+// Elsewhere returns what a workspace has consumed on other daemons since this
+// one started or before, as far as it is known here. It never falls.
+func (m *Manager) Elsewhere(workspace ident.Workspace) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ledger.Elsewhere(workspace)
+}
+
+// Run spreads state until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	ticker := time.NewTicker(TickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-m.inbox:
+			m.receive(time.Now(), r)
+		case now := <-ticker.C:
+			m.tick(now)
+		}
+	}
+}
--- a/pkg/dissemination/measure_test.go
+++ b/pkg/dissemination/measure_test.go
@@ -103,7 +103,7 @@
 	}
 	n := f.nodes[i]
 	n.Publish(Key{Section: SectionRevisions}, []byte{byte(revision >> 8), byte(revision)}, true)
-	began, version := f.now, n.version+1
+	began, origin, version := f.now, n.self, n.version+1
 	var worst time.Duration
 	missing := make(map[int]bool)
 	for j := range f.nodes {
@@ -116,7 +116,7 @@
 			if f.side[j] != f.side[i] {
 				delete(missing, j)
 			}
-			if !m.down && m.whole(n.self) >= version {
+			if !m.down && m.knows(origin, version) {
 				since := began
 				if m.startedAt.After(began) {
 					since = m.startedAt
@@ -133,3 +133,17 @@
 	}
 	return worst
 }
+
+// knows reports whether a change has come, whatever else is missing.
+func (n *fleetNode) knows(id OriginID, version Version) bool {
+	o := n.origins[id]
+	if o == nil {
+		return false
+	}
+	for _, h := range o.items {
+		if h.key.Section == SectionRevisions {
+			return h.version >= version
+		}
+	}
+	return false
+}
--- a/pkg/dissemination/node.go
+++ b/pkg/dissemination/node.go
@@ -34,8 +34,12 @@
 	// bundles that a neighbour has missed.
 	lanes map[ident.Host]*lane
 	again map[ident.Host][]Bundle
-	// passing are urgent items that came by repair and are sent on.
-	passing []Repair
+	// passing are repairs that are sent on to those who may miss the same.
+	passing []passed
+	// caughtUp is set once another daemon's whole state has come.
+	caughtUp  bool
+	tries     int
+	forwardAt time.Time
 	// greets are the hosts that came up since the last tick.
 	greets []ident.Host
 	gaps   int
@@ -47,6 +51,13 @@
 	from   ident.Host
 }
 
+// passed is a repair with the host that it came from.
+type passed struct {
+	repair Repair
+	urgent bool
+	from   ident.Host
+}
+
 // NewNode returns a node that holds nothing.
 func NewNode(life Life, strategy Strategy, timing Timing, random *rand.Rand) *Node {
 	n := &Node{
@@ -54,13 +65,19 @@
 		lanes: make(map[ident.Host]*lane), again: make(map[ident.Host][]Bundle),
 		peers: NewPeers(life.Host, nil, map[ident.Host]bool{life.Host: true}),
 	}
-	n.Renew(life)
+	n.begin(life)
 	return n
 }
 
 // Renew starts a new origin for the daemon's new incarnation. What the old one
-// has published stays as that origin's.
-func (n *Node) Renew(life Life) {
+// has published stays as that origin's, the last of it in a bundle made now.
+func (n *Node) Renew(now time.Time, life Life) {
+	n.bundle(now)
+	n.begin(life)
+}
+
+// begin starts an origin.
+func (n *Node) begin(life Life) {
 	n.self, n.version = life.ID(), 0
 	n.ids = map[Key]ItemID{{Section: SectionLife}: lifeItem}
 	n.staged = make(map[Key][]byte)
@@ -70,7 +87,9 @@
 }
 
 // SetPeers replaces what is known of the fleet.
-func (n *Node) SetPeers(peers *Peers, timing Timing) { n.peers, n.timing = peers, timing }
+func (n *Node) SetPeers(peers *Peers, timing Timing) {
+	n.peers, n.timing = peers, timing
+}
 
 // Greet notes that a host came up, so that the two compare what they hold.
 func (n *Node) Greet(host ident.Host) {
@@ -91,10 +110,7 @@
 
 // Whole returns the version up to which nothing of a life is missing.
 func (n *Node) Whole(life Life) Version {
-	if o := n.origins[life.ID()]; o != nil {
-		return o.whole
-	}
-	return 0
+	return n.wholeOf(life.ID())
 }
 
 // Each calls f for every item of a section that some life has published.
--- /dev/null
+++ b/pkg/dissemination/options.go
@@ -0,0 +1,92 @@
+package dissemination
+
+import (
+	"log/slog"
+	"math/rand/v2"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/membership"
+	"amaranthplank.example/amaranthplank/pkg/peer"
+)
+
+// Links is what a Manager needs of the links; peer.Manager implements it.
+type Links interface {
+	peer.Mesh
+	// Linked returns the hosts with an open link.
+	Linked() []ident.Host
+}
+
+// Members is what a Manager needs of the membership; membership.Manager
+// implements it.
+type Members interface {
+	membership.View
+	// Self returns the daemon's own record.
+	Self() membership.Record
+	// Heard takes in signs of life that came through others.
+	Heard(beats []membership.Beat)
+}
+
+// Options shape a Manager.
+type Options struct {
+	Links   Links
+	Members Members
+	// Loaded returns the control state that the daemon has loaded.
+	Loaded     func() (revision, holds ident.Revision)
+	Log        *slog.Logger
+	Registerer prometheus.Registerer
+	Random     *rand.Rand
+	// Degree bounds a daemon's links, as in membership.Options.
+	Degree int
+}
+
+const (
+	// inboxLimit bounds the frames that wait for the manager.
+	inboxLimit = 1024
+	// sumsPerFleet is how many consumption sums all daemons together publish
+	// in a bundle period, minSums the least for one daemon.
+	sumsPerFleet = 64
+	minSums      = 2
+)
+
+// fill sets the options that were left out.
+func (o *Options) fill() {
+	if o.Degree == 0 {
+		o.Degree = membership.DefaultDegree
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Random == nil {
+		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if o.Loaded == nil {
+		o.Loaded = func() (ident.Revision, ident.Revision) { return 0, 0 }
+	}
+}
+
+// StrategyFor returns the strategy for a fleet of so many hosts: a flat mesh
+// where everyone links to everyone, else trees over half the degree, since a
+// host has a parent in each tree and children in one.
+func StrategyFor(hosts, degree int) Strategy {
+	if hosts-1 <= degree {
+		return Flat{}
+	}
+	return Trees{Count: max(degree/2, 1)}
+}
+
+// Neighbours returns the hosts that the strategy of a fleet sends to, for
+// membership.Options.
+func Neighbours(self ident.Host, hosts []ident.Host, up map[ident.Host]bool, degree int) []ident.Host {
+	peers := NewPeers(self, hosts, up)
+	trees, ok := StrategyFor(len(peers.Ring), degree).(Trees)
+	if !ok {
+		return without(peers.Ring, self)
+	}
+	links := trees.Links(peers)
+	if buddy := trees.buddy(peers); buddy != "" {
+		links = append(without(links, buddy), buddy)
+	}
+	return links
+}
--- a/pkg/dissemination/origin.go
+++ b/pkg/dissemination/origin.go
@@ -20,6 +20,8 @@
 	items map[ItemID]*held
 	// heardAt is when seen last rose.
 	heardAt time.Time
+	// gapAt is when the present gap was found.
+	gapAt time.Time
 	// askedAt and asks pace the questions for what is missing.
 	askedAt time.Time
 	asks    int
--- a/pkg/dissemination/repair.go
+++ b/pkg/dissemination/repair.go
@@ -9,6 +9,13 @@
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
+// gapGrace is how long a gap stands before another daemon is asked, since the
+// lanes fill most.
+const gapGrace = 500 * time.Millisecond
+
+// maxTries is how often a fresh daemon asks for another's whole state.
+const maxTries = 5
+
 // maxRepairItems bounds the items of one answer.
 const maxRepairItems = 4096
 
@@ -23,7 +30,7 @@
 			n.forget(now, id)
 			continue
 		}
-		missing := o.gap() || (silence > overdue && o.asks < maxAsks && id != n.self)
+		missing := o.gap() && now.Sub(o.gapAt) >= gapGrace || (silence > overdue && o.asks < maxAsks && id != n.self)
 		if missing && now.Sub(o.askedAt) >= n.timing.BundleEvery/2 {
 			o.askedAt = now
 			o.asks++
@@ -32,6 +39,12 @@
 	}
 	if !now.Before(n.compareAt) {
 		n.compareAt = now.Add(n.timing.CompareEvery/2 + time.Duration(n.random.Int64N(int64(n.timing.CompareEvery))))
+		if !n.caughtUp {
+			n.compareAt = now.Add(catchUpEvery)
+			n.tries++
+			// Where everyone is fresh nobody can complete the others.
+			n.caughtUp = n.tries > maxTries
+		}
 		n.ask(frames, n.everything(), true)
 		return
 	}
@@ -88,37 +101,40 @@
 	for i := range frame.Repairs {
 		r := &frame.Repairs[i]
 		if o := n.origin(now, r.Origin); o != nil && r.Origin != n.self {
-			n.passOn(o, r)
+			n.passOn(o, r, from)
 			o.repair(now, r)
 		}
 	}
 	if frame.More {
 		n.compareAt = now
 	}
+	// An answer bears no number; a complete one ends the catching up.
+	n.caughtUp = n.caughtUp || (frame.Sequence == 0 && frame.Complete)
 	answer := n.answer(frame)
-	return answer, len(answer.Repairs) > 0
+	return answer, len(answer.Repairs)+len(answer.Wants) > 0
 }
 
 // passOn queues the revisions of a repair that are news, so that a healed
 // parting doesn't wait for every daemon's own questions.
-func (n *Node) passOn(o *origin, r *Repair) {
+func (n *Node) passOn(o *origin, r *Repair, from ident.Host) {
 	for _, item := range r.Items {
 		old := o.items[item.ID]
 		if item.Section == SectionRevisions && (old == nil || item.Version > old.version) {
 			part := Repair{Origin: r.Origin, Version: item.Version, After: math.MaxUint64, Items: []RepairItem{item}}
-			n.passing = append(n.passing, part)
+			n.passing = append(n.passing, passed{repair: part, urgent: n.caughtUp, from: from})
 		}
 	}
 }
 
-// pass sends the queued revisions by every way.
+// pass sends the queued repairs on.
 func (n *Node) pass(frames map[ident.Host]*Frame) {
-	if len(n.passing) == 0 {
-		return
-	}
-	for _, to := range n.strategy.Forward(n.peers, n.random, &Bundle{Urgent: true}, "") {
-		frame := frameFor(frames, to)
-		frame.Repairs = append(frame.Repairs, n.passing...)
+	for i := range n.passing {
+		p := &n.passing[i]
+		way := Bundle{Origin: p.repair.Origin, Urgent: p.urgent}
+		for _, to := range n.strategy.Forward(n.peers, n.random, &way, p.from) {
+			frame := frameFor(frames, to)
+			frame.Repairs = append(frame.Repairs, p.repair)
+		}
 	}
 	n.passing = nil
 }
@@ -134,6 +150,7 @@
 		n.pending = append(n.pending, forward{bundle: *b, from: from})
 	}
 	if o.gap() && !hadGap {
+		o.gapAt = now
 		n.gaps++
 	}
 }
@@ -159,11 +176,30 @@
 	for _, want := range frame.Wants {
 		named[want.Origin] = true
 		add(want.Origin, want.After)
+		if frame.Complete && frame.Sequence != 0 && n.lacks(want) {
+			out.Wants = append(out.Wants, Want{Origin: want.Origin, After: n.wholeOf(want.Origin)})
+		}
 	}
 	for id := range n.origins {
-		if frame.Complete && !named[id] {
+		if frame.Complete && frame.Sequence != 0 && !named[id] {
 			add(id, 0)
 		}
 	}
+	out.Complete = frame.Complete && n.caughtUp && !out.More && frame.Sequence != 0
 	return out
 }
+
+// wholeOf returns the version up to which nothing of an origin is missing.
+func (n *Node) wholeOf(id OriginID) Version {
+	if o := n.origins[id]; o != nil {
+		return o.whole
+	}
+	return 0
+}
+
+// lacks reports whether the sender of a want holds more of the origin. A fresh
+// daemon catches up from one other alone.
+func (n *Node) lacks(want Want) bool {
+	ready := n.caughtUp || n.wholeOf(want.Origin) > 0
+	return ready && n.wholeOf(want.Origin) < want.After && n.forgotten[want.Origin].IsZero()
+}
--- a/pkg/dissemination/step.go
+++ b/pkg/dissemination/step.go
@@ -11,18 +11,11 @@
 // Tick makes the daemon's own bundle where one is due and returns what is to
 // be sent.
 func (n *Node) Tick(now time.Time) []Envelope {
-	if n.urgent || now.Sub(n.bundledAt) >= n.timing.BundleEvery {
+	if n.Due(now) {
 		n.bundle(now)
 	}
 	frames := make(map[ident.Host]*Frame)
-	for i := range n.pending {
-		p := &n.pending[i]
-		for _, to := range n.strategy.Forward(n.peers, n.random, &p.bundle, p.from) {
-			frame := frameFor(frames, to)
-			frame.Bundles = append(frame.Bundles, p.bundle)
-		}
-	}
-	n.pending = n.pending[:0]
+	n.forward(now, frames)
 	n.pass(frames)
 	n.repairs(now, frames)
 	for _, to := range n.greets {
@@ -33,6 +26,27 @@
 	return n.seal(now, frames)
 }
 
+// forward sends urgent bundles on at once, and the others at their pace.
+func (n *Node) forward(now time.Time, frames map[ident.Host]*Frame) {
+	due := !now.Before(n.forwardAt)
+	if due {
+		n.forwardAt = now.Add(n.timing.ForwardEvery)
+	}
+	waiting := n.pending[:0]
+	for i := range n.pending {
+		p := n.pending[i]
+		if !due && !p.bundle.Urgent {
+			waiting = append(waiting, p)
+			continue
+		}
+		for _, to := range n.strategy.Forward(n.peers, n.random, &p.bundle, p.from) {
+			frame := frameFor(frames, to)
+			frame.Bundles = append(frame.Bundles, p.bundle)
+		}
+	}
+	n.pending = waiting
+}
+
 // seal adds what goes over the lanes themselves and numbers the frames.
 func (n *Node) seal(now time.Time, frames map[ident.Host]*Frame) []Envelope {
 	for to, bundles := range n.again {
@@ -41,7 +55,7 @@
 	}
 	clear(n.again)
 	for host, l := range n.lanes {
-		if len(l.missed) > 0 {
+		if len(l.missed)+len(l.asked) > 0 {
 			frameFor(frames, host)
 		}
 		if now.Sub(l.usedAt) > laneIdle {
@@ -64,6 +78,11 @@
 	return l
 }
 
+// Due reports whether the next tick makes the daemon's own bundle.
+func (n *Node) Due(now time.Time) bool {
+	return n.urgent || now.Sub(n.bundledAt) >= n.timing.BundleEvery
+}
+
 // bundle makes the daemon's own bundle from what is staged.
 func (n *Node) bundle(now time.Time) {
 	n.version++
--- a/pkg/dissemination/timing.go
+++ b/pkg/dissemination/timing.go
@@ -6,6 +6,8 @@
 type Timing struct {
 	// BundleEvery is the time between an origin's bundles.
 	BundleEvery time.Duration
+	// ForwardEvery is the time between forwards of bundles that aren't urgent.
+	ForwardEvery time.Duration
 	// CompareEvery is the time between comparisons with another daemon.
 	CompareEvery time.Duration
 	// ForgetAfter is how long a silent origin's items are kept. It exceeds
@@ -18,10 +20,16 @@
 	// forwarded in one frame.
 	TickEvery = 100 * time.Millisecond
 	// hostShare is the bundle period's part for each host.
-	hostShare = 10 * time.Millisecond
+	hostShare = 12 * time.Millisecond
 	// minBundleEvery and maxBundleEvery bound the bundle period.
 	minBundleEvery = 500 * time.Millisecond
 	maxBundleEvery = 4 * time.Second
+	// forwardEvery is the time between forwards in a large fleet, which has
+	// more than smallFleet hosts; a small one forwards at every tick.
+	forwardEvery = 200 * time.Millisecond
+	smallFleet   = 64
+	// catchUpEvery is the time between comparisons of a fresh daemon.
+	catchUpEvery = time.Second
 	// compareEvery is the time between comparisons.
 	compareEvery = 10 * time.Second
 	// forgetAfter is how long a silent origin is kept.
@@ -35,7 +43,12 @@
 
 // TimingFor returns the periods for a fleet of so many hosts.
 func TimingFor(hosts int) Timing {
+	forward := TickEvery
+	if hosts > smallFleet {
+		forward = forwardEvery
+	}
 	return Timing{
+		ForwardEvery: forward,
 		BundleEvery:  min(max(time.Duration(hosts)*hostShare, minBundleEvery), maxBundleEvery),
 		CompareEvery: compareEvery,
 		ForgetAfter:  forgetAfter,
--- a/pkg/membership/loop.go
+++ b/pkg/membership/loop.go
@@ -86,8 +86,12 @@
 	for host := range addresses {
 		hosts = append(hosts, host)
 	}
+	up := map[ident.Host]bool{m.opts.Self.Host: true}
+	for _, host := range AliveHosts(m.table.Members()) {
+		up[host] = true
+	}
 	var wanted []peer.Address
-	for _, host := range Neighbours(m.opts.Self.Host, hosts, m.opts.Degree) {
+	for _, host := range m.opts.Neighbours(m.opts.Self.Host, hosts, up, m.opts.Degree) {
 		wanted = append(wanted, peer.Address{Host: host, Address: addresses[host]})
 	}
 	m.opts.Links.SetPeers(wanted)
--- a/pkg/membership/options.go
+++ b/pkg/membership/options.go
@@ -32,6 +32,9 @@
 	Hosts platform.HostList
 	// Loaded returns the control state that the daemon has loaded.
 	Loaded func() (revision, holds ident.Revision)
+	// Neighbours chooses the hosts to keep links to, or is nil for the ring of
+	// this package.
+	Neighbours func(self ident.Host, hosts []ident.Host, up map[ident.Host]bool, degree int) []ident.Host
 	// Degree bounds the links that the daemon chooses.
 	Degree     int
 	Timing     Timing
@@ -59,6 +62,11 @@
 	if o.Degree == 0 {
 		o.Degree = DefaultDegree
 	}
+	if o.Neighbours == nil {
+		o.Neighbours = func(self ident.Host, hosts []ident.Host, _ map[ident.Host]bool, degree int) []ident.Host {
+			return Neighbours(self, hosts, degree)
+		}
+	}
 	if o.Timing == (Timing{}) {
 		o.Timing = DefaultTiming()
 	}
