Share the reading of targets between the daemons

Cause: every daemon read the platform's list and nobody read the targets' load. Change: the host of the first rank reads the list and each target's load and cache events, and spreads them quantised; later ranks and daemons without peers read for themselves once their view has grown old. Holds and leaving targets are marked draining at once. go test -race ./pkg/targetwatch: of four daemons one asks a target, and all do once nothing comes from peers.

--- a/pkg/dissemination/repair.go
+++ b/pkg/dissemination/repair.go
@@ -172,21 +172,33 @@
 		items += len(repair.Items)
 		out.Repairs = append(out.Repairs, repair)
 	}
-	named := make(map[OriginID]bool, len(frame.Wants))
 	for _, want := range frame.Wants {
-		named[want.Origin] = true
 		add(want.Origin, want.After)
-		if frame.Complete && frame.Sequence != 0 && n.lacks(want) {
-			out.Wants = append(out.Wants, Want{Origin: want.Origin, After: n.wholeOf(want.Origin)})
+	}
+	if frame.Complete && frame.Sequence != 0 {
+		out.Wants = n.compare(frame.Wants, add)
+	}
+	out.Complete = frame.Complete && n.caughtUp && !out.More && frame.Sequence != 0
+	return out
+}
+
+// compare adds the origins that a complete list of wants leaves out, and
+// returns the wants for what its sender holds more of.
+func (n *Node) compare(wants []Want, add func(OriginID, Version)) []Want {
+	var back []Want
+	named := make(map[OriginID]bool, len(wants))
+	for _, want := range wants {
+		named[want.Origin] = true
+		if n.lacks(want) {
+			back = append(back, Want{Origin: want.Origin, After: n.wholeOf(want.Origin)})
 		}
 	}
 	for id := range n.origins {
-		if frame.Complete && frame.Sequence != 0 && !named[id] {
+		if !named[id] {
 			add(id, 0)
 		}
 	}
-	out.Complete = frame.Complete && n.caughtUp && !out.More && frame.Sequence != 0
-	return out
+	return back
 }
 
 // wholeOf returns the version up to which nothing of an origin is missing.
--- a/pkg/targetwatch/watcher.go
+++ b/pkg/targetwatch/watcher.go
@@ -3,28 +3,56 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
-// Watcher reads the platform's list of targets at a steady pace.
+// Watcher keeps the view of the targets. Each target's load, and the
+// platform's list, is read by the host of the first rank, whose figures the
+// others take from the dissemination. A host of a later rank reads as well
+// once its view has grown old, so that daemons without peers read everything.
 type Watcher struct {
-	orderer platform.TargetOrderer
-	log     *slog.Logger
-	every   time.Duration
+	opts    Options
 	current atomic.Pointer[fleet.Snapshot]
+
+	// The rest belongs to the goroutine of Run.
+	listed   map[ident.Target]platform.TargetRecord
+	listedAt time.Time
+	reads    uint64
+	loads    map[ident.Target]ownLoad
+	// heard is when each batch of events was last handed on, by target.
+	heard map[ident.Target]time.Time
+}
+
+// ownLoad is a load that this daemon has read.
+type ownLoad struct {
+	report fleet.LoadReport
+	at     time.Time
+	// spread is the report as others were told.
+	spread fleet.LoadReport
+	// event is the newest cache event.
+	event uint64
 }
 
 var _ fleet.View = (*Watcher)(nil)
 
-// New returns a watcher with an empty view.
+// New returns a watcher that reads the platform's list alone.
 func New(orderer platform.TargetOrderer, log *slog.Logger, every time.Duration) *Watcher {
-	w := &Watcher{orderer: orderer, log: log, every: every}
+	return NewShared(Options{Orderer: orderer, Log: log, Every: every})
+}
+
+// NewShared returns a watcher with an empty view that shares the reading with
+// other daemons.
+func NewShared(opts Options) *Watcher {
+	opts.fill()
+	w := &Watcher{
+		opts: opts, listed: make(map[ident.Target]platform.TargetRecord),
+		loads: make(map[ident.Target]ownLoad), heard: make(map[ident.Target]time.Time),
+	}
 	w.current.Store(fleet.NewSnapshot(nil))
 	return w
 }
@@ -32,12 +60,12 @@
 // Snapshot returns the newest view.
 func (w *Watcher) Snapshot() *fleet.Snapshot { return w.current.Load() }
 
-// Run reads the list until ctx ends.
+// Run keeps the view until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	ticker := time.NewTicker(w.every)
+	ticker := time.NewTicker(w.opts.Every)
 	defer ticker.Stop()
 	for {
-		w.read(ctx)
+		w.step(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -46,20 +74,16 @@
 	}
 }
 
-// read replaces the view by the platform's list.
-func (w *Watcher) read(ctx context.Context) {
-	records, err := w.orderer.Targets(ctx)
-	if err != nil {
-		w.log.Warn("target list not read", "error", err)
-		return
+// step reads what falls to this daemon and replaces the view.
+func (w *Watcher) step(ctx context.Context) {
+	view := w.merge(time.Now())
+	if w.due("list", view.listedAt) {
+		w.readList(ctx)
+		view = w.merge(time.Now())
 	}
-	now := time.Now()
-	states := make([]fleet.TargetState, 0, len(records))
-	for _, record := range records {
-		states = append(states, fleet.TargetState{Record: record, SeenAt: now, Draining: record.Leaving})
+	if w.opts.Client != nil {
+		w.readLoads(ctx, &view)
 	}
-	slices.SortFunc(states, func(a, b fleet.TargetState) int {
-		return strings.Compare(string(a.Record.Target), string(b.Record.Target))
-	})
-	w.current.Store(fleet.NewSnapshot(states))
+	view = w.merge(time.Now())
+	w.current.Store(fleet.NewSnapshot(view.states()))
 }
