Split the writing of claims, and refuse at once without writes left

A claim that finds no writes left is refused at once. Failed reads no longer count as writes that may have taken effect, so they owe no later release.

--- /dev/null
+++ b/pkg/claims/commit.go
@@ -0,0 +1,118 @@
+package claims
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// commit applies a batch to the shard's newest value and swaps it in. It
+// reports whether a write was sent whose effect is not known.
+func (s *shard) commit(ctx context.Context, batch []operation) ([]result, bool, error) {
+	sent := false
+	var err error
+	for range writeAttempts {
+		var results []result
+		results, err = s.tryCommit(ctx, batch)
+		if err == nil {
+			return results, false, nil
+		}
+		switch fault.KindOf(err) {
+		case fault.Unavailable:
+			return nil, sent, err
+		case fault.Limited:
+			s.backOff(ctx)
+		case fault.Conflict:
+			s.document = nil
+		default:
+			sent = true
+			s.document = nil
+		}
+	}
+	return nil, sent, err
+}
+
+// tryCommit applies a batch once. Results that need no write are taken from a
+// value that was just read, never from one in memory.
+func (s *shard) tryCommit(ctx context.Context, batch []operation) ([]result, error) {
+	fresh := s.document == nil
+	if fresh {
+		if err := s.read(ctx); err != nil {
+			return nil, err
+		}
+	}
+	next, results := s.document.apply(batch, time.Now())
+	if next == s.document && !fresh {
+		if err := s.read(ctx); err != nil {
+			return nil, err
+		}
+		next, results = s.document.apply(batch, time.Now())
+	}
+	if next == s.document {
+		return results, nil
+	}
+	if s.limiter.Wait(ctx) != nil {
+		return nil, errBusy
+	}
+	return results, s.swap(ctx, next)
+}
+
+// backOff waits before a write that the store refused for its rate. What comes
+// meanwhile goes with the next batch.
+func (s *shard) backOff(ctx context.Context) {
+	timer := time.NewTimer(throttledWait/2 + rand.N(throttledWait))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// read reads the shard's value.
+func (s *shard) read(ctx context.Context) error {
+	s.document = nil
+	entry, err := s.store.Get(ctx, s.key)
+	if errors.Is(err, platform.ErrKeyNotFound) {
+		s.document, s.version = &Document{Claims: make(map[digest]Claim)}, entry.Version
+		return nil
+	}
+	if err != nil {
+		return notWritten(err)
+	}
+	document, err := parseDocument(entry.Value)
+	if err != nil {
+		return err
+	}
+	s.document, s.version = document, entry.Version
+	return nil
+}
+
+// notWritten keeps a failed read from counting as a write that may have taken
+// effect.
+func notWritten(err error) error {
+	kind := fault.KindOf(err)
+	if kind == fault.Limited {
+		return err
+	}
+	return fault.Wrap(err, fault.Unavailable, "the store can't be read", "try again later")
+}
+
+// swap writes the shard's next value.
+func (s *shard) swap(ctx context.Context, next *Document) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "claims can't be encoded", "report the defect")
+	}
+	version, err := s.store.CompareAndSwap(ctx, platform.Swap{Key: s.key, Base: s.version, Value: value})
+	if err != nil {
+		return err
+	}
+	s.document, s.version = next, version
+	return nil
+}
--- a/pkg/claims/document.go
+++ b/pkg/claims/document.go
@@ -27,7 +27,7 @@
 		return d, nil
 	}
 	if err := json.Unmarshal(value, d); err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "a shard of claims is malformed", "delete the key claims/ of the shard, which forgets its claims")
+		return nil, fault.Wrap(err, fault.Unavailable, "a shard of claims is malformed", "delete the key claims/ of the shard, which forgets its claims")
 	}
 	return d, nil
 }
--- a/pkg/claims/shard.go
+++ b/pkg/claims/shard.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
-	"github.com/go-faster/errors"
 	"golang.org/x/time/rate"
 
 	"amaranthplank.example/amaranthplank/pkg/fault"
@@ -49,7 +46,7 @@
 }
 
 // errBusy says that the daemon's part of the store's write rate is used up.
-var errBusy = fault.New(fault.Limited, "the daemon's writes of claims are used up", "ask for a higher rate of claims")
+var errBusy = fault.New(fault.Unavailable, "the daemon's writes of claims are used up", "ask for a higher rate of claims")
 
 // newShard returns a shard that has read nothing.
 func newShard(opts Options, key platform.Key, limiter *rate.Limiter) *shard {
@@ -164,89 +161,3 @@
 		s.owed = append(s.owed, o)
 	}
 }
-
-// commit applies a batch to the shard's newest value and swaps it in. It
-// reports whether a write was sent whose effect is not known.
-func (s *shard) commit(ctx context.Context, batch []operation) ([]result, bool, error) {
-	sent := false
-	fresh := s.document == nil
-	var err error
-	for range writeAttempts {
-		if s.document == nil {
-			if err = s.read(ctx); err != nil {
-				return nil, sent, err
-			}
-			fresh = true
-		}
-		next, results := s.document.apply(batch, time.Now())
-		if next == s.document && fresh {
-			return results, false, nil
-		}
-		if next == s.document {
-			s.document = nil
-			continue
-		}
-		if s.limiter.Wait(ctx) != nil {
-			return nil, sent, errBusy
-		}
-		err = s.swap(ctx, next)
-		if err == nil {
-			return results, false, nil
-		}
-		switch fault.KindOf(err) {
-		case fault.Unavailable:
-			return nil, sent, err
-		case fault.Limited:
-			s.backOff(ctx)
-		case fault.Conflict:
-			s.document = nil
-		default:
-			sent = true
-			s.document = nil
-		}
-	}
-	return nil, sent, err
-}
-
-// backOff waits before a write that the store refused for its rate. What comes
-// meanwhile goes with the next batch.
-func (s *shard) backOff(ctx context.Context) {
-	timer := time.NewTimer(throttledWait/2 + rand.N(throttledWait))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// read reads the shard's value.
-func (s *shard) read(ctx context.Context) error {
-	entry, err := s.store.Get(ctx, s.key)
-	if errors.Is(err, platform.ErrKeyNotFound) {
-		s.document, s.version = &Document{Claims: make(map[digest]Claim)}, entry.Version
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	document, err := parseDocument(entry.Value)
-	if err != nil {
-		return err
-	}
-	s.document, s.version = document, entry.Version
-	return nil
-}
-
-// swap writes the shard's next value.
-func (s *shard) swap(ctx context.Context, next *Document) error {
-	value, err := json.Marshal(next)
-	if err != nil {
-		return err
-	}
-	version, err := s.store.CompareAndSwap(ctx, platform.Swap{Key: s.key, Base: s.version, Value: value})
-	if err != nil {
-		return err
-	}
-	s.document, s.version = next, version
-	return nil
-}
