Keep the HTTP library's log out of the daemon's

net/http logs the bytes that a target sends beyond an answer, which may belong to another caller; seen in the tests with targets that send too much.

--- a/cmd/amaranthplank/main.go
+++ b/cmd/amaranthplank/main.go
@@ -5,6 +5,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
+	"log"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -17,6 +19,9 @@
 )
 
 func main() {
+	// The HTTP library's own log quotes what targets sent beyond an answer,
+	// which may be another caller's. The daemon logs through log/slog.
+	log.SetOutput(io.Discard)
 	if err := run(os.Args[1:]); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "amaranthplank:", err)
 		os.Exit(1)
