--- a/pkg/entry/faults_test.go
+++ b/pkg/entry/faults_test.go
@@ -50,6 +50,7 @@
 						r.Faults[name].Script(fault)
 					}
 				}
+				began := time.Now()
 				client, note := r.Caller(), must.Sprint("fault", fault, "kind", k)
 				got := send(client, k.make("w"))
 				must.Eq(t, e.outcome, got.outcome, note, must.Sprint(got.String()))
@@ -58,6 +59,9 @@
 					must.NoError(t, got.err, note)
 					must.True(t, k.wholeAnswer(got, "w"), note, must.Sprint(got.String()))
 				}
+				if e.outcome == unknown && k == write && fault != faulttarget.Silent && fault != faulttarget.RunSilent {
+					must.Eq(t, began, time.Now(), note, must.Sprint("a final answer was held back"))
+				}
 				if e.outcome == unknown {
 					must.NotEq(t, "", got.header.Get("Retry-After"), note)
 				}
