Keep the roster when the holds are written

Cause: the holds' keeper wrote the targets alone, which would have emptied the roster that stands beside them, and with it the majority that lets daemons serve through an outage of the store.

Change: only the list of targets is edited.

--- a/pkg/orders/holdkeeper.go
+++ b/pkg/orders/holdkeeper.go
@@ -59,7 +59,9 @@
 		return err
 	}
 	holds, base := k.present()
-	edited := config.Holds{Targets: edit(slices.Clone(holds.Targets))}
+	// Only the targets are this keeper's; the rest stays as it was read.
+	edited := holds
+	edited.Targets = edit(slices.Clone(holds.Targets))
 	value, err := json.Marshal(edited)
 	if err != nil {
 		return err
