--- a/pkg/config/acceptance.go
+++ b/pkg/config/acceptance.go
@@ -31,35 +31,37 @@
 	return &Acceptance{manager: manager, acceptedAt: make(map[Part]acceptedRevision)}
 }
 
-// HoldsAccepted reports whether a revision of the holds is in force at every
-// daemon that serves. It raises the store's marker, so that daemons which only
-// reach the store learn of it, and never waits for long; call it again while it
-// returns false.
-func (a *Acceptance) HoldsAccepted(ctx context.Context, revision ident.Revision) (bool, error) {
-	return a.inForce(ctx, PartHolds, revision)
+// HoldsInForce reports whether every daemon that serves keeps to the holds of
+// the given revision or of a later one. It does no input or output: the first
+// call makes the manager raise the store's marker, so that daemons which only
+// reach the store learn of the revision. Call it again while it returns false.
+func (a *Acceptance) HoldsInForce(revision ident.Revision) bool {
+	wanted := PartHolds.revisions(revision)
+	if !a.manager.marked(wanted) {
+		return false
+	}
+	at, accepted := a.judge(PartHolds, revision)
+	return accepted && a.manager.opts.Clock.Now()-at >= a.manager.opts.Timing.InForceAfter()
 }
 
-// inForce marks the revision and reports whether every daemon that serves has
-// it.
-func (a *Acceptance) inForce(ctx context.Context, part Part, revision ident.Revision) (bool, error) {
-	at, accepted, err := a.accepted(ctx, part, revision)
-	if err != nil || !accepted {
+// accepted reports whether a majority of the hosts has loaded the revision
+// after the marker was raised.
+func (a *Acceptance) accepted(ctx context.Context, part Part, revision ident.Revision) (bool, error) {
+	if err := raiseMarker(ctx, a.manager.opts.Store, part.revisions(revision)); err != nil {
 		return false, err
 	}
-	return a.manager.opts.Clock.Now()-at >= a.manager.opts.Timing.InForceAfter(), nil
+	_, accepted := a.judge(part, revision)
+	return accepted, nil
 }
 
-// accepted reports whether a majority of the hosts has loaded the revision
-// after the marker was raised, and when that was first found.
-func (a *Acceptance) accepted(ctx context.Context, part Part, revision ident.Revision) (time.Duration, bool, error) {
+// judge reports whether a majority of the hosts has loaded a revision that the
+// marker names, and when that was first found.
+func (a *Acceptance) judge(part Part, revision ident.Revision) (time.Duration, bool) {
 	if known := a.known(part); revision != 0 && known.revision >= revision {
-		return known.at, true, nil
-	}
-	if err := raiseMarker(ctx, a.manager.opts.Store, part.revisions(revision)); err != nil {
-		return 0, false, err
+		return known.at, true
 	}
 	if !a.manager.majorityLoaded(part.revisions(revision)) {
-		return 0, false, nil
+		return 0, false
 	}
 	now := a.manager.opts.Clock.Now()
 	a.mu.Lock()
@@ -67,7 +69,7 @@
 	if a.acceptedAt[part].revision < revision {
 		a.acceptedAt[part] = acceptedRevision{revision: revision, at: now}
 	}
-	return a.acceptedAt[part].at, true, nil
+	return a.acceptedAt[part].at, true
 }
 
 // known returns what is known to be accepted of a part.
--- a/pkg/config/applier.go
+++ b/pkg/config/applier.go
@@ -124,7 +124,7 @@
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		_, accepted, err := a.Acceptance.accepted(ctx, PartConfig, revision)
+		accepted, err := a.Acceptance.accepted(ctx, PartConfig, revision)
 		if err == nil && accepted {
 			return nil
 		}
--- a/pkg/daemon/path.go
+++ b/pkg/daemon/path.go
@@ -10,6 +10,7 @@
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/request"
 	"amaranthplank.example/amaranthplank/pkg/routing"
@@ -30,12 +31,14 @@
 		Router: d.router, Client: target.NewClient(), Config: d.config, Credential: d.opts.Credential,
 		Log: d.opts.Log, Registerer: d.registry,
 	})
-	d.admission = admission.NewFair(admission.Options{
-		Gate: d.router, Elsewhere: admission.Alone{}, Now: time.Now, Knobs: d.admissionKnobs, Weight: d.weight,
-	})
+	d.running = newRunningShare(d.spread, d.opts.Log, d.nearConcurrency)
+	admit := &sharedAdmission{spread: d.spread, running: d.running, inner: admission.NewFair(admission.Options{
+		Gate: d.router, Elsewhere: elsewhere{spread: d.spread, members: d.members, running: d.running},
+		Now: time.Now, Knobs: d.admissionKnobs, Weight: d.weight,
+	})}
 	d.claims = claims.New(claims.Options{Store: d.opts.Store, Log: d.opts.Log})
 	return entry.New(entry.Options{
-		Config: d.config, Admission: d.admission, Relay: d.relay, Recorder: d.meter,
+		Config: d.config, Admission: admit, Relay: d.relay, Recorder: d.meter,
 		Log: d.opts.Log, Registerer: d.registry, Ready: d.serving, Claims: d.claims, MaxBodyBytes: maxBodyBytes,
 	})
 }
@@ -59,6 +62,14 @@
 	return &d.knobs(selector).Admission
 }
 
+// nearConcurrency reports whether so many running requests at this daemon are
+// half of its even part of the workspace's limit, or more.
+func (d *Daemon) nearConcurrency(workspace ident.Workspace, running int) bool {
+	daemons := len(membership.AliveHosts(d.members.Members())) + 1
+	limit := d.knobs(config.Selector{Workspace: workspace}).Admission.Concurrency
+	return running > 0 && int64(running*daemons*2) >= limit
+}
+
 // weight returns a workspace's weight, or one for those that are not listed.
 func (d *Daemon) weight(name ident.Workspace) float64 {
 	snapshot := d.config.Current()
--- a/pkg/daemon/works.go
+++ b/pkg/daemon/works.go
@@ -19,9 +19,14 @@
 	d.engines = orders.NewEngineManager(orders.EngineOptions{
 		Host: d.opts.Host, Incarnation: d.incarnation, View: d.targets, Store: d.opts.Store,
 		Planner: roles.NewPlanner(d.roleKnobs), Client: target.NewControl(target.NewClient(), d.opts.Credential),
-		Holds: holds{acceptance: d.acceptance}, Fates: fates{members: d.members}, Weights: d.opts.Weights,
+		Holds: d.acceptance, Fates: fates{members: d.members}, Weights: d.opts.Weights,
 		Clock: clock.Boot{}, NewID: uuid.NewString, Terms: orders.DefaultTerms(), Log: d.opts.Log, Registerer: d.registry,
 	})
+	d.supply = orders.NewSupplyManager(orders.SupplyOptions{
+		Host: d.opts.Host, Incarnation: d.incarnation, View: d.targets, Platform: d.opts.Targets, Store: d.opts.Store,
+		Planner: &supplyPlanner{daemon: d},
+		NewID:   uuid.NewString, Terms: orders.DefaultTerms(), Log: d.opts.Log,
+	})
 }
 
 // roleKnobs returns the values in force for a model.
@@ -31,7 +36,7 @@
 
 // works returns the work of every duty that there is at present.
 func (d *Daemon) works() map[ident.Duty]lease.Work {
-	works := map[ident.Duty]lease.Work{config.RosterDuty: d.rosterKeeper().Work}
+	works := map[ident.Duty]lease.Work{config.RosterDuty: d.rosterKeeper().Work, duty.Supply: d.supply.Work}
 	for shard := range usage.Shards {
 		works[usage.Duty(shard)] = d.usageReporter(shard).Work
 	}
