--- a/pkg/config/confirm.go
+++ b/pkg/config/confirm.go
@@ -20,7 +20,7 @@
 	defer ticker.Stop()
 	next := m.opts.Clock.Now()
 	for ctx.Err() == nil {
-		if m.opts.Clock.Now() >= next {
+		if m.opts.Clock.Now() >= next || m.markerDue() {
 			m.confirm(ctx)
 			next = m.opts.Clock.Now() + m.confirmPause()
 		}
@@ -107,15 +107,34 @@
 }
 
 // repairMarker raises the marker where its writer ended between the change and
-// the marker.
+// the marker, or waits for it.
 func (m *Manager) repairMarker(ctx context.Context, marker Revisions) {
 	m.mu.Lock()
-	seen := m.seen
+	to := m.seen.raise(m.wanted)
 	m.mu.Unlock()
-	if marker.Covers(seen) {
-		return
-	}
-	if err := raiseMarker(ctx, m.opts.Store, seen); err != nil {
-		m.opts.Log.Debug("the marker was not raised", "error", err)
+	if !marker.Covers(to) {
+		if err := raiseMarker(ctx, m.opts.Store, to); err != nil {
+			m.opts.Log.Debug("the marker was not raised", "error", err)
+			return
+		}
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.marker = m.marker.raise(to)
+}
+
+// marked reports whether the marker is known to name the revisions, and has it
+// raised otherwise. The revisions must have been written.
+func (m *Manager) marked(revisions Revisions) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wanted = m.wanted.raise(revisions)
+	return m.marker.Covers(revisions)
+}
+
+// markerDue reports whether a writer waits for the marker.
+func (m *Manager) markerDue() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.marker.Covers(m.wanted)
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -11,9 +11,9 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
-	"amaranthplank.example/amaranthplank/pkg/admission"
 	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/dissemination"
 	"amaranthplank.example/amaranthplank/pkg/drain"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -26,13 +26,8 @@
 	"amaranthplank.example/amaranthplank/pkg/usage"
 )
 
-const (
-	// headerTimeout bounds how long an operator's client takes to send its
-	// headers.
-	headerTimeout = 10 * time.Second
-	// targetsEvery is the time between reads of the target list.
-	targetsEvery = time.Second
-)
+// headerTimeout bounds how long an operator's client takes to send its headers.
+const headerTimeout = 10 * time.Second
 
 // Daemon is one process of the system.
 type Daemon struct {
@@ -46,7 +41,8 @@
 	members     *membership.Manager
 	targets     *targetwatch.Watcher
 	router      *routing.ByKind
-	admission   *admission.Fair
+	spread      *dissemination.Manager
+	running     *runningShare
 	relay       *relay.Relay
 	acceptance  *config.Acceptance
 	meter       *usage.Source
@@ -55,6 +51,7 @@
 	callers     *drain.Server
 	duties      *duties
 	engines     *orders.EngineManager
+	supply      *orders.SupplyManager
 	admin       *http.Server
 }
 
@@ -71,7 +68,7 @@
 	}
 	d.newControl()
 	d.newUsage()
-	d.targets = targetwatch.New(opts.Targets, opts.Log, targetsEvery)
+	d.newView()
 	d.newOrders()
 	d.duties = d.newDuties(d.works)
 	d.callers = drain.New(drain.Options{
@@ -110,7 +107,7 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	d.runPeers(ctx, group)
-	parts := []func(context.Context) error{d.config.Run, d.targets.Run, d.meter.Run, d.tails.Run, d.relay.Run, d.claims.Run, d.duties.run}
+	parts := []func(context.Context) error{d.config.Run, d.spread.Run, d.running.run, d.targets.Run, d.meter.Run, d.tails.Run, d.relay.Run, d.claims.Run, d.duties.run}
 	for _, run := range parts {
 		group.Go(func() error { return run(ctx) })
 	}
