Let retries of what was never sent pass the budget, and tell routers results

With a failure domain lost, attempts that could not connect used the route's retry budget up, and requests were refused although the other domains served. An attempt that was never sent has cost the targets nothing, so the next is free within the bound of attempts. TestLostFailureDomainUsesNoBudget sends 600 requests with half of the targets refusing connections.

Nothing told the services' router how attempts went, so that it could not eject a failing replica. The relay tells it, but for what callers bring about.

--- a/pkg/entry/handler_test.go
+++ b/pkg/entry/handler_test.go
@@ -283,3 +283,17 @@
 		must.True(t, read.wholeAnswer(send(r.Caller(), read.make("v")), "v"))
 	})
 }
+
+// TestLostFailureDomainUsesNoBudget loses half of the targets: every request is
+// answered by the other half, however many there are.
+func TestLostFailureDomainUsesNoBudget(t *testing.T) {
+	inFakeTime(t, rig.Options{Engines: 2, Ledgers: 2}, func(t *testing.T, r *rig.Rig) {
+		r.Network.Refuse("ledger-1:80", true)
+		r.Network.Refuse("engine-1:80", true)
+		client := r.Caller()
+		for range 300 {
+			must.Eq(t, "answered", send(client, write.make("w")).outcome)
+			must.Eq(t, "answered", send(client, onceStream.make("w")).outcome)
+		}
+	})
+}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -10,6 +10,7 @@
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
 	"amaranthplank.example/amaranthplank/pkg/retry"
+	"amaranthplank.example/amaranthplank/pkg/routing"
 )
 
 const (
@@ -61,6 +62,7 @@
 		a := newAttempt(c, state)
 		decision, err := a.make(ctx)
 		c.relay.opts.Router.Done(c.req, state.Record.Target)
+		c.tell(state.Record.Target, err)
 		if decision != retry.Again {
 			return c.finish(a, decision, err)
 		}
@@ -68,6 +70,23 @@
 	}
 }
 
+// tell has a router that learns know how an attempt went, unless the caller
+// brought its end about.
+func (c *call) tell(name ident.Target, err error) {
+	results, ok := c.relay.opts.Router.(routing.Results)
+	if !ok {
+		return
+	}
+	if err != nil {
+		switch failureOf(err) {
+		case retry.CallerGone, retry.DeadlinePassed, retry.TooLarge:
+			return
+		default:
+		}
+	}
+	results.Result(c.req, name, err == nil)
+}
+
 // choose returns a target that no attempt failed on, or, where there is none
 // other, any.
 func (c *call) choose() (*fleet.TargetState, error) {
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -89,6 +89,7 @@
 // hedgeEnded returns what follows one attempt's end, and whether the request is
 // over with it.
 func (c *call) hedgeEnded(end hedgeEnd) (retry.Decision, bool) {
+	c.tell(end.attempt.target, end.err)
 	if end.err == nil {
 		return retry.HandOn, true
 	}
--- a/pkg/retry/run.go
+++ b/pkg/retry/run.go
@@ -33,7 +33,7 @@
 // Hedge counts an attempt beside one that has not answered yet, or reports that
 // none is allowed. Only idempotent requests may be hedged.
 func (r *Run) Hedge(now time.Time) bool {
-	if !r.allowed.Idempotent || !r.mayRetry(now) {
+	if !r.allowed.Idempotent || !r.mayRetry(Sent, now) {
 		return false
 	}
 	r.Begin()
@@ -54,7 +54,7 @@
 	if decision == Resume && !r.mayResume(now) {
 		decision = Decide(r.allowed, phase, StreamGone)
 	}
-	if decision == Again && !r.mayRetry(now) {
+	if decision == Again && !r.mayRetry(phase, now) {
 		decision = r.exhausted(failure)
 	}
 	if decision == EndNotRun && r.reached {
@@ -69,15 +69,17 @@
 	return r.resumes <= r.limits.MaxResumes && now.Before(r.limits.Deadline)
 }
 
-// mayRetry takes one retry from the budget, or reports that none is allowed.
-func (r *Run) mayRetry(now time.Time) bool {
+// mayRetry reports whether one more attempt is allowed, and takes it from the
+// budget. An attempt that was never sent has cost the targets nothing, so that
+// the next is free: a failure domain that is lost must not use the budget up.
+func (r *Run) mayRetry(phase Phase, now time.Time) bool {
 	if r.attempts >= r.limits.MaxAttempts {
 		return false
 	}
 	if now.Add(r.limits.LeastTime).After(r.limits.Deadline) {
 		return false
 	}
-	return r.budget.Withdraw()
+	return phase == Unsent || r.budget.Withdraw()
 }
 
 // exhausted is the end of a request whose retries are used up.
