--- a/bench/shift/daemon.go
+++ b/bench/shift/daemon.go
@@ -67,8 +67,8 @@
 		both := routing.New(routing.Options{
 			View: d.view, Domain: r.deployment.domains[number%len(r.deployment.domains)], Now: now,
 			Daemons: func() int { return daemonCount },
-			Knobs:  func() *config.RoutingKnobs { return &r.knobs.Routing },
-			Random: rand.New(rand.NewPCG(r.seed, uint64(1000+number))), Off: r.policy.routing,
+			Knobs:   func() *config.RoutingKnobs { return &r.knobs.Routing },
+			Random:  rand.New(rand.NewPCG(r.seed, uint64(1000+number))), Off: r.policy.routing,
 		})
 		d.router, d.models = both, both.Models
 		d.queue = admission.NewQueue(admission.Options{
--- a/bench/shift/run.go
+++ b/bench/shift/run.go
@@ -74,7 +74,7 @@
 }
 
 // addEngine starts an engine now.
-func (r *run) addEngine(domain ident.FailureDomain, kind platform.TargetKind) *engine {
+func (r *run) addEngine(domain ident.FailureDomain, kind platform.TargetKind) {
 	e := &engine{sim: r.sim, born: r.sim.now, record: platform.TargetRecord{
 		Target: ident.Target(fmt.Sprintf("engine-%02d", len(r.engines))), Model: r.deployment.model,
 		FailureDomain: domain, Kind: kind,
@@ -82,7 +82,6 @@
 	e.start(fleet.Mixed)
 	r.engines = append(r.engines, e)
 	r.byName[e.record.Target] = e
-	return e
 }
 
 // engineNamed returns an engine.
--- a/bench/shift/tally.go
+++ b/bench/shift/tally.go
@@ -103,9 +103,6 @@
 	}
 }
 
-// interactive and deferrable work, answered and offered.
-func (t *tally) class(class ident.Class) *counts { return &t.byClass[classOf(class)] }
-
 // work sums the offered and answered work of model requests.
 func (t *tally) work() (offered, answered float64) {
 	for i := range t.byClass {
--- a/pkg/admission/bucket.go
+++ b/pkg/admission/bucket.go
@@ -22,6 +22,14 @@
 	b.at = now
 }
 
+// follow empties the bucket while the fleet's is empty. Else every daemon would
+// have saved up a burst by the time that the fleet's has something again.
+func (b *bucket) follow(fleet *bucket) {
+	if fleet.level <= 0 {
+		b.level = min(b.level, 0)
+	}
+}
+
 // wait returns how long until amount may be taken at rate units a second. An
 // amount above the burst needs a full bucket.
 func (b *bucket) wait(amount, rate, burst float64) time.Duration {
--- a/pkg/admission/limits.go
+++ b/pkg/admission/limits.go
@@ -17,7 +17,10 @@
 // With reports of others' use that are lag seconds old, the fleet admits in
 // any window of T seconds at most
 //
-//	rate * (T + burst + localFactor*(lag+burst)).
+//	rate * (T + burst + localFactor*(burst+2*lag)).
+//
+// The local buckets bound what is not charged: the use of the last lag seconds,
+// and that before a fresh daemon's first report, which its buckets start from.
 type limits struct {
 	fleetRequests bucket
 	fleetTokens   bucket
@@ -59,6 +62,8 @@
 	l.fleetTokens.refill(now, knobs.TokensPerSecond, burst*knobs.TokensPerSecond)
 	l.localRequests.refill(now, knobs.RequestsPerSecond*part, burst*knobs.RequestsPerSecond*part)
 	l.localTokens.refill(now, knobs.TokensPerSecond*part, burst*knobs.TokensPerSecond*part)
+	l.localRequests.follow(&l.fleetRequests)
+	l.localTokens.follow(&l.fleetTokens)
 }
 
 // localPart is the part of a fleet-wide limit that one of so many daemons may
--- /dev/null
+++ b/pkg/admission/queue_test.go
@@ -0,0 +1,189 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/request"
+	_ "amaranthplank.example/amaranthplank/pkg/testseed"
+)
+
+// slotGate is open while fewer than its slots are in use.
+type slotGate struct{ used, slots int }
+
+func (g *slotGate) Wait(*request.Request) (time.Duration, float64) {
+	if g.used >= g.slots {
+		return time.Minute, 1
+	}
+	return 0, 0
+}
+
+func (g *slotGate) Run(*request.Request, float64) time.Duration { return time.Second }
+
+// bed is a queue before a gate, with a clock that tests move.
+type bed struct {
+	queue *Queue
+	gate  *slotGate
+	knobs config.AdmissionKnobs
+	now   time.Time
+	ids   int
+}
+
+func newBed(slots int, off Off) *bed {
+	b := &bed{gate: &slotGate{slots: slots}, knobs: config.BuiltinKnobs().Admission, now: time.Unix(1e9, 0)}
+	b.queue = NewQueue(Options{
+		Gate: b.gate, Elsewhere: Alone{}, Off: off, Now: func() time.Time { return b.now },
+		Knobs:  func(*request.Request) *config.AdmissionKnobs { return &b.knobs },
+		Weight: func(ident.Workspace) float64 { return 1 },
+	})
+	return b
+}
+
+func (b *bed) offer(workspace string, class ident.Class, deadline time.Duration) (*Entry, error) {
+	b.ids++
+	req := &request.Request{
+		ID: ident.Request(fmt.Sprint(b.ids)), Workspace: ident.Workspace(workspace), Class: class, Model: "m",
+		PromptTokens: 100, MaxOutputTokens: 10,
+	}
+	if deadline > 0 {
+		req.Deadline = b.now.Add(deadline)
+	}
+	return b.queue.Offer(req)
+}
+
+// pump lets through all that may run and takes their slots.
+func (b *bed) pump() []*Entry {
+	var all []*Entry
+	for {
+		run, _ := b.queue.Pump()
+		if len(run) == 0 {
+			return all
+		}
+		b.gate.used += len(run)
+		all = append(all, run...)
+	}
+}
+
+func (b *bed) release(e *Entry) {
+	b.gate.used--
+	b.queue.Release(e, request.Figures{PromptTokens: 100, OutputTokens: 10})
+}
+
+func TestWorkIsConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBed(rapid.IntRange(1, 6).Draw(t, "slots"), Off{})
+		var running []*Entry
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			if len(running) > 0 && rapid.Bool().Draw(t, "release") {
+				b.release(running[0])
+				running = running[1:]
+			} else {
+				class := rapid.SampledFrom([]ident.Class{ident.ClassLookup, ident.ClassInteractive, ident.ClassDeferrable}).Draw(t, "class")
+				_, err := b.offer(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"), class, 0)
+				must.NoError(t, err)
+			}
+			running = append(running, b.pump()...)
+			must.True(t, b.queue.Waiting() == 0 || b.gate.used >= b.gate.slots, must.Sprint("waits while a slot is free"))
+		}
+	})
+}
+
+// served returns what part of its requests a small workspace gets served
+// while another floods.
+func served(off Off) float64 {
+	b := newBed(2, off)
+	offered, answered := 0, 0
+	var running []*Entry
+	for step := range 400 {
+		for range 10 {
+			_, _ = b.offer("flood", ident.ClassInteractive, 0)
+		}
+		if step%4 == 0 {
+			offered++
+			_, _ = b.offer("small", ident.ClassInteractive, 0)
+		}
+		for _, e := range running {
+			b.release(e)
+		}
+		running = b.pump()
+		for _, e := range running {
+			if e.Request.Workspace == "small" {
+				answered++
+			}
+		}
+		b.now = b.now.Add(100 * time.Millisecond)
+	}
+	return float64(answered) / float64(offered)
+}
+
+func TestFloodStarvesNobody(t *testing.T) {
+	must.GreaterEq(t, 0.95, served(Off{}))
+	must.Less(t, 0.95, served(Off{Fair: true}))
+}
+
+func TestDeferrableRunsBeforeItsDeadline(t *testing.T) {
+	b := newBed(1, Off{})
+	late, err := b.offer("a", ident.ClassDeferrable, 20*time.Second)
+	must.NoError(t, err)
+	b.gate.used = 1
+	for range 400 {
+		_, _ = b.offer("b", ident.ClassInteractive, 0)
+		b.gate.used = 0
+		for _, e := range b.pump() {
+			b.release(e)
+			b.gate.used = 1
+			if e == late {
+				must.True(t, b.now.Before(late.Request.Deadline))
+				return
+			}
+		}
+		b.now = b.now.Add(50 * time.Millisecond)
+	}
+	t.Fatal("the deferrable request never ran")
+}
+
+func TestRefusalComesAtOnceAndSaysWhenToComeBack(t *testing.T) {
+	b := newBed(0, Off{})
+	_, err := b.offer("a", ident.ClassInteractive, 500*time.Millisecond)
+	must.Eq(t, fault.Limited, fault.KindOf(err))
+	must.Positive(t, fault.RetryAfterOf(err))
+
+	e, err := b.offer("a", ident.ClassInteractive, 3*time.Second)
+	must.NoError(t, err)
+	b.now = b.now.Add(2*time.Second + time.Millisecond)
+	_, refused := b.queue.Pump()
+	must.SliceLen(t, 1, refused)
+	must.Eq(t, fault.Limited, fault.KindOf(e.Err))
+	must.True(t, b.now.Before(e.Request.Deadline))
+}
+
+func TestQueueLimitSparesLookups(t *testing.T) {
+	b := newBed(0, Off{})
+	b.knobs.QueueLimit = 2
+	for i := range 3 {
+		_, err := b.offer("a", ident.ClassInteractive, 0)
+		must.Eq(t, i == 2, err != nil)
+	}
+	_, err := b.offer("a", ident.ClassLookup, 0)
+	must.NoError(t, err)
+}
+
+func TestConcurrencyIsBounded(t *testing.T) {
+	b := newBed(100, Off{})
+	b.knobs.Concurrency = 3
+	for range 10 {
+		_, err := b.offer("a", ident.ClassInteractive, 0)
+		must.NoError(t, err)
+	}
+	running := b.pump()
+	must.SliceLen(t, 3, running)
+	b.release(running[0])
+	must.SliceLen(t, 1, b.pump())
+}
--- a/pkg/config/knobs_supply.go
+++ b/pkg/config/knobs_supply.go
@@ -7,10 +7,10 @@
 	// MaxTargets is the greatest count of targets of a model.
 	MaxTargets int64 `json:"maxTargets" default:"64" unit:"targets" min:"0" max:"10000"`
 	// Headroom is the capacity that is held for each unit of demand.
-	Headroom float64 `json:"headroom" default:"1.35" unit:"ratio" min:"1" max:"10"`
+	Headroom float64 `json:"headroom" default:"1.3" unit:"ratio" min:"1" max:"10"`
 	// DependableShare is the least share of the interactive need that
 	// dependable targets carry.
-	DependableShare float64 `json:"dependableShare" default:"0.5" unit:"ratio" min:"0" max:"1"`
+	DependableShare float64 `json:"dependableShare" default:"0.4" unit:"ratio" min:"0" max:"1"`
 	// ReclaimablePrice is what a reclaimable target costs beside a dependable one.
 	ReclaimablePrice float64 `json:"reclaimablePrice" default:"0.35" unit:"ratio" min:"0" max:"1"`
 	// Smoothing is the time constant of the demand's mean.
--- a/pkg/prefix/index_test.go
+++ b/pkg/prefix/index_test.go
@@ -7,14 +7,13 @@
 	"pgregory.net/rapid"
 
 	"amaranthplank.example/amaranthplank/pkg/fleet"
-	"amaranthplank.example/amaranthplank/pkg/ident"
 	_ "amaranthplank.example/amaranthplank/pkg/testseed"
 )
 
-func depthOf(x *Index, target ident.Target, blocks []uint64) int {
+func depthOf(x *Index, blocks []uint64) int {
 	var depths [MaxEngines]int32
 	x.Depths(blocks, depths[:])
-	return int(depths[x.Slot(target)])
+	return int(depths[x.Slot("a")])
 }
 
 func TestDepthsMatchTheEngineWithoutGaps(t *testing.T) {
@@ -31,7 +30,7 @@
 		for want < len(blocks) && truth[blocks[want]] {
 			want++
 		}
-		must.Eq(t, want, depthOf(x, "a", blocks))
+		must.Eq(t, want, depthOf(x, blocks))
 	})
 }
 
@@ -43,20 +42,20 @@
 	x.Apply("a", fleet.CacheEvent{Sequence: 3, Block: 2})
 	must.True(t, x.Stale(x.Slot("a")))
 	must.False(t, x.Stale(x.Slot("b")))
-	must.Eq(t, 2, depthOf(x, "a", []uint64{1, 2}))
+	must.Eq(t, 2, depthOf(x, []uint64{1, 2}))
 	for sequence := range uint64(staleEvents) {
 		x.Apply("a", fleet.CacheEvent{Sequence: 4 + sequence, Block: 2, Removed: true})
 	}
 	must.False(t, x.Stale(x.Slot("a")))
 	x.Restart("a")
-	must.Eq(t, 0, depthOf(x, "a", []uint64{1, 2}))
+	must.Eq(t, 0, depthOf(x, []uint64{1, 2}))
 }
 
 func TestLateAndRepeatedEventsAreIgnored(t *testing.T) {
 	x := New()
 	x.Apply("a", fleet.CacheEvent{Sequence: 5, Block: 1})
 	x.Apply("a", fleet.CacheEvent{Sequence: 4, Block: 1, Removed: true})
-	must.Eq(t, 1, depthOf(x, "a", []uint64{1}))
+	must.Eq(t, 1, depthOf(x, []uint64{1}))
 }
 
 func TestEntriesStayBounded(t *testing.T) {
--- a/pkg/roles/ask.go
+++ b/pkg/roles/ask.go
@@ -16,29 +16,24 @@
 // none is no change.
 var none = move{}
 
-// moves are the changes that a demand may ask for.
-var moves = []move{
-	{fleet.Prefill, fleet.Mixed}, {fleet.Decode, fleet.Mixed}, {fleet.Mixed, fleet.Prefill}, {fleet.Mixed, fleet.Decode},
-}
-
 // ask returns the change that a demand asks for beside the present roles. An
 // engine loses its one role where the work for it falls short by more than the
 // margin, and gets one where the work would fill it whole.
 func ask(engines []*fleet.TargetState, d demand.Demand, knobs *config.RoleKnobs) move {
 	have := countsOf(engines)
 	if float64(have.Prefill) > d.Prefill/prefillGain+margin {
-		return moves[0]
+		return move{fleet.Prefill, fleet.Mixed}
 	}
 	if float64(have.Decode) > d.Decode/decodeGain+margin {
-		return moves[1]
+		return move{fleet.Decode, fleet.Mixed}
 	}
 	sure := demand.Demand{Prefill: d.Prefill - margin, Decode: d.Decode - margin}
 	want := Want(sure, len(engines), knobs.MixedShare)
 	if want.Prefill > have.Prefill && have.Prefill+have.Decode < want.Prefill+want.Decode {
-		return moves[2]
+		return move{fleet.Mixed, fleet.Prefill}
 	}
 	if want.Decode > have.Decode && have.Prefill+have.Decode < want.Prefill+want.Decode {
-		return moves[3]
+		return move{fleet.Mixed, fleet.Decode}
 	}
 	return none
 }
--- a/pkg/roles/planner.go
+++ b/pkg/roles/planner.go
@@ -31,9 +31,9 @@
 	pending map[ident.Target]change
 	// changed is when each engine's last change was wanted.
 	changed map[ident.Target]time.Time
-	// since is when the demand began to ask for each change, by new role;
-	// zero while it does not.
-	since map[fleet.Role]time.Time
+	// asked is the change that the demand asks for, since when it does.
+	asked move
+	since time.Time
 }
 
 // change is one wanted role.
@@ -79,7 +79,7 @@
 func (p *Planner) planModel(snapshot *fleet.Snapshot, model ident.Model, d demand.Demand, knobs *config.RoleKnobs, now time.Time) []orders.Wanted {
 	state, ok := p.models[model]
 	if !ok {
-		state = &plan{pending: make(map[ident.Target]change), changed: make(map[ident.Target]time.Time), since: make(map[fleet.Role]time.Time)}
+		state = &plan{pending: make(map[ident.Target]change), changed: make(map[ident.Target]time.Time)}
 		p.models[model] = state
 	}
 	engines := usable(snapshot, model)
@@ -116,27 +116,17 @@
 // decide wants one more change where the demand has asked for it long enough.
 func (s *plan) decide(engines []*fleet.TargetState, d demand.Demand, knobs *config.RoleKnobs, now time.Time) {
 	asked := ask(engines, d, knobs)
-	for _, m := range moves {
-		if m != asked {
-			delete(s.since, m.to)
-		}
-	}
-	if asked == none {
-		return
-	}
-	since, ok := s.since[asked.to]
-	if !ok {
-		s.since[asked.to] = now
-		return
+	if asked != s.asked {
+		s.asked, s.since = asked, now
 	}
-	if now.Sub(since) < dwell(knobs) {
+	if asked == none || now.Sub(s.since) < dwell(knobs) {
 		return
 	}
 	chosen := s.choose(engines, asked.from, knobs, now)
 	if chosen == nil {
 		return
 	}
-	delete(s.since, asked.to)
+	s.asked = none
 	s.pending[chosen.Record.Target] = change{role: asked.to, at: now}
 	s.changed[chosen.Record.Target] = now
 }
--- a/pkg/supply/mix.go
+++ b/pkg/supply/mix.go
@@ -42,6 +42,9 @@
 	}
 	for dependable := min(least, need.Total); dependable <= need.Total; dependable++ {
 		reclaimable := need.Total - dependable
+		if domains == 1 && dependable < need.Interactive {
+			continue
+		}
 		for !survives(dependable, reclaimable, domains, need.Interactive) {
 			reclaimable++
 		}
@@ -57,11 +60,10 @@
 }
 
 // survives reports whether a mix carries the interactive need without the
-// failure domain that holds the most reclaimable targets. With one domain
-// alone, more reclaimable targets never help.
+// failure domain that holds the most reclaimable targets.
 func survives(dependable, reclaimable, domains, interactive int) bool {
 	lost := (reclaimable + domains - 1) / domains
-	return dependable+reclaimable-lost >= interactive || domains == 1
+	return dependable+reclaimable-lost >= interactive
 }
 
 // spread returns how many of count targets the failure domain at a position
--- a/pkg/supply/planner.go
+++ b/pkg/supply/planner.go
@@ -132,14 +132,14 @@
 
 // look finds the failure domains in which reclaimable targets can be counted
 // on, by their positions. One whose ordered targets stay away, or are being
-// taken back, is left out for a while.
+// taken back against the last order, is left out for a while.
 func (p *Planner) look(s *plan, snapshot *fleet.Snapshot, model ident.Model, knobs *config.SupplyKnobs, now time.Time) []int {
 	var usable []int
 	for i, domain := range p.opts.Domains {
 		at := &s.places[i]
 		here, leaving := reclaimableIn(snapshot, model, domain)
 		switch {
-		case leaving:
+		case leaving && here < at.wanted:
 			at.barred = now.Add(knobs.BarredFor.D())
 		case here >= at.wanted:
 			at.missing = time.Time{}
