--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -2,16 +2,24 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/drain"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/membership"
+	"amaranthplank.example/amaranthplank/pkg/orders"
+	"amaranthplank.example/amaranthplank/pkg/peer"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
 	"amaranthplank.example/amaranthplank/pkg/targetwatch"
@@ -19,65 +27,106 @@
 )
 
 const (
-	// maxBodyBytes bounds a caller's body.
-	maxBodyBytes = 8 << 20
+	// headerTimeout bounds how long an operator's client takes to send its
+	// headers.
+	headerTimeout = 10 * time.Second
 	// targetsEvery is the time between reads of the target list.
 	targetsEvery = time.Second
-	// closeEvery is the time between looks for ended usage windows.
-	closeEvery = time.Second
-	// headerTimeout bounds how long a caller takes to send its headers.
-	headerTimeout = 10 * time.Second
 )
 
 // Daemon is one process of the system.
 type Daemon struct {
-	opts    Options
-	config  *config.Manager
-	targets *targetwatch.Watcher
-	meter   *usage.Meter
-	closer  *usage.Closer
-	server  *http.Server
+	opts Options
+	// incarnation rises with each start of the host's process.
+	incarnation ident.Incarnation
+	builtin     config.Knobs
+	registry    *prometheus.Registry
+	config      *config.Manager
+	links       *peer.Manager
+	members     *membership.Manager
+	targets     *targetwatch.Watcher
+	router      *routing.ByKind
+	admission   *admission.Fair
+	relay       *relay.Relay
+	acceptance  *config.Acceptance
+	meter       *usage.Source
+	tails       *usage.Keeper
+	claims      *claims.Registry
+	callers     *drain.Server
+	duties      *duties
+	engines     *orders.EngineManager
+	admin       *http.Server
 }
 
-// New returns a daemon that is ready to run.
-func New(opts Options) *Daemon {
-	d := &Daemon{opts: opts}
-	d.config = config.NewManager(opts.Store, opts.Log)
+// New returns a daemon that is ready to run. It fails with kind Invalid where
+// the options leave its links open to anyone.
+func New(opts Options) (*Daemon, error) {
+	d := &Daemon{
+		opts: opts, incarnation: ident.Incarnation(time.Now().UnixNano()),
+		builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry(),
+	}
+	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	if err := d.connect(); err != nil {
+		return nil, err
+	}
+	d.newControl()
+	d.newUsage()
 	d.targets = targetwatch.New(opts.Targets, opts.Log, targetsEvery)
-	d.meter = usage.NewMeter(opts.UsageWindow)
-	d.closer = usage.NewCloser(usage.CloserOptions{
-		Meter: d.meter, Store: opts.Store, Sink: opts.Usage, Log: opts.Log,
-		Shard: ident.Duty("usage/" + string(opts.Host)), Grace: opts.UsageGrace, Every: closeEvery,
+	d.newOrders()
+	d.duties = d.newDuties(d.works)
+	d.callers = drain.New(drain.Options{
+		Server: entry.NewServer(d.newHandler()), Listener: opts.Listener, Log: opts.Log,
+		BalancerDelay: opts.BalancerDelay,
+		AtStart:       []drain.Hook{{Name: "hand over the duties", Run: d.duties.handOver}},
+		AtEnd: []drain.Hook{
+			{Name: "leave the membership", Run: func(ctx context.Context) error { d.members.Leave(ctx); return nil }},
+		},
 	})
-	d.server = &http.Server{Handler: d.handler(), ReadHeaderTimeout: headerTimeout}
-	return d
+	d.admin = &http.Server{Handler: d.newOperator(), ReadHeaderTimeout: headerTimeout}
+	return d, nil
 }
 
-// handler returns the callers' handler.
-func (d *Daemon) handler() http.Handler {
-	router := routing.NewLeastOutstanding(d.targets)
-	transport := &http.Transport{DisableCompression: true}
-	return entry.New(entry.Options{
-		Config: d.config, Admission: admission.Unlimited{}, Relay: relay.New(router, transport),
-		Recorder: d.meter, Log: d.opts.Log, MaxBodyBytes: maxBodyBytes,
-	})
+// Stop asks for a planned stop and returns at once. Run returns when it is
+// complete.
+func (d *Daemon) Stop() { d.callers.Stop() }
+
+// serving tells whether requests may be served: the control state must be
+// fresh.
+func (d *Daemon) serving() error { return d.config.Ready() }
+
+// ready tells whether the balancer may send requests: beside what serving
+// needs, the daemon must not be stopping.
+func (d *Daemon) ready() error {
+	if err := d.callers.Ready(); err != nil {
+		return err
+	}
+	return d.serving()
 }
 
-// Run serves until ctx ends, and returns the first failure of a part.
+// Run serves until a planned stop is complete, or until ctx ends, which cuts
+// what is running. It returns the first failure of a part.
 func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return d.config.Run(ctx) })
-	group.Go(func() error { return d.targets.Run(ctx) })
-	group.Go(func() error { return d.closer.Run(ctx) })
-	group.Go(func() error { return d.serve(ctx) })
+	d.runPeers(ctx, group)
+	parts := []func(context.Context) error{d.config.Run, d.targets.Run, d.meter.Run, d.tails.Run, d.relay.Run, d.claims.Run, d.duties.run}
+	for _, run := range parts {
+		group.Go(func() error { return run(ctx) })
+	}
+	group.Go(func() error { return serve(ctx, d.admin, d.opts.AdminListener) })
+	group.Go(func() error {
+		defer cancel()
+		return d.callers.Run(ctx)
+	})
 	return group.Wait()
 }
 
-// serve takes callers' connections until ctx ends.
-func (d *Daemon) serve(ctx context.Context) error {
-	stopped := context.AfterFunc(ctx, func() { _ = d.server.Close() })
+// serve takes connections until ctx ends.
+func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
+	stopped := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stopped()
-	err := d.server.Serve(d.opts.Listener)
+	err := server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/pkg/fault/error.go
+++ b/pkg/fault/error.go
@@ -16,7 +16,8 @@
 	Remedy string
 	// Cause is the error beneath, or nil.
 	Cause error
-	// RetryAfter is when to come back; zero says nothing of it.
+	// RetryAfter is how long to wait before trying again; zero gives no
+	// advice.
 	RetryAfter time.Duration
 }
 
@@ -30,12 +31,6 @@
 	return &Error{Kind: kind, Reason: reason, Remedy: remedy, Cause: cause}
 }
 
-// After sets when to come back and returns the error.
-func (e *Error) After(delay time.Duration) *Error {
-	e.RetryAfter = delay
-	return e
-}
-
 // Error returns the reason, the cause and the remedy in one line.
 func (e *Error) Error() string {
 	text := string(e.Kind) + ": " + e.Reason
@@ -70,7 +65,14 @@
 	return Internal
 }
 
-// RetryAfterOf returns when to come back after err, or zero.
+// After returns a copy of the error that advises to try again after d.
+func (e *Error) After(d time.Duration) *Error {
+	advised := *e
+	advised.RetryAfter = d
+	return &advised
+}
+
+// RetryAfterOf returns the wait that err advises, or zero.
 func RetryAfterOf(err error) time.Duration {
 	var e *Error
 	if errors.As(err, &e) {
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
@@ -20,12 +19,13 @@
 
 	mu       sync.Mutex
 	streams  map[ident.Attempt]*stream
-	orders   []target.Order
-	role     fleet.Role
-	fencing  ident.Fencing
+	control  control
 	sequence uint64
 	queued   int
 	runs     map[ident.Attempt]int
+	cancels  int
+	// words counts the runs by the prompt's last word.
+	words map[string]int
 }
 
 // New returns an idle engine.
@@ -35,8 +35,9 @@
 		mux:     http.NewServeMux(),
 		slots:   make(chan struct{}, opts.Slots),
 		streams: make(map[ident.Attempt]*stream),
-		role:    fleet.Mixed,
 		runs:    make(map[ident.Attempt]int),
+		words:   make(map[string]int),
+		control: newControl(),
 	}
 	e.mux.HandleFunc("POST "+target.PathChat, e.complete)
 	e.mux.HandleFunc("POST "+target.PathCompletions, e.complete)
@@ -48,7 +49,13 @@
 }
 
 // ServeHTTP answers one request.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.away(r.URL.Path) {
+		http.Error(w, "the engine is changing", http.StatusServiceUnavailable)
+		return
+	}
+	e.mux.ServeHTTP(w, r)
+}
 
 // Runs returns how often each attempt was started.
 func (e *Engine) Runs() map[ident.Attempt]int {
@@ -61,11 +68,29 @@
 	return runs
 }
 
-// Orders returns the orders that the engine took.
-func (e *Engine) Orders() []target.Order {
+// RunsOf returns how often a prompt that ends with the word was started.
+func (e *Engine) RunsOf(word string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.words[word]
+}
+
+// Cancels returns how many streams were cancelled.
+func (e *Engine) Cancels() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]target.Order(nil), e.orders...)
+	return e.cancels
+}
+
+// Forget drops every stream, as an engine does that starts anew.
+func (e *Engine) Forget() {
+	e.mu.Lock()
+	streams := e.streams
+	e.streams = make(map[ident.Attempt]*stream)
+	e.mu.Unlock()
+	for _, s := range streams {
+		s.cancel()
+	}
 }
 
 // complete starts a generation and sends its answer.
@@ -76,7 +101,7 @@
 		return
 	}
 	attempt := ident.Attempt(r.Header.Get(target.HeaderAttempt))
-	s := e.start(attempt, body.tokens(e.opts.DefaultTokens), body.promptTokens())
+	s := e.start(attempt, &body)
 	w.Header().Set(target.HeaderAttempt, string(attempt))
 	if body.Stream {
 		sendStream(w, r, s, 0)
@@ -86,35 +111,52 @@
 }
 
 // start runs a generation beside the connection that asked for it.
-func (e *Engine) start(attempt ident.Attempt, tokens, promptTokens int) *stream {
+func (e *Engine) start(attempt ident.Attempt, body *completionBody) *stream {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := newStream(cancel)
 	e.mu.Lock()
 	e.streams[attempt] = s
 	e.runs[attempt]++
+	e.words[body.word(true)]++
 	e.queued++
 	e.mu.Unlock()
-	go e.generate(ctx, s, tokens, promptTokens)
+	go e.generate(ctx, s, body)
 	return s
 }
 
 // generate waits for a slot and writes the answer's events at the set pace.
-func (e *Engine) generate(ctx context.Context, s *stream, tokens, promptTokens int) {
-	e.slots <- struct{}{}
+func (e *Engine) generate(ctx context.Context, s *stream, body *completionBody) {
+	defer s.finish()
+	if !e.takeSlot(ctx) {
+		return
+	}
 	defer func() { <-e.slots }()
-	e.mu.Lock()
-	e.queued--
-	e.mu.Unlock()
+	tokens, word := body.tokens(e.opts.DefaultTokens), body.word(e.opts.Echo)
 	for n := range tokens {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(e.opts.TokenInterval):
 		}
-		s.add(tokenEvent(n), false)
+		s.add(tokenEvent(word, n))
+	}
+	s.add(usageEvent(body.promptTokens(), tokens))
+	s.add(target.EndMarker)
+}
+
+// takeSlot waits for a slot, unless ctx ends first.
+func (e *Engine) takeSlot(ctx context.Context) bool {
+	defer func() {
+		e.mu.Lock()
+		e.queued--
+		e.mu.Unlock()
+	}()
+	select {
+	case e.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	s.add(usageEvent(promptTokens, tokens), false)
-	s.add(target.EndMarker, true)
 }
 
 // resume sends the rest of a stream.
@@ -138,6 +180,9 @@
 		return
 	}
 	s.cancel()
+	e.mu.Lock()
+	e.cancels++
+	e.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -147,48 +192,3 @@
 	defer e.mu.Unlock()
 	return e.streams[attempt]
 }
-
-// load answers the engine's load report.
-func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	e.sequence++
-	report := fleet.LoadReport{
-		Target:      e.opts.Target,
-		Incarnation: 1,
-		Sequence:    e.sequence,
-		Role:        e.role,
-		Running:     len(e.slots),
-		Queued:      e.queued,
-		Slots:       e.opts.Slots,
-		Fencing:     e.fencing,
-		Model:       e.opts.Model,
-		DecodeRate:  float64(time.Second) / float64(max(e.opts.TokenInterval, 1)),
-		TakenAt:     time.Now(),
-	}
-	if n := len(e.orders); n > 0 {
-		report.OrderID = e.orders[n-1].OrderID
-	}
-	e.mu.Unlock()
-	writeJSON(w, report)
-}
-
-// order takes one order, or refuses an old fencing number where it checks.
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var order target.Order
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
-		http.Error(w, "malformed order", http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.opts.ChecksFencing && order.Fencing < e.fencing {
-		http.Error(w, "old fencing number", http.StatusConflict)
-		return
-	}
-	e.fencing = order.Fencing
-	e.orders = append(e.orders, order)
-	if order.Kind == target.OrderRole {
-		e.role = order.Role
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
--- a/pkg/standin/engine/options.go
+++ b/pkg/standin/engine/options.go
@@ -16,6 +16,12 @@
 	Slots int
 	// DefaultTokens is the answer's length where the request sets none.
 	DefaultTokens int
+	// Echo makes answers repeat the prompt's last word, so that crossed
+	// answers can be told.
+	Echo bool
 	// ChecksFencing makes orders with an old fencing number refused.
 	ChecksFencing bool
+	// ChangeTime is how long a change of role or version, or a restart, keeps
+	// the engine from answering.
+	ChangeTime time.Duration
 }
