--- a/bench/shift/tally.go
+++ b/bench/shift/tally.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
 // tally counts what became of a run's requests.
