--- a/pkg/admission/next.go
+++ b/pkg/admission/next.go
@@ -8,7 +8,7 @@
 // lookAhead bounds the requests of a class that are tried in one look. More
 // than one is tried since those before may wait for engines that are busy
 // while others are not.
-const lookAhead = 16
+const lookAhead = 8
 
 // next returns the request of a class that goes next, or nil where the targets
 // of those that come first are busy.
--- a/pkg/routing/bykind.go
+++ b/pkg/routing/bykind.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/fleet"
@@ -16,9 +17,12 @@
 
 var _ Router = (*ByKind)(nil)
 
-// New returns the routers of a daemon.
+// New returns the routers of a daemon. Each has a random source of its own,
+// since each locks for itself.
 func New(opts Options) *ByKind {
-	return &ByKind{Models: NewModelRouter(opts), Services: NewServiceRouter(opts)}
+	services := opts
+	services.Random = rand.New(rand.NewPCG(opts.Random.Uint64(), opts.Random.Uint64()))
+	return &ByKind{Models: NewModelRouter(opts), Services: NewServiceRouter(services)}
 }
 
 // Choose returns the target for the request's next attempt.
