--- /dev/null
+++ b/bench/cmd/plots/main.go
@@ -0,0 +1,21 @@
+// Command plots writes an image of each trace of the shift measure into a
+// directory.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"amaranthplank.example/amaranthplank/bench/shift"
+)
+
+// main writes the images and exits with 1 where it can't.
+func main() {
+	dir := flag.String("dir", "docs/plots", "the `directory` for the images")
+	flag.Parse()
+	if err := shift.WritePlots(*dir); err != nil {
+		fmt.Fprintln(os.Stderr, "plots:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/bench/shift/plots.go
@@ -0,0 +1,103 @@
+package shift
+
+import (
+	"image/color"
+	"path/filepath"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	// plotWindow is the seconds that one point of a goodput line stands for.
+	plotWindow = 5
+	// plotWidth and plotHeight are the size of an image.
+	plotWidth  = 7 * vg.Inch
+	plotHeight = 3.5 * vg.Inch
+)
+
+// plotColors tells the lines apart.
+var plotColors = []color.Color{
+	color.RGBA{R: 31, G: 119, B: 180, A: 255}, color.RGBA{R: 255, G: 127, B: 14, A: 255},
+	color.RGBA{R: 44, G: 160, B: 44, A: 255}, color.RGBA{R: 214, G: 39, B: 40, A: 255},
+	color.RGBA{R: 120, G: 120, B: 120, A: 255}, color.RGBA{R: 148, G: 103, B: 189, A: 255},
+}
+
+// WritePlots plays every trace and writes an image of each into a directory:
+// the share of the offered work answered in time, and the share of the engines
+// with one role, over time.
+func WritePlots(dir string) error {
+	for _, t := range traces(1) {
+		p := plot.New()
+		p.Title.Text, p.X.Label.Text, p.Y.Label.Text = t.name, "seconds", "share"
+		p.Y.Min, p.Y.Max = 0, 1.05
+		p.Legend.Top, p.Legend.Left = false, true
+		next := 0
+		for _, d := range deployments() {
+			for _, name := range []string{"ours", "least outstanding"} {
+				f := measure(d, t, policyNamed(name), true)
+				if err := addLine(p, d.name+", "+name, f.tally.goodputLine(), next); err != nil {
+					return err
+				}
+				next++
+				if name != "ours" {
+					continue
+				}
+				if err := addLine(p, d.name+", engines with one role", f.tally.roleLine(), next+3); err != nil {
+					return err
+				}
+			}
+		}
+		file := filepath.Join(dir, strings.ReplaceAll(t.name, " ", "-")+".png")
+		if err := p.Save(plotWidth, plotHeight, file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addLine adds one line with its name.
+func addLine(p *plot.Plot, name string, points plotter.XYs, number int) error {
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return err
+	}
+	line.Color = plotColors[number%len(plotColors)]
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
+}
+
+// goodputLine is the share of the work offered in each window that was
+// answered in time.
+func (t *tally) goodputLine() plotter.XYs {
+	last := 0
+	for second := range t.seconds {
+		last = max(last, second)
+	}
+	var points plotter.XYs
+	for start := 0; start <= last; start += plotWindow {
+		offered, answered := 0.0, 0.0
+		for second := start; second < start+plotWindow; second++ {
+			if c, ok := t.seconds[second]; ok {
+				offered += c.offeredWork
+				answered += c.answeredWork
+			}
+		}
+		if offered > 0 {
+			points = append(points, plotter.XY{X: float64(start), Y: answered / offered})
+		}
+	}
+	return points
+}
+
+// roleLine is the share of the engines with one role.
+func (t *tally) roleLine() plotter.XYs {
+	points := make(plotter.XYs, 0, len(t.samples))
+	for _, s := range t.samples {
+		points = append(points, plotter.XY{X: s.at.Seconds(), Y: float64(s.prefill+s.decode) / float64(max(1, s.engines))})
+	}
+	return points
+}
