Report how fast the error budgets burn

Cause: nothing counted whether requests kept their objectives. Change: tallies for each workspace and route in slots of five minutes, checkpointed as a page an hour under the process's own key, merged over all processes that ever wrote, and burn rates over 5 m, 30 m, 1 h, 6 h and 3 d; amaranthctl report burn prints a table, bars or JSON. Metrics carry no workspace: 9 series at 310 workspaces and 25 routes.

--- /dev/null
+++ b/pkg/burn/burn_test.go
@@ -0,0 +1,120 @@
+package burn
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/shoenig/test/must"
+
+	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
+)
+
+type noConfig struct{}
+
+func (noConfig) Current() *config.Snapshot { return nil }
+
+// lossy loses the answer of every other swap after it took effect.
+type lossy struct {
+	platform.Store
+	swaps int
+}
+
+func (l *lossy) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.Version, error) {
+	version, err := l.Store.CompareAndSwap(ctx, swap)
+	if l.swaps++; l.swaps%2 == 1 {
+		return 0, platform.ErrStoreUnknown
+	}
+	return version, err
+}
+
+func newManager(store platform.Store, host ident.Host, incarnation ident.Incarnation) (*Manager, *prometheus.Registry) {
+	registry := prometheus.NewRegistry()
+	return New(Options{Host: host, Incarnation: incarnation, Store: store, Config: noConfig{}, Registerer: registry}), registry
+}
+
+var now = time.Date(2030, 1, 1, 12, 34, 0, 0, time.UTC)
+
+func TestCountsSurviveReplacedHostsAndLostAnswers(t *testing.T) {
+	ctx := context.Background()
+	store := &lossy{Store: memstore.New(clock.NewRuntime())}
+	for incarnation := range ident.Incarnation(3) {
+		m, _ := newManager(store, "a", incarnation+1)
+		for i := range 100 {
+			m.Record(Event{Workspace: "w", Route: "r", At: now.Add(-2 * time.Hour), Answered: i != 0, FirstToken: time.Second})
+			m.Record(Event{Workspace: "w", Route: "r", At: now, Answered: true, FirstToken: time.Millisecond, TokenGap: time.Millisecond})
+			m.Checkpoint(ctx, now)
+		}
+		m.Checkpoint(ctx, now)
+	}
+	reader, _ := newManager(store, "b", 1)
+	report, err := reader.Report(ctx, now)
+	must.NoError(t, err)
+	rows := make(map[string]Row)
+	for _, row := range report.Rows {
+		rows[row.Objective] = row
+	}
+	availability := rows["availability"].Cells
+	must.Eq(t, Cell{300, 0, 0}, availability[0])
+	must.Eq(t, 600, availability[4].Total)
+	must.Eq(t, 3, availability[4].Bad)
+	// 0.5% missed of a budget of 0.1% burns five times too fast.
+	must.InDelta(t, 5, availability[4].Rate, 1e-6)
+	must.Eq(t, Cell{600, 300, rows["first-token"].Cells[3].Rate}, rows["first-token"].Cells[3])
+	must.MapNotContainsKey(t, rows, "deadline")
+}
+
+func TestPagesAreReleasedAndPruned(t *testing.T) {
+	ctx := context.Background()
+	store := memstore.New(clock.NewRuntime())
+	m, _ := newManager(store, "a", 1)
+	m.Record(Event{Workspace: "w", Route: "r", At: now, Answered: true})
+	m.Checkpoint(ctx, now.Add(3*time.Hour))
+	must.MapEmpty(t, m.own)
+	entries, err := store.List(ctx, keyPrefix)
+	must.NoError(t, err)
+	must.Len(t, 1, entries)
+	m.Checkpoint(ctx, now.Truncate(pageLength).Add(keepPages*pageLength))
+	entries, err = store.List(ctx, keyPrefix)
+	must.NoError(t, err)
+	must.SliceEmpty(t, entries)
+}
+
+func TestMetricsStayBounded(t *testing.T) {
+	m, registry := newManager(memstore.New(clock.NewRuntime()), "a", 1)
+	for w := range 310 {
+		for r := range 25 {
+			m.Record(Event{Workspace: ident.Workspace(fmt.Sprint(w)), Route: ident.Route(fmt.Sprint(r)), At: now})
+		}
+	}
+	families, err := registry.Gather()
+	must.NoError(t, err)
+	series := 0
+	for _, family := range families {
+		series += len(family.GetMetric())
+	}
+	must.LessEq(t, 2*int(objectives)+1, series)
+}
+
+func BenchmarkSlopePageBytes(b *testing.B) {
+	for _, subjects := range []int{8, 80, 310, 930} {
+		b.Run(fmt.Sprint(subjects), func(b *testing.B) {
+			slots := make(Slots)
+			for i := range subjects {
+				counts := Counts{{900, 3}, {900, 40}, {900, 20}, {0, 0}}
+				slots.add(now, Subject{ident.Workspace(fmt.Sprintf("workspace-%d", i/3)), ident.Route(fmt.Sprintf("route-%d", i%3))}, &counts)
+			}
+			var page []byte
+			for b.Loop() {
+				page, _ = encodePage(slots)
+			}
+			b.ReportMetric(float64(len(page)), "page-bytes")
+		})
+	}
+}
--- /dev/null
+++ b/pkg/burn/objective.go
@@ -0,0 +1,33 @@
+package burn
+
+import "amaranthplank.example/amaranthplank/pkg/config"
+
+// Objective is one service-level objective.
+type Objective uint8
+
+// The objectives.
+const (
+	// Availability counts requests that were answered.
+	Availability Objective = iota
+	// FirstToken counts answers whose first part came in time.
+	FirstToken
+	// TokenGap counts streams whose mean time between parts kept the bound.
+	TokenGap
+	// Deadline counts requests with a deadline that were answered before it.
+	Deadline
+	// objectives is how many there are.
+	objectives
+)
+
+// String returns the objective's name in reports and metrics.
+func (o Objective) String() string {
+	return [...]string{"availability", "first-token", "token-gap", "deadline"}[o]
+}
+
+// share returns the part of the requests that must keep the objective.
+func (o Objective) share(knobs *config.BurnKnobs) float64 {
+	if o == Availability {
+		return knobs.Availability
+	}
+	return knobs.LatencyShare
+}
--- /dev/null
+++ b/pkg/burn/observer.go
@@ -0,0 +1,27 @@
+package burn
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/entry"
+	"amaranthplank.example/amaranthplank/pkg/request"
+)
+
+// Observer hands the entry's observations to a recorder.
+type Observer struct {
+	Recorder Recorder
+}
+
+var _ entry.Observer = Observer{}
+
+// Observe records one ended request, unless its caller gave it up.
+func (o Observer) Observe(observation entry.Observation) {
+	if observation.CallerGone {
+		return
+	}
+	o.Recorder.Record(Event{
+		Workspace: observation.Workspace, Route: observation.Route, At: time.Now(),
+		Answered:   observation.Outcome == request.Answered,
+		FirstToken: observation.FirstPart, TokenGap: observation.TokenGap(),
+	})
+}
--- /dev/null
+++ b/pkg/burn/page.go
@@ -0,0 +1,60 @@
+package burn
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/peer"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// keyPrefix starts the keys of all checkpoints.
+const keyPrefix platform.Key = "burn/"
+
+// pagePrefix starts the keys of the checkpoints of one page.
+func pagePrefix(start time.Time) platform.Key {
+	return keyPrefix + platform.Key(start.UTC().Format("20060102T15")) + "/"
+}
+
+// pageKey is where one process keeps one page. No other writes there.
+func pageKey(start time.Time, host ident.Host, incarnation ident.Incarnation) platform.Key {
+	return pagePrefix(start) + platform.Key(fmt.Sprintf("%s-%d", host, incarnation))
+}
+
+// row is one slot and subject of a checkpoint.
+type row struct {
+	Slot      int64
+	Workspace ident.Workspace
+	Route     ident.Route
+	Counts    Counts
+}
+
+// encodePage returns the checkpoint of a page.
+func encodePage(slots Slots) ([]byte, error) {
+	var rows []row
+	for start, subjects := range slots {
+		for subject, counts := range subjects {
+			rows = append(rows, row{start, subject.Workspace, subject.Route, *counts})
+		}
+	}
+	slices.SortFunc(rows, func(a, b row) int {
+		return cmp.Or(cmp.Compare(a.Slot, b.Slot), cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Route, b.Route))
+	})
+	return peer.EncodeCompact(rows)
+}
+
+// decodePage reads a checkpoint.
+func decodePage(value []byte) (Slots, error) {
+	var rows []row
+	if err := peer.Decode(value, &rows); err != nil {
+		return nil, err
+	}
+	slots := make(Slots)
+	for i := range rows {
+		slots.add(time.Unix(rows[i].Slot, 0), Subject{rows[i].Workspace, rows[i].Route}, &rows[i].Counts)
+	}
+	return slots, nil
+}
--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -2,5 +2,5 @@
 
 // Commands returns the tool's commands in the order that help lists them.
 func Commands() []Command {
-	return []Command{checkCommand(), drainCommand(), loadCommand()}
+	return []Command{checkCommand(), drainCommand(), loadCommand(), reportCommand()}
 }
