--- a/pkg/dissemination/fleet_test.go
+++ b/pkg/dissemination/fleet_test.go
@@ -60,7 +60,7 @@
 	sent, got int
 	ledger    *Ledger
 	// total is what the process has consumed of each workspace.
-	total map[ident.Workspace]uint64
+	total map[Account]uint64
 }
 
 type flight struct {
@@ -106,7 +106,7 @@
 // start gives a host a fresh process.
 func (f *fleet) start(i int, incarnation ident.Incarnation) {
 	n := f.nodes[i]
-	*n = fleetNode{life: Life{f.ring[i], incarnation}, startedAt: f.now, sent: n.sent, got: n.got, ledger: NewLedger(Life{f.ring[i], incarnation}), total: make(map[ident.Workspace]uint64)}
+	*n = fleetNode{life: Life{f.ring[i], incarnation}, startedAt: f.now, sent: n.sent, got: n.got, ledger: NewLedger(Life{f.ring[i], incarnation}), total: make(map[Account]uint64)}
 	n.Node = NewNode(n.life, f.strategy, f.timing(), f.random)
 	// Daemons don't start in step.
 	n.bundledAt = f.now.Add(-time.Duration(f.random.Int64N(int64(f.timing().BundleEvery))))
@@ -221,15 +221,15 @@
 		}
 	}
 	for range max(minSums, sumsPerFleet/len(f.ring)) {
-		name := fmt.Sprintf("workspace-%d", f.random.IntN(min(310, len(f.ring))))
+		name := fmt.Sprintf("t/workspace-%d", f.random.IntN(min(310, len(f.ring))))
 		if !f.quiet {
 			amount := uint64(f.random.IntN(5000))
-			n.total[ident.Workspace(name)] += amount
-			n.ledger.Add(ident.Workspace(name), amount)
+			n.total[accountOf(name)] += amount
+			n.ledger.Add(accountOf(name), amount)
 		}
 	}
 	for _, sum := range n.ledger.Pick(max(minSums, sumsPerFleet/len(f.ring))) {
-		n.Publish(Key{SectionConsumption, string(sum.Workspace)}, binary.AppendUvarint(nil, sum.Sum), false)
+		n.Publish(Key{SectionConsumption, sum.Account.name()}, binary.AppendUvarint(nil, sum.Sum), false)
 	}
 }
 
--- a/pkg/dissemination/loop.go
+++ b/pkg/dissemination/loop.go
@@ -106,7 +106,7 @@
 // publishConsumption stages the sums that changed the most.
 func (m *Manager) publishConsumption(hosts int) {
 	for _, sum := range m.ledger.Pick(max(minSums, sumsPerFleet/hosts)) {
-		key := Key{SectionConsumption, string(sum.Workspace)}
+		key := Key{SectionConsumption, sum.Account.name()}
 		m.publish(key, binary.AppendUvarint(nil, sum.Sum), false)
 	}
 }
@@ -131,7 +131,7 @@
 				continue
 			}
 			if sum, n := binary.Uvarint(h.value); n > 0 {
-				m.ledger.Take(o.life, Sum{ident.Workspace(h.key.Name), sum})
+				m.ledger.Take(o.life, Sum{accountOf(h.key.Name), sum})
 			}
 		}
 	}
--- a/pkg/dissemination/manager.go
+++ b/pkg/dissemination/manager.go
@@ -124,19 +124,19 @@
 	return found
 }
 
-// Consume counts consumption of a workspace on this daemon.
-func (m *Manager) Consume(workspace ident.Workspace, amount uint64) {
+// Consume counts consumption on this daemon.
+func (m *Manager) Consume(account Account, amount uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.ledger.Add(workspace, amount)
+	m.ledger.Add(account, amount)
 }
 
-// Elsewhere returns what a workspace has consumed on other daemons since this
-// one started or before, as far as it is known here. It never falls.
-func (m *Manager) Elsewhere(workspace ident.Workspace) uint64 {
+// Elsewhere returns what an account has consumed on other daemons, before this
+// one started too, as far as it is known here. It never falls.
+func (m *Manager) Elsewhere(account Account) uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.ledger.Elsewhere(workspace)
+	return m.ledger.Elsewhere(account)
 }
 
 // Run spreads state until ctx ends.
--- a/pkg/dissemination/properties_test.go
+++ b/pkg/dissemination/properties_test.go
@@ -48,22 +48,22 @@
 // sums reports a node whose totals differ from the first one's, or, where no
 // process was killed, from what was consumed.
 func (f *fleet) sums(killed bool) error {
-	want := make(map[ident.Workspace]uint64)
+	want := make(map[Account]uint64)
 	for _, n := range f.nodes {
 		n.Each(SectionConsumption, func(life Life, name string, value []byte, _, _ time.Time) {
 			sum, _ := binary.Uvarint(value)
-			n.ledger.Take(life, Sum{ident.Workspace(name), sum})
+			n.ledger.Take(life, Sum{accountOf(name), sum})
 		})
-		for workspace, amount := range n.total {
-			want[workspace] += amount
+		for account, amount := range n.total {
+			want[account] += amount
 		}
 	}
-	for workspace := range want {
-		first := f.nodes[0].total[workspace] + f.nodes[0].ledger.Elsewhere(workspace)
+	for account := range want {
+		first := f.nodes[0].total[account] + f.nodes[0].ledger.Elsewhere(account)
 		for _, n := range f.nodes {
-			got := n.total[workspace] + n.ledger.Elsewhere(workspace)
-			if got != first || (!killed && got != want[workspace]) {
-				return errors.Errorf("%s counts %d of %s, the first %d, consumed were %d", n.life.Host, got, workspace, first, want[workspace])
+			got := n.total[account] + n.ledger.Elsewhere(account)
+			if got != first || (!killed && got != want[account]) {
+				return errors.Errorf("%s counts %d of %v, the first %d, consumed were %d", n.life.Host, got, account, first, want[account])
 			}
 		}
 	}
