--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -70,6 +70,7 @@
 	d.newUsage()
 	d.newView()
 	d.newOrders()
+	d.newSupply()
 	d.duties = d.newDuties(d.works)
 	d.callers = drain.New(drain.Options{
 		Server: entry.NewServer(d.newHandler()), Listener: opts.Listener, Log: opts.Log,
@@ -107,7 +108,10 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	d.runPeers(ctx, group)
-	parts := []func(context.Context) error{d.config.Run, d.spread.Run, d.running.run, d.targets.Run, d.meter.Run, d.tails.Run, d.relay.Run, d.claims.Run, d.duties.run}
+	parts := []func(context.Context) error{
+		d.config.Run, d.spread.Run, d.running.run, d.targets.Run, d.meter.Run, d.tails.Run,
+		d.relay.Run, d.claims.Run, d.engines.Run, d.duties.run,
+	}
 	for _, run := range parts {
 		group.Go(func() error { return run(ctx) })
 	}
