--- a/pkg/entry/results_test.go
+++ b/pkg/entry/results_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -34,6 +35,7 @@
 		for _, fault := range []faulttarget.Fault{faulttarget.None, faulttarget.CloseAfter, faulttarget.Silent, faulttarget.None} {
 			r.Faults["ledger-1"].Script(fault)
 			_ = send(client, write.make("w"))
+			synctest.Wait()
 		}
 		must.Eq(t, []bool{true, false, true}, l.told, must.Sprint("a passed deadline is the caller's"))
 	})
