--- a/pkg/claims/claim.go
+++ b/pkg/claims/claim.go
@@ -29,9 +29,10 @@
 
 // Answer is a recorded answer.
 type Answer struct {
-	Status      int    `json:"status"`
-	ContentType string `json:"contentType,omitempty"`
-	Body        []byte `json:"body,omitempty"`
+	Status          int    `json:"status"`
+	ContentType     string `json:"contentType,omitempty"`
+	ContentEncoding string `json:"contentEncoding,omitempty"`
+	Body            []byte `json:"body,omitempty"`
 }
 
 // MaxAnswerBytes is the largest body that is recorded.
--- a/pkg/entry/claimed.go
+++ b/pkg/entry/claimed.go
@@ -20,9 +20,10 @@
 )
 
 // keyed reports whether the request's idempotency key must be claimed. Requests
-// that may run twice need no claim.
+// that may run twice need no claim. Callers without a workspace get none, since
+// strangers could have chosen the same key.
 func (s *session) keyed() bool {
-	return s.handler.opts.Claims != nil && !s.req.Idempotent && s.req.IdempotencyKey != ""
+	return s.handler.opts.Claims != nil && !s.req.Idempotent && s.req.IdempotencyKey != "" && s.req.Workspace != ""
 }
 
 // claim claims the idempotency key. It reports false where the caller was
@@ -58,6 +59,9 @@
 	default:
 		header := s.writer.Header()
 		header.Set("Content-Type", found.Answer.ContentType)
+		if encoding := found.Answer.ContentEncoding; encoding != "" {
+			header.Set("Content-Encoding", encoding)
+		}
 		header.Set(HeaderReplayed, "true")
 		header.Set(HeaderOutcome, string(request.Answered))
 		s.end(request.Answered, nil)
@@ -77,7 +81,9 @@
 	switch outcome {
 	case request.Answered:
 		hold.Answered(claims.Answer{
-			Status: s.writer.status, ContentType: s.writer.Header().Get("Content-Type"), Body: s.writer.recorded,
+			Status: s.writer.status, Body: s.writer.recorded,
+			ContentType:     s.writer.Header().Get("Content-Type"),
+			ContentEncoding: s.writer.Header().Get("Content-Encoding"),
 		})
 	case request.NotRun:
 		hold.NotRun()
