Serve the report on error budgets and share what workspaces use

Cause: the burn report had no address, and two exchanges of running requests stood side by side. Change: GET /v1/burn; the exchange of pkg/consumption takes the place of the daemon's own, and tells of running requests only near a limit: a whole map of some 100 workspaces twice a second from 330 daemons is reckoned at hundreds of KB/s, against a bound of 8 KB/s.

--- a/pkg/consumption/exchange.go
+++ b/pkg/consumption/exchange.go
@@ -36,6 +36,7 @@
 type Exchange struct {
 	spread  Spread
 	members membership.View
+	near    Near
 
 	mu sync.Mutex
 	// running counts this daemon's running requests, published what the others
@@ -51,9 +52,14 @@
 
 var _ admission.Elsewhere = (*Exchange)(nil)
 
+// Near reports whether so many running requests at one daemon are near the
+// workspace's limit on concurrency. Only those are told of, which bounds the
+// bytes.
+type Near func(workspace ident.Workspace, running int) bool
+
 // New returns an exchange without running requests.
-func New(spread Spread, members membership.View) *Exchange {
-	return &Exchange{spread: spread, members: members, running: make(map[ident.Workspace]int)}
+func New(spread Spread, members membership.View, near Near) *Exchange {
+	return &Exchange{spread: spread, members: members, near: near, running: make(map[ident.Workspace]int)}
 }
 
 // begin counts an admitted request.
@@ -96,8 +102,10 @@
 
 // refresh publishes what runs here and reads what runs elsewhere.
 func (e *Exchange) refresh(now time.Time) {
-	if !maps.Equal(e.running, e.published) {
-		e.published = maps.Clone(e.running)
+	told := maps.Clone(e.running)
+	maps.DeleteFunc(told, func(workspace ident.Workspace, running int) bool { return !e.near(workspace, running) })
+	if !maps.Equal(told, e.published) {
+		e.published = told
 		// A map of names and numbers always encodes.
 		_ = e.spread.Publish(runningItem, e.published, false)
 	}
--- a/pkg/consumption/exchange_test.go
+++ b/pkg/consumption/exchange_test.go
@@ -40,6 +40,9 @@
 
 func (p pair) Heard([]membership.Beat) {}
 
+// near tells of every running request.
+func near(ident.Workspace, int) bool { return true }
+
 func TestUseOfOneDaemonIsSeenAtTheOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -48,7 +51,7 @@
 		for _, p := range []pair{{"a", "b", handlers}, {"b", "a", handlers}} {
 			m := dissemination.New(dissemination.Options{Links: p, Members: p, Registerer: prometheus.NewRegistry()})
 			go func() { _ = m.Run(ctx) }()
-			exchanges = append(exchanges, New(m, p))
+			exchanges = append(exchanges, New(m, p, near))
 		}
 		controller := exchanges[0].Count(admission.Unlimited{})
 		req := &request.Request{Workspace: "shops"}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
+	"amaranthplank.example/amaranthplank/pkg/burn"
 	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/dissemination"
@@ -42,7 +43,7 @@
 	targets     *targetwatch.Watcher
 	router      *routing.ByKind
 	spread      *dissemination.Manager
-	running     *runningShare
+	burn        *burn.Manager
 	relay       *relay.Relay
 	acceptance  *config.Acceptance
 	meter       *usage.Source
@@ -109,8 +110,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	d.runPeers(ctx, group)
 	parts := []func(context.Context) error{
-		d.config.Run, d.spread.Run, d.running.run, d.targets.Run, d.meter.Run, d.tails.Run,
-		d.relay.Run, d.claims.Run, d.engines.Run, d.duties.run,
+		d.config.Run, d.spread.Run, d.targets.Run, d.meter.Run, d.tails.Run,
+		d.relay.Run, d.claims.Run, d.engines.Run, d.burn.Run, d.duties.run,
 	}
 	for _, run := range parts {
 		group.Go(func() error { return run(ctx) })
--- a/pkg/daemon/path.go
+++ b/pkg/daemon/path.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/burn"
 	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/consumption"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
@@ -31,15 +33,19 @@
 		Router: d.router, Client: target.NewClient(), Config: d.config, Credential: d.opts.Credential,
 		Log: d.opts.Log, Registerer: d.registry,
 	})
-	d.running = newRunningShare(d.spread, d.opts.Log, d.nearConcurrency)
-	admit := &sharedAdmission{spread: d.spread, running: d.running, inner: admission.NewFair(admission.Options{
-		Gate: d.router, Elsewhere: elsewhere{spread: d.spread, members: d.members, running: d.running},
-		Now: time.Now, Knobs: d.admissionKnobs, Weight: d.weight,
-	})}
+	exchange := consumption.New(d.spread, d.members, d.nearConcurrency)
+	admit := exchange.Count(admission.NewFair(admission.Options{
+		Gate: d.router, Elsewhere: exchange, Now: time.Now, Knobs: d.admissionKnobs, Weight: d.weight,
+	}))
 	d.claims = claims.New(claims.Options{Store: d.opts.Store, Log: d.opts.Log})
+	d.burn = burn.New(burn.Options{
+		Host: d.opts.Host, Incarnation: d.incarnation, Store: d.opts.Store, Config: d.config,
+		Log: d.opts.Log, Registerer: d.registry,
+	})
 	return entry.New(entry.Options{
 		Config: d.config, Admission: admit, Relay: d.relay, Recorder: d.meter,
-		Log: d.opts.Log, Registerer: d.registry, Ready: d.serving, Claims: d.claims, MaxBodyBytes: maxBodyBytes,
+		Log: d.opts.Log, Registerer: d.registry, Ready: d.serving, Claims: d.claims,
+		Observer: burn.Observer{Recorder: d.burn}, MaxBodyBytes: maxBodyBytes,
 	})
 }
 
