Bound what one workspace fills beyond its part; write the decisions down

Change: interactive requests of a workspace above twice its part pass only where waits are under 50 ms and slots under 0.6 are taken; deferrable ones share that bound. Supply adds at most loadsAtOnce targets at a time.

--- a/bench/shift/plots.go
+++ b/bench/shift/plots.go
@@ -20,9 +20,12 @@
 
 // plotColors tells the lines apart.
 var plotColors = []color.Color{
-	color.RGBA{R: 31, G: 119, B: 180, A: 255}, color.RGBA{R: 255, G: 127, B: 14, A: 255},
-	color.RGBA{R: 44, G: 160, B: 44, A: 255}, color.RGBA{R: 214, G: 39, B: 40, A: 255},
-	color.RGBA{R: 120, G: 120, B: 120, A: 255}, color.RGBA{R: 148, G: 103, B: 189, A: 255},
+	color.RGBA{R: 31, G: 119, B: 180, A: 255},
+	color.RGBA{R: 255, G: 127, B: 14, A: 255},
+	color.RGBA{R: 44, G: 160, B: 44, A: 255},
+	color.RGBA{R: 214, G: 39, B: 40, A: 255},
+	color.RGBA{R: 120, G: 120, B: 120, A: 255},
+	color.RGBA{R: 148, G: 103, B: 189, A: 255},
 }
 
 // WritePlots plays every trace and writes an image of each into a directory:
--- a/bench/shift/shift_bench_test.go
+++ b/bench/shift/shift_bench_test.go
@@ -9,7 +9,7 @@
 )
 
 // workers bounds the runs at once.
-const workers = 4
+const workers = 6
 
 // table plays every policy over every trace of every deployment.
 func table(scale float64, keep func(d *deployment, t *trace, p *policy) bool) []figures {
--- a/bench/shift/tally.go
+++ b/bench/shift/tally.go
@@ -2,7 +2,6 @@
 
 import (
 	"time"
-
 )
 
 // tally counts what became of a run's requests.
--- a/pkg/admission/lane.go
+++ b/pkg/admission/lane.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -9,8 +8,9 @@
 )
 
 const (
-	// rateConstant is the time constant of a lane's mean rate of service.
-	rateConstant = 5 * time.Second
+	// idlePart is the part of a lane's rate below which a workspace counts as
+	// idle.
+	idlePart = 0.001
 	// shareWeight is the part of one request in the mean output share.
 	shareWeight = 0.05
 )
@@ -25,9 +25,8 @@
 	// floor is the counter of the share that was served last; a workspace
 	// that comes back starts no lower.
 	floor float64
-	// rate is the mean cost admitted a second, at rateAt.
-	rate   float64
-	rateAt time.Time
+	// rate is the mean cost admitted a second.
+	rate rate
 	// outputShare is the mean share of the bound on its output that a request
 	// used, by class; zero before the first.
 	outputShare [classCount]float64
@@ -66,16 +65,21 @@
 func (l *lane) serve(e *Entry, now time.Time) {
 	l.floor = max(l.floor, e.share.counter)
 	e.share.counter += e.cost / e.share.weight
-	l.decay(now)
-	l.rate += e.cost / rateConstant.Seconds()
+	l.rate.add(e.cost, now)
+	e.share.rate.add(e.cost, now)
 }
 
-// decay brings the mean rate up to now.
-func (l *lane) decay(now time.Time) {
-	if !l.rateAt.IsZero() {
-		l.rate *= math.Exp(-now.Sub(l.rateAt).Seconds() / rateConstant.Seconds())
+// excess reports whether a workspace takes more than factor times its weight's
+// part of what the lane serves.
+func (l *lane) excess(s *share, factor float64, now time.Time) bool {
+	total := l.rate.at(now)
+	weights := 0.0
+	for _, other := range l.order {
+		if other.rate.at(now) > total*idlePart {
+			weights += other.weight
+		}
 	}
-	l.rateAt = now
+	return s.rate.at(now) > factor*total*s.weight/max(leastWeight, weights)
 }
 
 // used takes in how much of its bound a request generated.
@@ -102,7 +106,7 @@
 // the others that are served until their counters reach the one that it starts
 // at.
 func (l *lane) expectedWait(s *share, class int) time.Duration {
-	if l.rate <= 0 {
+	if l.rate.mean <= 0 {
 		return 0
 	}
 	before := s.ahead(class)
@@ -112,7 +116,7 @@
 			before += min(other.ahead(class), max(0, start-other.counter)*other.weight)
 		}
 	}
-	return min(longWait, seconds(before/l.rate))
+	return min(longWait, seconds(before/l.rate.mean))
 }
 
 // seconds makes a duration of a number of seconds.
--- a/pkg/admission/next.go
+++ b/pkg/admission/next.go
@@ -55,6 +55,9 @@
 	case deferrables:
 		return wait <= knobs.DeferrableWait.D() && taken < knobs.DeferrableShare
 	default:
+		if !q.opts.Off.Excess && e.lane.excess(e.share, knobs.ExcessFactor, q.opts.Now()) {
+			return wait <= knobs.ExcessWait.D() && taken < knobs.DeferrableShare
+		}
 		return wait <= knobs.InteractiveWait.D()
 	}
 }
--- a/pkg/admission/options.go
+++ b/pkg/admission/options.go
@@ -36,6 +36,8 @@
 type Off struct {
 	// Fair serves all workspaces in order of arrival.
 	Fair bool
+	// Excess lets a workspace fill the targets beyond its part.
+	Excess bool
 	// Classes treats all requests as interactive.
 	Classes bool
 	// Shedding refuses nothing for its deadline.
--- a/pkg/admission/share.go
+++ b/pkg/admission/share.go
@@ -34,6 +34,8 @@
 	// counter is the cost that the workspace was served, over its weight. It
 	// only rises, but for corrections.
 	counter float64
+	// rate is the mean cost admitted a second.
+	rate rate
 	// queued are the waiting requests by class: the first two in order of
 	// arrival, deferrable ones by deadline.
 	queued [classCount][]*Entry
--- a/pkg/config/knobs_admission.go
+++ b/pkg/config/knobs_admission.go
@@ -19,9 +19,14 @@
 	LookupWait      Duration `json:"lookupWait" default:"1s" unit:"duration" min:"0s" max:"1m"`
 	InteractiveWait Duration `json:"interactiveWait" default:"2s" unit:"duration" min:"0s" max:"1m"`
 	DeferrableWait  Duration `json:"deferrableWait" default:"50ms" unit:"duration" min:"0s" max:"1m"`
+	// ExcessFactor is how many times its weight's part a workspace may take of
+	// what is served before its interactive requests wait as long as
+	// ExcessWait and DeferrableShare tell.
+	ExcessFactor float64  `json:"excessFactor" default:"2" unit:"ratio" min:"1" max:"1000"`
+	ExcessWait   Duration `json:"excessWait" default:"50ms" unit:"duration" min:"0s" max:"1m"`
 	// DeferrableShare is the share of the engines' slots above which
 	// deferrable requests stay in the daemon's queue.
-	DeferrableShare float64 `json:"deferrableShare" default:"0.85" unit:"ratio" min:"0" max:"1"`
+	DeferrableShare float64 `json:"deferrableShare" default:"0.6" unit:"ratio" min:"0" max:"1"`
 	// DeferrableSlack is how many times its expected run a deferrable
 	// request's time to the deadline may shrink to before it is treated as
 	// interactive.
--- a/pkg/supply/mix.go
+++ b/pkg/supply/mix.go
@@ -31,6 +31,12 @@
 	return n
 }
 
+// atMost returns the need cut to a count of targets, so that no more than a few
+// read weights at the same time; the rest is ordered once these have come.
+func (n Need) atMost(targets int) Need {
+	return Need{Interactive: min(n.Interactive, targets), Total: min(n.Total, targets)}
+}
+
 // Choose returns the cheapest mix that carries a need with reclaimable targets
 // in so many failure domains. Whichever one of these is lost, the rest carries
 // the interactive need.
--- a/pkg/supply/planner.go
+++ b/pkg/supply/planner.go
@@ -89,7 +89,7 @@
 	}
 	state.update(needOf(d.Interactive(), d.Total(), knobs), knobs, now)
 	usable := p.look(state, snapshot, model, knobs, now)
-	mix := Choose(state.need, len(usable), knobs)
+	mix := Choose(state.need.atMost(len(snapshot.Model(model))+int(knobs.LoadsAtOnce)), len(usable), knobs)
 	var list []platform.TargetOrder
 	for i, domain := range p.opts.Domains {
 		reclaimable := 0
