--- a/pkg/usage/janitor.go
+++ b/pkg/usage/janitor.go
@@ -11,9 +11,9 @@
 const (
 	// janitorEvery is the time between two rounds of the janitor.
 	janitorEvery = time.Minute
-	// abandonAfter is how long a checkpoint may stay the same before it is
-	// sealed without a tail. Daemons with nothing to bill write it too.
-	abandonAfter = 15 * time.Minute
+	// defaultAbandonAfter is how long a checkpoint may stay the same before it
+	// is sealed without a tail. Daemons with nothing to bill write it too.
+	defaultAbandonAfter = 15 * time.Minute
 	// sealedFor is how long a sealed checkpoint's sequence is kept, for a
 	// process that wakes after a long pause.
 	sealedFor = 24 * time.Hour
@@ -114,7 +114,7 @@
 	if err := authority.Check(); err != nil {
 		return err
 	}
-	switch action := due(checkpoint, j.standingFor(entry, now), heads, stampOf(now)); action {
+	switch action := due(checkpoint, j.standingFor(entry, now) >= j.reporter.abandonAfter(), heads, stampOf(now)); action {
 	case sweepSeal:
 		return sealKey(ctx, j.reporter.Store, checkpoint.Source, j.reporter.Host, nil)
 	case sweepEmpty:
@@ -154,10 +154,10 @@
 	sweepDelete
 )
 
-// due returns what is due for a checkpoint that stands unchanged for a time.
-func due(checkpoint *Checkpoint, unchanged time.Duration, heads []Head, now Stamp) sweep {
+// due returns what is due for a checkpoint.
+func due(checkpoint *Checkpoint, abandoned bool, heads []Head, now Stamp) sweep {
 	switch {
-	case !checkpoint.Sealed && unchanged >= abandonAfter:
+	case !checkpoint.Sealed && abandoned:
 		return sweepSeal
 	case !checkpoint.Sealed:
 		return sweepNothing
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -25,6 +25,17 @@
 	Log   *slog.Logger
 	// Every is the time between looks for ended windows.
 	Every time.Duration
+	// AbandonAfter is how long a checkpoint may stay the same before it is
+	// sealed without a tail; zero takes the default.
+	AbandonAfter time.Duration
+}
+
+// abandonAfter returns the time after which a checkpoint is abandoned.
+func (r *Reporter) abandonAfter() time.Duration {
+	if r.AbandonAfter == 0 {
+		return defaultAbandonAfter
+	}
+	return r.AbandonAfter
 }
 
 // Work reports windows while the duty is held. It is a lease.Work.
