--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -11,13 +11,14 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
-	"amaranthplank.example/amaranthplank/pkg/admission"
 	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/dissemination"
 	"amaranthplank.example/amaranthplank/pkg/drain"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
+	"amaranthplank.example/amaranthplank/pkg/orders"
 	"amaranthplank.example/amaranthplank/pkg/peer"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
@@ -25,15 +26,8 @@
 	"amaranthplank.example/amaranthplank/pkg/usage"
 )
 
-const (
-	// headerTimeout bounds how long an operator's client takes to send its
-	// headers.
-	headerTimeout = 10 * time.Second
-	// targetsEvery is the time between reads of the target list.
-	targetsEvery = time.Second
-	// closeEvery is the time between looks for ended usage windows.
-	closeEvery = time.Second
-)
+// headerTimeout bounds how long an operator's client takes to send its headers.
+const headerTimeout = 10 * time.Second
 
 // Daemon is one process of the system.
 type Daemon struct {
@@ -47,34 +41,37 @@
 	members     *membership.Manager
 	targets     *targetwatch.Watcher
 	router      *routing.ByKind
-	admission   *admission.Fair
+	spread      *dissemination.Manager
+	running     *runningShare
 	relay       *relay.Relay
-	meter       *usage.Meter
-	closer      *usage.Closer
+	acceptance  *config.Acceptance
+	meter       *usage.Source
+	tails       *usage.Keeper
 	claims      *claims.Registry
 	callers     *drain.Server
 	duties      *duties
+	engines     *orders.EngineManager
+	supply      *orders.SupplyManager
 	admin       *http.Server
 }
 
 // New returns a daemon that is ready to run. It fails with kind Invalid where
 // the options leave its links open to anyone.
 func New(opts Options) (*Daemon, error) {
-	d := &Daemon{opts: opts, incarnation: ident.Incarnation(time.Now().UnixNano()), builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
+	d := &Daemon{
+		opts: opts, incarnation: ident.Incarnation(time.Now().UnixNano()),
+		builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry(),
+	}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	if err := d.connect(); err != nil {
 		return nil, err
 	}
-	d.config = config.NewManager(config.Options{
-		Host: opts.Host, Store: opts.Store, Mesh: d.links, View: d.members, Log: opts.Log, Registerer: d.registry,
-	})
+	d.newControl()
+	d.newUsage()
+	d.newView()
+	d.newOrders()
+	d.newSupply()
 	d.duties = d.newDuties(d.works)
-	d.targets = targetwatch.New(opts.Targets, opts.Log, targetsEvery)
-	d.meter = usage.NewMeter(opts.UsageWindow)
-	d.closer = usage.NewCloser(usage.CloserOptions{
-		Meter: d.meter, Store: opts.Store, Sink: opts.Usage, Log: opts.Log,
-		Shard: ident.Duty("usage/" + string(opts.Host)), Grace: opts.UsageGrace, Every: closeEvery,
-	})
 	d.callers = drain.New(drain.Options{
 		Server: entry.NewServer(d.newHandler()), Listener: opts.Listener, Log: opts.Log,
 		BalancerDelay: opts.BalancerDelay,
@@ -91,8 +88,8 @@
 // complete.
 func (d *Daemon) Stop() { d.callers.Stop() }
 
-// serving tells whether requests may be served: the daemon must know the
-// configuration and that it is fresh.
+// serving tells whether requests may be served: the control state must be
+// fresh.
 func (d *Daemon) serving() error { return d.config.Ready() }
 
 // ready tells whether the balancer may send requests: beside what serving
@@ -111,7 +108,10 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	d.runPeers(ctx, group)
-	parts := []func(context.Context) error{d.config.Run, d.targets.Run, d.closer.Run, d.relay.Run, d.claims.Run, d.duties.run}
+	parts := []func(context.Context) error{
+		d.config.Run, d.spread.Run, d.running.run, d.targets.Run, d.meter.Run, d.tails.Run,
+		d.relay.Run, d.claims.Run, d.engines.Run, d.duties.run,
+	}
 	for _, run := range parts {
 		group.Go(func() error { return run(ctx) })
 	}
--- a/pkg/devmode/devmode.go
+++ b/pkg/devmode/devmode.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"sync"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -15,13 +14,6 @@
 	"amaranthplank.example/amaranthplank/pkg/standin/hosts"
 )
 
-const (
-	// usageWindow is the length of a usage window.
-	usageWindow = 10 * time.Second
-	// usageGrace is how long after its end a window is closed.
-	usageGrace = 2 * time.Second
-)
-
 // Options shape a development run.
 type Options struct {
 	// Daemons is how many daemons run; zero runs the stand-ins alone.
@@ -92,7 +84,6 @@
 		Log: opts.Log.With("host", record.Host), Listener: slot.callers, AdminListener: slot.operators,
 		PeerListener: slot.peers, PeerSecret: secret,
 		Store: s.store, Targets: s.targets, Usage: s.usage, Hosts: s.hosts, Weights: s.weights,
-		UsageWindow: usageWindow, UsageGrace: usageGrace,
 	})
 }
 
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -21,6 +21,12 @@
 	// prefill is the cost of the prompt there, decode that of the answer.
 	prefill float64
 	decode  float64
+	// wait is the time before the prompt is looked at, slotWait that before
+	// the answer gets its slot.
+	wait     float64
+	slotWait float64
+	slots    float64
+	occupied float64
 	// uncached is the expected count of prompt tokens to compute.
 	uncached float64
 }
@@ -37,15 +43,22 @@
 		if !takesNew(state, knobs, now) || slices.Contains(exclude, state.Record.Target) {
 			continue
 		}
-		e := estimateOf(state, r.own(i), knobs, now)
-		s := score{target: i, role: state.Load.Role, uncached: r.uncached(i, i == home, known, req, knobs)}
-		wait, own := e.prefill(s.uncached)
+		e := estimateOf(state, r.own(i), r.daemons(), knobs, now)
+		s := score{
+			target: i, role: state.Load.Role, slots: e.slots, occupied: e.occupied,
+			uncached: r.uncached(i, i == home, known, req, knobs),
+		}
+		var own float64
+		s.wait, own = e.prefill(s.uncached)
+		s.prefill = own*knobs.PrefillWeight + r.penalty(state, req, knobs)
+		s.slotWait, s.decode = e.decode(float64(req.MaxOutputTokens))
+		s.decode *= 1 + knobs.CrowdWeight*e.crowd()
 		if req.Class == ident.ClassLookup {
-			wait *= lookupBacklogShare
+			s.wait *= lookupBacklogShare
+			s.slotWait *= lookupBacklogShare
 		}
-		s.prefill = wait + own*knobs.PrefillWeight + r.penalty(state, req, knobs)
-		wait, own = e.decode(float64(req.MaxOutputTokens))
-		s.decode = wait + own
+		s.prefill += s.wait
+		s.decode += s.slotWait
 		r.scores = append(r.scores, s)
 	}
 }
@@ -86,10 +99,12 @@
 	cached := 0.0
 	if own.slot >= 0 {
 		cached = float64(r.depths[own.slot])
+		if r.index.Stale(own.slot) {
+			cached *= knobs.StaleCredit
+		}
 	}
-	untold := !known || own.slot < 0 || r.index.Stale(own.slot)
-	if home && untold {
-		cached = max(cached, knobs.AffinityCredit*float64(len(req.Prefix)))
+	if home && !known {
+		cached = knobs.AffinityCredit * float64(len(req.Prefix))
 	}
 	return max(0, float64(req.PromptTokens)-cached*request.PrefixBlockTokens)
 }
