Check, diff, apply and status through the operator API

Change: calls on the configuration, the daemon's status and the source of a value, as go-kit endpoints; the tool's commands for them with exit codes for a conflict, an unknown outcome and a difference. The usage heads bear the end of the last reported window, for the status.

--- a/pkg/ctl/check.go
+++ b/pkg/ctl/check.go
@@ -4,28 +4,62 @@
 	"context"
 	"flag"
 	"os"
+	"time"
+
+	"github.com/go-faster/errors"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
 )
 
+// checkFlags are the flags of check.
+type checkFlags struct {
+	json bool
+}
+
 // checkCommand checks a configuration file without a daemon.
 func checkCommand() Command {
 	return Command{
 		Name: "check", Args: "FILE", Summary: "check a configuration file",
-		Setup: func(*flag.FlagSet) Action { return check },
+		Setup: func(flags *flag.FlagSet) Action {
+			f := &checkFlags{}
+			flags.BoolVar(&f.json, "json", false, "print the problems as JSON")
+			return f.run
+		},
 	}
 }
 
-// check reads the file and prints what is wrong with it.
-func check(_ context.Context, env Env, args []string) ExitCode {
-	text, err := os.ReadFile(args[0])
-	if err == nil {
-		_, err = config.Parse(text)
+// run reads the file and prints everything that is wrong with it.
+func (f *checkFlags) run(_ context.Context, env Env, args []string) ExitCode {
+	problems, err := problemsIn(args[0])
+	if f.json {
+		printJSON(env, problems)
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+		if !f.json {
+			env.printf("%s is a valid configuration", args[0])
+		}
+		return ExitOK
+	case len(problems) == 0:
 		env.errorf("%s: %v", args[0], err)
-		return ExitFailed
+	case !f.json:
+		for _, problem := range problems {
+			env.errorf("%s: %s", args[0], problem)
+		}
+	}
+	return ExitFailed
+}
+
+// problemsIn returns what is wrong with a file's text.
+func problemsIn(name string) ([]config.Problem, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return []config.Problem{}, err
+	}
+	_, err = config.Check(text, time.Now())
+	var problems *config.ProblemsError
+	if errors.As(err, &problems) {
+		return problems.Problems, err
 	}
-	env.printf("%s is a valid configuration", args[0])
-	return ExitOK
+	return []config.Problem{}, err
 }
--- /dev/null
+++ b/pkg/ctl/client.go
@@ -0,0 +1,97 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/operator"
+)
+
+// defaultOperator is where a daemon's operator address is by default.
+const defaultOperator = "http://127.0.0.1:9090"
+
+// client calls one daemon's operator address.
+type client struct {
+	base string
+}
+
+// declare adds the flag that names the daemon.
+func (c *client) declare(flags *flag.FlagSet) {
+	flags.StringVar(&c.base, "operator", defaultOperator, "base URL of a daemon's operator address")
+}
+
+// call makes one call and reads its answer. An error that the daemon sent keeps
+// its kind; a call whose answer was lost is of kind Unknown.
+func (c *client) call(ctx context.Context, env Env, method, path string, body, answer any) error {
+	var payload bytes.Buffer
+	if body != nil {
+		if err := json.NewEncoder(&payload).Encode(body); err != nil {
+			return err
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, &payload)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "the operator address is malformed", "check -operator")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := env.Client.Do(request)
+	if err != nil {
+		return fault.Wrap(err, fault.Unknown, "the daemon did not answer", "check -operator, or ask another daemon")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return readError(response)
+	}
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		return fault.Wrap(err, fault.Unknown, "the daemon's answer can't be read", "use the tool of the daemon's version")
+	}
+	return nil
+}
+
+// readError returns the error that the daemon sent.
+func readError(response *http.Response) error {
+	var body operator.ErrorBody
+	if err := json.NewDecoder(response.Body).Decode(&body); err != nil || body.Kind == "" {
+		return fault.New(fault.Internal, "the daemon answered "+response.Status, "look at the daemon's log")
+	}
+	return &remoteError{body: body}
+}
+
+// remoteError is an error as a daemon sent it.
+type remoteError struct {
+	body operator.ErrorBody
+}
+
+// Error returns the daemon's message.
+func (e *remoteError) Error() string { return e.body.Message }
+
+// exitOf returns the exit code for an error.
+func exitOf(err error) ExitCode {
+	kind := fault.KindOf(err)
+	var remote *remoteError
+	if errors.As(err, &remote) {
+		kind = remote.body.Kind
+	}
+	switch kind {
+	case fault.Conflict:
+		return ExitConflict
+	case fault.Unknown:
+		return ExitUnknown
+	default:
+		return ExitFailed
+	}
+}
+
+// printJSON writes a value for scripts.
+func printJSON(env Env, value any) {
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err == nil {
+		env.printf("%s", text)
+	}
+}
--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -2,5 +2,7 @@
 
 // Commands returns the tool's commands in the order that help lists them.
 func Commands() []Command {
-	return []Command{checkCommand(), drainCommand(), loadCommand(), reportCommand()}
+	return []Command{
+		checkCommand(), diffCommand(), applyCommand(), statusCommand(), drainCommand(), loadCommand(), reportCommand(),
+	}
 }
--- a/pkg/ctl/exitcode.go
+++ b/pkg/ctl/exitcode.go
@@ -15,4 +15,6 @@
 	ExitConflict ExitCode = 3
 	// ExitUnknown means that the change may or may not have been accepted.
 	ExitUnknown ExitCode = 4
+	// ExitDiffers means that a file differs from the configuration in force.
+	ExitDiffers ExitCode = 5
 )
--- /dev/null
+++ b/pkg/operator/status.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/membership"
+	"amaranthplank.example/amaranthplank/pkg/orders"
+	"amaranthplank.example/amaranthplank/pkg/usage"
+)
+
+// Status is what one daemon knows of the fleet.
+type Status struct {
+	Host ident.Host `json:"host"`
+	// Serving says whether the daemon serves callers on its control state.
+	Serving   bool             `json:"serving"`
+	Revisions config.Revisions `json:"revisions"`
+	Freshness config.Verdict   `json:"freshness"`
+	// Roster lists the hosts whose majority accepts a change.
+	Roster  []ident.Host          `json:"roster"`
+	Held    []config.Hold         `json:"held"`
+	Members []MemberStatus        `json:"members"`
+	Orders  []orders.OrderStatus  `json:"orders"`
+	Usage   []usage.ShardStatus   `json:"usage"`
+	Missing []UnavailableProvider `json:"missing,omitempty"`
+}
+
+// UnavailableProvider names a part of the status that could not be read.
+type UnavailableProvider struct {
+	Part   string `json:"part"`
+	Reason string `json:"reason"`
+}
+
+// MemberStatus is another daemon as this one knows it.
+type MemberStatus struct {
+	Host          ident.Host          `json:"host"`
+	FailureDomain ident.FailureDomain `json:"failureDomain"`
+	Status        membership.Status   `json:"status"`
+	Revisions     config.Revisions    `json:"revisions"`
+	// HeardAgo is how long ago it last gave a sign of life.
+	HeardAgo config.Duration `json:"heardAgo"`
+}
+
+// statusEndpoint gathers the status.
+func (o ControlOptions) statusEndpoint() endpoint.Endpoint {
+	return func(ctx context.Context, _ any) (any, error) {
+		return o.status(ctx), nil
+	}
+}
+
+// status gathers what the daemon knows.
+func (o ControlOptions) status(ctx context.Context) Status {
+	status := Status{
+		Host: o.Host, Serving: o.Manager.Ready() == nil, Revisions: o.Manager.Revisions(), Freshness: o.Manager.Verdict(),
+	}
+	if holds := o.Manager.Holds(); holds != nil {
+		status.Roster, status.Held = holds.Holds.Roster.Hosts, holds.Holds.Targets
+	}
+	if o.Members != nil {
+		status.Members = memberStatuses(o.Members.Members(), time.Now())
+	}
+	if o.Orders != nil {
+		status.Orders = o.Orders()
+	}
+	if o.Usage == nil {
+		return status
+	}
+	shards, err := o.Usage(ctx)
+	if err != nil {
+		status.Missing = append(status.Missing, UnavailableProvider{Part: "usage", Reason: err.Error()})
+	}
+	status.Usage = shards
+	return status
+}
+
+// memberStatuses returns the members as operators see them.
+func memberStatuses(members []membership.Member, now time.Time) []MemberStatus {
+	statuses := make([]MemberStatus, 0, len(members))
+	for i := range members {
+		member := &members[i]
+		statuses = append(statuses, MemberStatus{
+			Host: member.Host, FailureDomain: member.FailureDomain, Status: member.Status,
+			Revisions: config.Revisions{Config: member.Revision, Holds: member.HoldsRevision},
+			HeardAgo:  config.Duration(now.Sub(member.HeardAt).Truncate(time.Millisecond)),
+		})
+	}
+	return statuses
+}
--- a/pkg/usage/head.go
+++ b/pkg/usage/head.go
@@ -12,6 +12,8 @@
 	Shard int
 	// Reported is the sequence of the last window that the platform took.
 	Reported uint64
+	// End is the end of that window.
+	End Stamp
 	// Watermarks are those of that window, from which sources learn what they
 	// need to keep no longer.
 	Watermarks map[SourceID]uint64
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -73,7 +73,7 @@
 		if err := r.report(ctx, authority, frozen); err != nil {
 			return err
 		}
-		head = Head{Shard: r.Shard, Reported: frozen.Sequence, Watermarks: frozen.Watermarks}
+		head = Head{Shard: r.Shard, Reported: frozen.Sequence, End: frozen.End, Watermarks: frozen.Watermarks}
 		if version, err = r.writeHead(ctx, authority, &head, version); err != nil {
 			return err
 		}
--- /dev/null
+++ b/pkg/usage/shardstatus.go
@@ -0,0 +1,30 @@
+package usage
+
+import (
+	"context"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// ShardStatus is how far the reports of one shard are.
+type ShardStatus struct {
+	Shard int `json:"shard"`
+	// Reported is the sequence of the last window that the platform took, and
+	// ReportedUntil its end.
+	Reported      uint64    `json:"reported"`
+	ReportedUntil time.Time `json:"reportedUntil"`
+}
+
+// Statuses reads how far each shard is.
+func Statuses(ctx context.Context, store platform.Store) ([]ShardStatus, error) {
+	heads, err := readHeads(ctx, store)
+	if err != nil {
+		return nil, err
+	}
+	statuses := make([]ShardStatus, 0, len(heads))
+	for _, head := range heads {
+		statuses = append(statuses, ShardStatus{Shard: head.Shard, Reported: head.Reported, ReportedUntil: head.End.Time()})
+	}
+	return statuses, nil
+}
--- a/pkg/usage/wirerecords.go
+++ b/pkg/usage/wirerecords.go
@@ -90,12 +90,13 @@
 type wireHead struct {
 	Shard    int        `codec:"h"`
 	Reported uint64     `codec:"r"`
+	End      Stamp      `codec:"e"`
 	Marks    []wireMark `codec:"w"`
 }
 
 // encodeHead returns the head's bytes.
 func encodeHead(head *Head) ([]byte, error) {
-	return encode(&wireHead{Shard: head.Shard, Reported: head.Reported, Marks: packMarks(head.Watermarks)})
+	return encode(&wireHead{Shard: head.Shard, Reported: head.Reported, End: head.End, Marks: packMarks(head.Watermarks)})
 }
 
 // decodeHead reads a head.
@@ -104,7 +105,7 @@
 	if err := peer.Decode(value, &wire); err != nil {
 		return Head{}, err
 	}
-	return Head{Shard: wire.Shard, Reported: wire.Reported, Watermarks: unpackMarks(wire.Marks)}, nil
+	return Head{Shard: wire.Shard, Reported: wire.Reported, End: wire.End, Watermarks: unpackMarks(wire.Marks)}, nil
 }
 
 // wireTail is a message with the chunks that a peer is to keep.
