--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -89,7 +89,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		w = newUsageWorld(ctx, 3, blind)
+		w = newUsageWorld(ctx, 3, func(w *world) { w.blind = blind })
 		w.load(3 * time.Second)
 		for _, a := range schedule {
 			w.perform(a)
--- a/pkg/usage/world_test.go
+++ b/pkg/usage/world_test.go
@@ -47,7 +47,12 @@
 	// allowed is the loss that the kills so far may have caused.
 	allowed uint64
 	faults  []string
-	window  time.Duration
+	// lost is how many answered requests were not billed.
+	lost uint64
+	// pace is the time between two requests of a node, and tailEvery between
+	// two messages to its keeper.
+	pace, tailEvery time.Duration
+	window          time.Duration
 	// loseReports makes the answers of the sink get lost after taking effect.
 	loseReports bool
 	tenures     [Shards]*tenure
@@ -90,11 +95,15 @@
 	return nil
 }
 
-func newUsageWorld(ctx context.Context, hosts int, blind func(platform.Store) platform.Store) *world {
+func newUsageWorld(ctx context.Context, hosts int, change func(w *world)) *world {
 	w := &world{
-		ctx: ctx, store: faultstore.New(memstore.New(clock.NewRuntime())), sink: usagesink.New(), blind: blind,
+		ctx: ctx, store: faultstore.New(memstore.New(clock.NewRuntime())), sink: usagesink.New(),
 		random: rand.New(rand.NewPCG(1, 2)), cut: make(map[[2]int]time.Time),
 		answered: make(map[ident.Workspace]uint64), window: 5 * time.Second,
+		pace: 100 * time.Millisecond, tailEvery: 500 * time.Millisecond,
+	}
+	if change != nil {
+		change(w)
 	}
 	for i := range hosts {
 		w.nodes = append(w.nodes, &node{world: w, index: i})
@@ -112,7 +121,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return config.UsageKnobs{
-		Window: config.Duration(w.window), Grace: config.Duration(2 * time.Second), CheckpointEvery: config.Duration(w.window / 5),
+		Window: config.Duration(w.window), Grace: config.Duration(2 * time.Second), CheckpointEvery: config.Duration(min(w.window/5, 5*time.Second)),
 	}
 }
 
@@ -133,7 +142,7 @@
 	n.world.mu.Unlock()
 	source := NewSource(SourceOptions{
 		Host: hostOf(n.index), FailureDomain: domainOf(n.index), Incarnation: n.incarnation, Store: store,
-		Mesh: n, View: n, Knobs: n.world.knobs, TailEvery: 500 * time.Millisecond,
+		Mesh: n, View: n, Knobs: n.world.knobs, TailEvery: n.world.tailEvery,
 	})
 	keeper := NewKeeper(KeeperOptions{Host: hostOf(n.index), Store: store, Mesh: n, View: n, Log: log, Every: 2 * time.Second, KeepFor: 10 * time.Minute})
 	n.world.mu.Lock()
@@ -288,8 +297,7 @@
 
 // load answers requests on every node that runs, for a time.
 func (w *world) load(d time.Duration) {
-	const pace = 100 * time.Millisecond
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(pace) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(w.pace) {
 		for _, n := range w.nodes {
 			if silent(n.process) {
 				continue
@@ -358,6 +366,7 @@
 		}
 		lost += answered - billed[workspace]
 	}
+	w.lost = lost
 	if lost > w.allowed {
 		w.faults = append(w.faults, fmt.Sprintf("%d requests were not billed, %d may be lost", lost, w.allowed))
 	}
