--- a/pkg/config/rosterkeeper.go
+++ b/pkg/config/rosterkeeper.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	if version != platform.NoVersion {
-		_, accepted, err := k.Acceptance.accepted(ctx, PartHolds, ident.Revision(version))
+		accepted, err := k.Acceptance.accepted(ctx, PartHolds, ident.Revision(version))
 		if err != nil || !accepted {
 			return err
 		}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -11,9 +11,10 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
-	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/burn"
 	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/dissemination"
 	"amaranthplank.example/amaranthplank/pkg/drain"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -26,13 +27,8 @@
 	"amaranthplank.example/amaranthplank/pkg/usage"
 )
 
-const (
-	// headerTimeout bounds how long an operator's client takes to send its
-	// headers.
-	headerTimeout = 10 * time.Second
-	// targetsEvery is the time between reads of the target list.
-	targetsEvery = time.Second
-)
+// headerTimeout bounds how long an operator's client takes to send its headers.
+const headerTimeout = 10 * time.Second
 
 // Daemon is one process of the system.
 type Daemon struct {
@@ -46,7 +42,8 @@
 	members     *membership.Manager
 	targets     *targetwatch.Watcher
 	router      *routing.ByKind
-	admission   *admission.Fair
+	spread      *dissemination.Manager
+	burn        *burn.Manager
 	relay       *relay.Relay
 	acceptance  *config.Acceptance
 	meter       *usage.Source
@@ -72,7 +69,7 @@
 	}
 	d.newControl()
 	d.newUsage()
-	d.targets = targetwatch.New(opts.Targets, opts.Log, targetsEvery)
+	d.newView()
 	d.newOrders()
 	d.newSupply()
 	d.duties = d.newDuties(d.works)
@@ -112,7 +109,10 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	d.runPeers(ctx, group)
-	parts := []func(context.Context) error{d.config.Run, d.targets.Run, d.meter.Run, d.tails.Run, d.relay.Run, d.claims.Run, d.engines.Run, d.duties.run}
+	parts := []func(context.Context) error{
+		d.config.Run, d.spread.Run, d.targets.Run, d.meter.Run, d.tails.Run,
+		d.relay.Run, d.claims.Run, d.engines.Run, d.burn.Run, d.duties.run,
+	}
 	for _, run := range parts {
 		group.Go(func() error { return run(ctx) })
 	}
--- a/pkg/daemon/path.go
+++ b/pkg/daemon/path.go
@@ -6,10 +6,13 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/burn"
 	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/consumption"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/request"
 	"amaranthplank.example/amaranthplank/pkg/routing"
@@ -30,13 +33,19 @@
 		Router: d.router, Client: target.NewClient(), Config: d.config, Credential: d.opts.Credential,
 		Log: d.opts.Log, Registerer: d.registry,
 	})
-	d.admission = admission.NewFair(admission.Options{
-		Gate: d.router, Elsewhere: admission.Alone{}, Now: time.Now, Knobs: d.admissionKnobs, Weight: d.weight,
-	})
+	exchange := consumption.New(d.spread, d.members, d.nearConcurrency)
+	admit := exchange.Count(admission.NewFair(admission.Options{
+		Gate: d.router, Elsewhere: exchange, Now: time.Now, Knobs: d.admissionKnobs, Weight: d.weight,
+	}))
 	d.claims = claims.New(claims.Options{Store: d.opts.Store, Log: d.opts.Log})
+	d.burn = burn.New(burn.Options{
+		Host: d.opts.Host, Incarnation: d.incarnation, Store: d.opts.Store, Config: d.config,
+		Log: d.opts.Log, Registerer: d.registry,
+	})
 	return entry.New(entry.Options{
-		Config: d.config, Admission: d.admission, Relay: d.relay, Recorder: d.meter,
-		Log: d.opts.Log, Registerer: d.registry, Ready: d.serving, Claims: d.claims, MaxBodyBytes: maxBodyBytes,
+		Config: d.config, Admission: admit, Relay: d.relay, Recorder: d.meter,
+		Log: d.opts.Log, Registerer: d.registry, Ready: d.serving, Claims: d.claims,
+		Observer: burn.Observer{Recorder: d.burn}, MaxBodyBytes: maxBodyBytes,
 	})
 }
 
@@ -59,6 +68,14 @@
 	return &d.knobs(selector).Admission
 }
 
+// nearConcurrency reports whether so many running requests at this daemon are
+// half of its even part of the workspace's limit, or more.
+func (d *Daemon) nearConcurrency(workspace ident.Workspace, running int) bool {
+	daemons := len(membership.AliveHosts(d.members.Members())) + 1
+	limit := d.knobs(config.Selector{Workspace: workspace}).Admission.Concurrency
+	return running > 0 && int64(running*daemons*2) >= limit
+}
+
 // weight returns a workspace's weight, or one for those that are not listed.
 func (d *Daemon) weight(name ident.Workspace) float64 {
 	snapshot := d.config.Current()
--- a/pkg/entry/faults_test.go
+++ b/pkg/entry/faults_test.go
@@ -50,6 +50,7 @@
 						r.Faults[name].Script(fault)
 					}
 				}
+				began := time.Now()
 				client, note := r.Caller(), must.Sprint("fault", fault, "kind", k)
 				got := send(client, k.make("w"))
 				must.Eq(t, e.outcome, got.outcome, note, must.Sprint(got.String()))
@@ -58,6 +59,9 @@
 					must.NoError(t, got.err, note)
 					must.True(t, k.wholeAnswer(got, "w"), note, must.Sprint(got.String()))
 				}
+				if e.outcome == unknown && k == write && fault != faulttarget.Silent && fault != faulttarget.RunSilent {
+					must.Eq(t, began, time.Now(), note, must.Sprint("a final answer was held back"))
+				}
 				if e.outcome == unknown {
 					must.NotEq(t, "", got.header.Get("Retry-After"), note)
 				}
@@ -97,8 +101,9 @@
 		}), 1, 8).Draw(rt, "plans")
 		silenceAt := time.Duration(rapid.IntRange(0, 30).Draw(rt, "silence at")) * time.Millisecond
 		refuse := rapid.Bool().Draw(rt, "refuse")
+		hedge := time.Duration(rapid.IntRange(0, 20).Draw(rt, "hedge")) * time.Millisecond
 		var broken []string
-		synctest.Test(t, func(*testing.T) { broken = interleave(rig.Options{}, plans, silenceAt, refuse) })
+		synctest.Test(t, func(*testing.T) { broken = interleave(rig.Options{Hedge: hedge}, plans, silenceAt, refuse) })
 		must.SliceEmpty(rt, broken)
 	})
 }
@@ -122,6 +127,7 @@
 	r.Network.Refuse(string(names[0])+":80", refuse)
 	var wait sync.WaitGroup
 	broken := make([][]string, len(plans))
+	replies := make([]reply, len(plans))
 	client := r.Caller()
 	for i, p := range plans {
 		wait.Go(func() {
@@ -129,13 +135,15 @@
 			word := fmt.Sprintf("w%d", i)
 			q := p.kind.make(word)
 			q.Header.Set("Authorization", "Bearer "+rig.Key(p.workspace))
-			broken[i] = judge(r, p, word, send(client, q))
+			replies[i] = send(client, q)
+			broken[i] = judge(r, p, word, replies[i])
 		})
 	}
 	time.Sleep(silenceAt)
 	r.Network.SilenceTargets(rig.DaemonAddress)
 	wait.Wait()
-	return append(slices.Concat(broken...), strangers(r, plans)...)
+	synctest.Wait()
+	return append(slices.Concat(broken...), charges(r, plans, replies)...)
 }
 
 // TestInterleavingFindsWhatRunsTwice breaks the declaration of the routes and
@@ -172,17 +180,21 @@
 	return broken
 }
 
-// strangers returns whether a workspace was charged more than it sent.
-func strangers(r *rig.Rig, plans []plan) []string {
-	left := make(map[ident.Workspace]int)
-	for _, p := range plans {
-		left[p.workspace]++
+// charges returns whether a workspace was charged otherwise than once for each
+// of its answers.
+func charges(r *rig.Rig, plans []plan, replies []reply) []string {
+	owed := make(map[ident.Workspace]int)
+	for i := range plans {
+		if replies[i].err == nil && replies[i].outcome == "answered" {
+			owed[plans[i].workspace]++
+		}
 	}
-	left["three"] = 0
 	for _, record := range r.Usage.Records() {
-		left[record.Workspace]--
-		if left[record.Workspace] < 0 {
-			return []string{"charged for what workspace " + string(record.Workspace) + " did not send"}
+		owed[record.Workspace]--
+	}
+	for workspace, n := range owed {
+		if n != 0 {
+			return []string{fmt.Sprintf("workspace %s was charged %d times too few", workspace, n)}
 		}
 	}
 	return nil
--- a/pkg/supply/mix.go
+++ b/pkg/supply/mix.go
@@ -31,6 +31,12 @@
 	return n
 }
 
+// atMost returns the need cut to a count of targets, so that no more than a few
+// read weights at the same time; the rest is ordered once these have come.
+func (n Need) atMost(targets int) Need {
+	return Need{Interactive: min(n.Interactive, targets), Total: min(n.Total, targets)}
+}
+
 // Choose returns the cheapest mix that carries a need with reclaimable targets
 // in so many failure domains. Whichever one of these is lost, the rest carries
 // the interactive need.
@@ -42,6 +48,9 @@
 	}
 	for dependable := min(least, need.Total); dependable <= need.Total; dependable++ {
 		reclaimable := need.Total - dependable
+		if domains == 1 && dependable < need.Interactive {
+			continue
+		}
 		for !survives(dependable, reclaimable, domains, need.Interactive) {
 			reclaimable++
 		}
@@ -57,11 +66,10 @@
 }
 
 // survives reports whether a mix carries the interactive need without the
-// failure domain that holds the most reclaimable targets. With one domain
-// alone, more reclaimable targets never help.
+// failure domain that holds the most reclaimable targets.
 func survives(dependable, reclaimable, domains, interactive int) bool {
 	lost := (reclaimable + domains - 1) / domains
-	return dependable+reclaimable-lost >= interactive || domains == 1
+	return dependable+reclaimable-lost >= interactive
 }
 
 // spread returns how many of count targets the failure domain at a position
