--- a/pkg/drain/server.go
+++ b/pkg/drain/server.go
@@ -78,7 +78,11 @@
 
 // Status returns how the stop stands.
 func (s *Server) Status() Status {
-	return Status{Phase: *s.phase.Load(), Running: s.running.Load()}
+	phase := *s.phase.Load()
+	if phase == Serving && s.draining() {
+		phase = LookingAway
+	}
+	return Status{Phase: phase, Running: s.running.Load()}
 }
 
 // draining reports whether a stop was asked for.
--- a/pkg/drain/server_test.go
+++ b/pkg/drain/server_test.go
@@ -144,6 +144,7 @@
 				must.NoError(t, b.server.opts.Server.Shutdown(t.Context()))
 			} else {
 				b.server.Stop()
+				must.Eq(t, LookingAway, b.server.Status().Phase)
 			}
 			synctest.Wait()
 			parts, response, err := get(c, 2)
