--- a/pkg/consumption/exchange.go
+++ b/pkg/consumption/exchange.go
@@ -16,9 +16,9 @@
 // dissemination.Manager implements it.
 type Spread interface {
 	// Consume counts consumption on this daemon.
-	Consume(account dissemination.Account, amount uint64)
-	// Elsewhere returns what an account has consumed on other daemons.
-	Elsewhere(account dissemination.Account) uint64
+	Consume(workspace ident.Workspace, use dissemination.Use)
+	// Elsewhere returns what a workspace has consumed on other daemons.
+	Elsewhere(workspace ident.Workspace) dissemination.Use
 	// Publish sets an item of this daemon's.
 	Publish(key dissemination.Key, value any, urgent bool) error
 	// Items returns every item of a section.
@@ -58,7 +58,7 @@
 
 // begin counts an admitted request.
 func (e *Exchange) begin(workspace ident.Workspace) {
-	e.spread.Consume(dissemination.Account{Workspace: workspace, Unit: dissemination.Requests}, 1)
+	e.spread.Consume(workspace, dissemination.Use{Requests: 1})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running[workspace]++
@@ -66,7 +66,7 @@
 
 // finish counts the tokens of a request that has ended.
 func (e *Exchange) finish(workspace ident.Workspace, tokens uint64) {
-	e.spread.Consume(dissemination.Account{Workspace: workspace, Unit: dissemination.Tokens}, tokens)
+	e.spread.Consume(workspace, dissemination.Use{Tokens: tokens})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running[workspace]--
@@ -83,11 +83,9 @@
 	if now.Sub(e.readAt) >= readEvery {
 		e.refresh(now)
 	}
+	use := e.spread.Elsewhere(workspace)
 	return admission.Consumption{
-		Requests: e.spread.Elsewhere(dissemination.Account{Workspace: workspace, Unit: dissemination.Requests}),
-		Tokens:   e.spread.Elsewhere(dissemination.Account{Workspace: workspace, Unit: dissemination.Tokens}),
-		Running:  e.others[workspace],
-		Age:      now.Sub(e.oldest),
+		Requests: use.Requests, Tokens: use.Tokens, Running: e.others[workspace], Age: now.Sub(e.oldest),
 	}
 }
 
--- a/pkg/dissemination/fleet_test.go
+++ b/pkg/dissemination/fleet_test.go
@@ -1,7 +1,6 @@
 package dissemination
 
 import (
-	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -60,7 +59,7 @@
 	sent, got int
 	ledger    *Ledger
 	// total is what the process has consumed of each workspace.
-	total map[Account]uint64
+	total map[ident.Workspace]Use
 }
 
 type flight struct {
@@ -106,7 +105,7 @@
 // start gives a host a fresh process.
 func (f *fleet) start(i int, incarnation ident.Incarnation) {
 	n := f.nodes[i]
-	*n = fleetNode{life: Life{f.ring[i], incarnation}, startedAt: f.now, sent: n.sent, got: n.got, ledger: NewLedger(Life{f.ring[i], incarnation}), total: make(map[Account]uint64)}
+	*n = fleetNode{life: Life{f.ring[i], incarnation}, startedAt: f.now, sent: n.sent, got: n.got, ledger: NewLedger(Life{f.ring[i], incarnation}), total: make(map[ident.Workspace]Use)}
 	n.Node = NewNode(n.life, f.strategy, f.timing(), f.random)
 	// Daemons don't start in step.
 	n.bundledAt = f.now.Add(-time.Duration(f.random.Int64N(int64(f.timing().BundleEvery))))
@@ -221,15 +220,15 @@
 		}
 	}
 	for range max(minSums, sumsPerFleet/len(f.ring)) {
-		name := fmt.Sprintf("t/workspace-%d", f.random.IntN(min(310, len(f.ring))))
+		name := fmt.Sprintf("workspace-%d", f.random.IntN(min(310, len(f.ring))))
 		if !f.quiet {
-			amount := uint64(f.random.IntN(5000))
-			n.total[accountOf(name)] += amount
-			n.ledger.Add(accountOf(name), amount)
+			use := Use{1, uint64(f.random.IntN(5000))}
+			n.total[ident.Workspace(name)] = n.total[ident.Workspace(name)].plus(use)
+			n.ledger.Add(ident.Workspace(name), use)
 		}
 	}
 	for _, sum := range n.ledger.Pick(max(minSums, sumsPerFleet/len(f.ring))) {
-		n.Publish(Key{SectionConsumption, sum.Account.name()}, binary.AppendUvarint(nil, sum.Sum), false)
+		n.Publish(Key{SectionConsumption, string(sum.Workspace)}, sum.Use.encode(), false)
 	}
 }
 
--- a/pkg/dissemination/loop.go
+++ b/pkg/dissemination/loop.go
@@ -1,7 +1,6 @@
 package dissemination
 
 import (
-	"encoding/binary"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -106,34 +105,58 @@
 // publishConsumption stages the sums that changed the most.
 func (m *Manager) publishConsumption(hosts int) {
 	for _, sum := range m.ledger.Pick(max(minSums, sumsPerFleet/hosts)) {
-		key := Key{SectionConsumption, sum.Account.name()}
-		m.publish(key, binary.AppendUvarint(nil, sum.Sum), false)
+		key := Key{SectionConsumption, string(sum.Workspace)}
+		m.publish(key, sum.Use.encode(), false)
 	}
 }
 
-// takeConsumption hands the sums of the origins that a frame touched to the
-// ledger.
+// takeConsumption hands the sums of a frame to the ledger.
 func (m *Manager) takeConsumption(frame *Frame) {
-	touched := make(map[OriginID]bool)
 	for i := range frame.Bundles {
-		touched[frame.Bundles[i].Origin] = len(frame.Bundles[i].Items) > 0
+		b := &frame.Bundles[i]
+		for j := range b.Items {
+			m.takeSum(b.Origin, b.Items[j].ID)
+		}
+		if b.Version == 1 {
+			m.takeSums(b.Origin)
+		}
 	}
 	for i := range frame.Repairs {
-		touched[frame.Repairs[i].Origin] = true
-	}
-	for id, changed := range touched {
-		o := m.node.origins[id]
-		if o == nil || !o.known || !changed {
-			continue
-		}
-		for _, h := range o.sections[SectionConsumption] {
-			if sum, n := binary.Uvarint(h.value); n > 0 {
-				m.ledger.Take(o.life, Sum{accountOf(h.key.Name), sum})
+		r := &frame.Repairs[i]
+		for j := range r.Items {
+			m.takeSum(r.Origin, r.Items[j].ID)
+			if r.Items[j].ID == lifeItem {
+				m.takeSums(r.Origin)
 			}
 		}
 	}
 }
 
+// takeSums hands all sums of an origin to the ledger, such as when its life
+// item came after them.
+func (m *Manager) takeSums(id OriginID) {
+	if o := m.node.origins[id]; o != nil {
+		for item := range o.items {
+			m.takeSum(id, item)
+		}
+	}
+}
+
+// takeSum hands one item to the ledger if it is a sum.
+func (m *Manager) takeSum(id OriginID, item ItemID) {
+	o := m.node.origins[id]
+	if o == nil || !o.known {
+		return
+	}
+	h := o.items[item]
+	if h == nil || h.key.Section != SectionConsumption {
+		return
+	}
+	if use, ok := decodeUse(h.value); ok {
+		m.ledger.Take(o.life, Sum{ident.Workspace(h.key.Name), use})
+	}
+}
+
 // beats returns a sign of life of each origin that was heard since the last
 // tick.
 func (m *Manager) beats(now time.Time) []membership.Beat {
--- a/pkg/dissemination/manager.go
+++ b/pkg/dissemination/manager.go
@@ -125,18 +125,18 @@
 }
 
 // Consume counts consumption on this daemon.
-func (m *Manager) Consume(account Account, amount uint64) {
+func (m *Manager) Consume(workspace ident.Workspace, use Use) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.ledger.Add(account, amount)
+	m.ledger.Add(workspace, use)
 }
 
-// Elsewhere returns what an account has consumed on other daemons, before this
+// Elsewhere returns what a workspace has consumed on other daemons, before this
 // one started too, as far as it is known here. It never falls.
-func (m *Manager) Elsewhere(account Account) uint64 {
+func (m *Manager) Elsewhere(workspace ident.Workspace) Use {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.ledger.Elsewhere(account)
+	return m.ledger.Elsewhere(workspace)
 }
 
 // Run spreads state until ctx ends.
--- a/pkg/dissemination/origin.go
+++ b/pkg/dissemination/origin.go
@@ -18,7 +18,8 @@
 	// early holds the versions above whole that have come, maxEarly at most.
 	early map[Version]bool
 	items map[ItemID]*held
-	// sections holds the items whose section is known, by section.
+	// sections holds the items whose section is known, by section, except
+	// consumption.
 	sections map[Section]map[ItemID]*held
 	// heardAt is when seen last rose.
 	heardAt time.Time
@@ -116,8 +117,12 @@
 	}
 }
 
-// index files an item under its section.
+// index files an item under its section. Consumption is not filed, since it is
+// much and is read as it comes.
 func (o *origin) index(id ItemID, h *held) {
+	if h.key.Section == SectionConsumption {
+		return
+	}
 	if o.sections[h.key.Section] == nil {
 		o.sections[h.key.Section] = make(map[ItemID]*held)
 	}
--- a/pkg/dissemination/properties_test.go
+++ b/pkg/dissemination/properties_test.go
@@ -1,7 +1,6 @@
 package dissemination
 
 import (
-	"encoding/binary"
 	"testing"
 	"time"
 
@@ -48,22 +47,25 @@
 // sums reports a node whose totals differ from the first one's, or, where no
 // process was killed, from what was consumed.
 func (f *fleet) sums(killed bool) error {
-	want := make(map[Account]uint64)
+	want := make(map[ident.Workspace]Use)
 	for _, n := range f.nodes {
-		n.Each(SectionConsumption, func(life Life, name string, value []byte, _, _ time.Time) {
-			sum, _ := binary.Uvarint(value)
-			n.ledger.Take(life, Sum{accountOf(name), sum})
-		})
-		for account, amount := range n.total {
-			want[account] += amount
+		for _, o := range n.origins {
+			for _, h := range o.items {
+				if use, ok := decodeUse(h.value); ok && o.known && h.key.Section == SectionConsumption {
+					n.ledger.Take(o.life, Sum{ident.Workspace(h.key.Name), use})
+				}
+			}
+		}
+		for workspace, use := range n.total {
+			want[workspace] = want[workspace].plus(use)
 		}
 	}
-	for account := range want {
-		first := f.nodes[0].total[account] + f.nodes[0].ledger.Elsewhere(account)
+	for workspace := range want {
+		first := f.nodes[0].total[workspace].plus(f.nodes[0].ledger.Elsewhere(workspace))
 		for _, n := range f.nodes {
-			got := n.total[account] + n.ledger.Elsewhere(account)
-			if got != first || (!killed && got != want[account]) {
-				return errors.Errorf("%s counts %d of %v, the first %d, consumed were %d", n.life.Host, got, account, first, want[account])
+			got := n.total[workspace].plus(n.ledger.Elsewhere(workspace))
+			if got != first || (!killed && got != want[workspace]) {
+				return errors.Errorf("%s counts %v of %s, the first %v, consumed were %v", n.life.Host, got, workspace, first, want[workspace])
 			}
 		}
 	}
--- a/pkg/dissemination/slope_test.go
+++ b/pkg/dissemination/slope_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/peer"
 )
 
@@ -73,3 +74,32 @@
 		})
 	}
 }
+
+// BenchmarkSlopeSums shows what consumption sums hold in memory, in the node
+// and in the ledger, by the origins and the workspaces of each.
+func BenchmarkSlopeSums(b *testing.B) {
+	for _, size := range [][2]int{{8, 8}, {64, 64}, {330, 310}} {
+		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				n := NewNode(Life{"self", 1}, Flat{}, TimingFor(size[0]), nil)
+				l := NewLedger(Life{"self", 1})
+				for i := range size[0] {
+					life := Life{ident.Host(fmt.Sprintf("host-%d", i)), 1}
+					bundle := Bundle{Origin: life.ID(), Version: 1}
+					for j := range size[1] {
+						name := fmt.Sprintf("workspace-%d", j)
+						value := Use{uint64(1000 + j), uint64(100000 + j)}.encode()
+						bundle.Items = append(bundle.Items, Item{ItemID(j + 1), SectionConsumption, name, value})
+						l.Take(life, Sum{ident.Workspace(name), Use{1, 1}})
+					}
+					n.receiveBundle(time.Unix(0, 0), "", &bundle)
+					n.pending = nil
+				}
+				b.ReportMetric(float64(heap()-before), "heap-B")
+				runtime.KeepAlive(n)
+				runtime.KeepAlive(l)
+			}
+		})
+	}
+}
--- a/pkg/targetwatch/merge.go
+++ b/pkg/targetwatch/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -153,10 +154,10 @@
 
 // states returns the targets by name.
 func (v *view) states() []fleet.TargetState {
-	states := make([]fleet.TargetState, 0, len(v.targets))
-	for _, state := range v.targets {
-		states = append(states, *state)
+	names := slices.Sorted(maps.Keys(v.targets))
+	states := make([]fleet.TargetState, 0, len(names))
+	for _, name := range names {
+		states = append(states, *v.targets[name])
 	}
-	slices.SortFunc(states, func(a, b fleet.TargetState) int { return cmp.Compare(a.Record.Target, b.Record.Target) })
 	return states
 }
