--- /dev/null
+++ b/pkg/dissemination/stack_test.go
@@ -0,0 +1,119 @@
+package dissemination
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/membership"
+	"amaranthplank.example/amaranthplank/pkg/peer"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+)
+
+// stack is one daemon's links, membership and dissemination on loopback.
+type stack struct {
+	links   *peer.Manager
+	members *membership.Manager
+	state   *Manager
+	stop    func() error
+}
+
+// startStack runs a daemon's part of the fleet that the seeds name.
+func startStack(t *testing.T, listener net.Listener, self platform.HostRecord, incarnation ident.Incarnation, seeds []platform.HostRecord) *stack {
+	t.Helper()
+	s := new(stack)
+	registry := prometheus.NewRegistry()
+	changed := func(host ident.Host, incarnation ident.Incarnation, up bool) {
+		s.members.LinkChanged(host, incarnation, up)
+	}
+	var err error
+	s.links, err = peer.New(peer.Options{
+		Host: self.Host, Incarnation: incarnation, Listener: listener, Secret: []byte("fleet"), Registerer: registry, LinkChanged: changed,
+	})
+	must.NoError(t, err)
+	loaded := func() (ident.Revision, ident.Revision) { return 3, 1 }
+	s.members = membership.New(membership.Options{
+		Self: membership.Record{Host: self.Host, Incarnation: incarnation, Address: self.PeerAddress}, Links: s.links, Seeds: seeds,
+		Loaded: loaded, Registerer: registry, Neighbours: Neighbours,
+	})
+	s.state = New(Options{Links: s.links, Members: s.members, Loaded: loaded, Registerer: registry})
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.links.Run(ctx) })
+	group.Go(func() error { return s.members.Run(ctx) })
+	group.Go(func() error { return s.state.Run(ctx) })
+	s.stop = func() error {
+		cancel()
+		return group.Wait()
+	}
+	return s
+}
+
+// sees reports whether the daemon holds an item of each host.
+func (s *stack) sees(hosts int) bool {
+	holders := make(map[ident.Host]bool)
+	for _, item := range s.state.Items(SectionLoad) {
+		holders[item.Life.Host] = true
+	}
+	alive := membership.AliveHosts(s.members.Members())
+	return len(holders) == hosts && len(alive) == hosts-1 && s.state.Elsewhere("shops").Tokens >= uint64(10*(hosts-1))
+}
+
+func TestDaemonsShareStateOverRealLinks(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	const hosts = 4
+	var seeds []platform.HostRecord
+	var listeners []net.Listener
+	for i := range hosts {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		listeners = append(listeners, listener)
+		seeds = append(seeds, platform.HostRecord{Host: ident.Host(fmt.Sprintf("host-%d", i)), PeerAddress: listener.Addr().String()})
+	}
+	publish := func(s *stack, i int) {
+		must.NoError(t, s.state.Publish(Key{SectionLoad, fmt.Sprintf("engine-%d", i)}, i, false))
+		s.state.Consume("shops", Use{1, 10})
+	}
+	var stacks []*stack
+	for i := range hosts {
+		stacks = append(stacks, startStack(t, listeners[i], seeds[i], 1, seeds))
+		publish(stacks[i], i)
+	}
+	settled := func() bool {
+		for _, s := range stacks {
+			if !s.sees(hosts) {
+				return false
+			}
+		}
+		return true
+	}
+	wait := func(what string) {
+		t.Helper()
+		for end := time.Now().Add(time.Minute); !settled(); time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("never came: " + what)
+			}
+		}
+	}
+	wait("state of all at all")
+	must.NoError(t, stacks[1].stop())
+	listener, err := net.Listen("tcp", seeds[1].PeerAddress)
+	must.NoError(t, err)
+	stacks[1] = startStack(t, listener, seeds[1], 2, seeds)
+	publish(stacks[1], 1)
+	wait("state of the replaced host")
+	for _, m := range stacks[0].members.Members() {
+		must.Eq(t, 3, m.Revision)
+	}
+	for _, s := range stacks {
+		must.NoError(t, s.stop())
+	}
+}
