--- /dev/null
+++ b/pkg/daemon/view.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"net/http"
+
+	"amaranthplank.example/amaranthplank/pkg/dissemination"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/targetwatch"
+)
+
+// newView makes what spreads state between the daemons, and the view of the
+// targets that is kept through it.
+func (d *Daemon) newView() {
+	d.spread = dissemination.New(dissemination.Options{
+		Links: d.links, Members: d.members, Loaded: d.config.Loaded, Degree: d.opts.PeerDegree,
+		Log: d.opts.Log, Registerer: d.registry, Random: newRandom(),
+	})
+	d.targets = targetwatch.NewShared(targetwatch.Options{
+		Self: d.opts.Host, Orderer: d.opts.Targets, Spread: d.spread, Members: d.members,
+		Holds: heldTargets{config: d.config}, Client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+		Credential: d.opts.Credential, Events: d.cacheEvents, Log: d.opts.Log,
+	})
+}
+
+// cacheEvents hands an engine's cache events to the router.
+func (d *Daemon) cacheEvents(target ident.Target, events []fleet.CacheEvent) {
+	for _, event := range events {
+		d.router.Models.CacheEvent(target, event)
+	}
+}
