Use the ledger's joint sums in the daemon

Cause: the daemon kept requests and tokens apart by prefixes of the name, which the ledger now holds as one use.

--- a/pkg/daemon/elsewhere.go
+++ b/pkg/daemon/elsewhere.go
@@ -9,13 +9,6 @@
 	"amaranthplank.example/amaranthplank/pkg/membership"
 )
 
-// The sums of a workspace stand apart in the dissemination's ledger by a prefix
-// of its name.
-const (
-	requestSums = "r/"
-	tokenSums   = "t/"
-)
-
 // elsewhere tells the limits what workspaces use at other daemons.
 type elsewhere struct {
 	spread  *dissemination.Manager
@@ -27,11 +20,8 @@
 
 // Consumption returns what a workspace used elsewhere.
 func (e elsewhere) Consumption(name ident.Workspace) admission.Consumption {
-	return admission.Consumption{
-		Requests: e.spread.Elsewhere(requestSums + name),
-		Tokens:   e.spread.Elsewhere(tokenSums + name),
-		Running:  e.running.elsewhere(name),
-	}
+	use := e.spread.Elsewhere(name)
+	return admission.Consumption{Requests: use.Requests, Tokens: use.Tokens, Running: e.running.elsewhere(name)}
 }
 
 // Daemons returns how many other daemons are alive.
--- a/pkg/daemon/sharedadmission.go
+++ b/pkg/daemon/sharedadmission.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a.spread.Consume(requestSums+req.Workspace, 1)
+	a.spread.Consume(req.Workspace, dissemination.Use{Requests: 1})
 	a.running.change(req.Workspace, 1)
 	return &sharedTicket{Ticket: ticket, admission: a, workspace: req.Workspace}, nil
 }
@@ -43,6 +43,6 @@
 	t.Ticket.Release(figures)
 	t.admission.running.change(t.workspace, -1)
 	if tokens := figures.PromptTokens + figures.OutputTokens; tokens > 0 {
-		t.admission.spread.Consume(tokenSums+t.workspace, tokens)
+		t.admission.spread.Consume(t.workspace, dissemination.Use{Tokens: tokens})
 	}
 }
--- a/pkg/dissemination/ids.go
+++ b/pkg/dissemination/ids.go
@@ -49,8 +49,6 @@
 	SectionEvents Section = 6
 	// SectionConsumption holds what workspaces have consumed.
 	SectionConsumption Section = 7
-	// SectionRunning holds how many requests of workspaces run.
-	SectionRunning Section = 8
 )
 
 // Key names an item within its origin.
