--- a/pkg/daemon/path.go
+++ b/pkg/daemon/path.go
@@ -9,7 +9,6 @@
 	"amaranthplank.example/amaranthplank/pkg/burn"
 	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
-	"amaranthplank.example/amaranthplank/pkg/consumption"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
@@ -33,10 +32,11 @@
 		Router: d.router, Client: target.NewClient(), Config: d.config, Credential: d.opts.Credential,
 		Log: d.opts.Log, Registerer: d.registry,
 	})
-	exchange := consumption.New(d.spread, d.members, d.nearConcurrency)
-	admit := exchange.Count(admission.NewFair(admission.Options{
-		Gate: d.router, Elsewhere: exchange, Now: time.Now, Knobs: d.admissionKnobs, Weight: d.weight,
-	}))
+	d.running = newRunningShare(d.spread, d.opts.Log, d.nearConcurrency)
+	admit := &sharedAdmission{spread: d.spread, running: d.running, inner: admission.NewFair(admission.Options{
+		Gate: d.router, Elsewhere: elsewhere{spread: d.spread, members: d.members, running: d.running},
+		Now: time.Now, Knobs: d.admissionKnobs, Weight: d.weight,
+	})}
 	d.claims = claims.New(claims.Options{Store: d.opts.Store, Log: d.opts.Log})
 	d.burn = burn.New(burn.Options{
 		Host: d.opts.Host, Incarnation: d.incarnation, Store: d.opts.Store, Config: d.config,
