--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -43,6 +43,7 @@
 	targets     *targetwatch.Watcher
 	router      *routing.ByKind
 	spread      *dissemination.Manager
+	running     *runningShare
 	burn        *burn.Manager
 	relay       *relay.Relay
 	acceptance  *config.Acceptance
@@ -110,7 +111,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	d.runPeers(ctx, group)
 	parts := []func(context.Context) error{
-		d.config.Run, d.spread.Run, d.targets.Run, d.meter.Run, d.tails.Run,
+		d.config.Run, d.spread.Run, d.running.run, d.targets.Run, d.meter.Run, d.tails.Run,
 		d.relay.Run, d.claims.Run, d.engines.Run, d.burn.Run, d.duties.run,
 	}
 	for _, run := range parts {
