--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -3,6 +3,6 @@
 // Commands returns the tool's commands in the order that help lists them.
 func Commands() []Command {
 	return []Command{
-		checkCommand(), diffCommand(), applyCommand(), statusCommand(), drainCommand(), loadCommand(), reportCommand(),
+		checkCommand(), showCommand(), diffCommand(), applyCommand(), statusCommand(), drainCommand(), loadCommand(), reportCommand(),
 	}
 }
--- /dev/null
+++ b/pkg/ctl/show.go
@@ -0,0 +1,45 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"net/http"
+
+	"amaranthplank.example/amaranthplank/pkg/operator"
+)
+
+// showFlags are the flags of show.
+type showFlags struct {
+	client
+	json bool
+}
+
+// showCommand prints the configuration in force.
+func showCommand() Command {
+	return Command{
+		Name: "show", Summary: "print the configuration in force as it was written",
+		Setup: func(flags *flag.FlagSet) Action {
+			f := &showFlags{}
+			f.declare(flags)
+			flags.BoolVar(&f.json, "json", false, "print the revision and the text as JSON")
+			return f.run
+		},
+	}
+}
+
+// run prints the text on the output and its revision as a diagnostic, so that
+// the output can go into a file.
+func (f *showFlags) run(ctx context.Context, env Env, _ []string) ExitCode {
+	var text operator.ConfigText
+	if err := f.call(ctx, env, http.MethodGet, operator.ConfigPath, nil, &text); err != nil {
+		env.errorf("%v", err)
+		return exitOf(err)
+	}
+	if f.json {
+		printJSON(env, text)
+		return ExitOK
+	}
+	env.printf("%s", text.Text)
+	env.errorf("revision %d", text.Revision)
+	return ExitOK
+}
