--- a/pkg/duty/rank_test.go
+++ b/pkg/duty/rank_test.go
@@ -77,3 +77,17 @@
 		}
 	})
 }
+
+// BenchmarkPlaceWithin ranks one duty among the hosts of the design's size.
+func BenchmarkPlaceWithin(b *testing.B) {
+	var candidates []duty.Candidate
+	for i := range 330 {
+		candidates = append(candidates, duty.Candidate{
+			Host:          ident.Host(fmt.Sprintf("host-%d", i)),
+			FailureDomain: ident.FailureDomain(fmt.Sprintf("domain-%d", i%8)),
+		})
+	}
+	for i := 0; b.Loop(); i++ {
+		duty.PlaceWithin("engines/counting", candidates, candidates[i%len(candidates)], 3)
+	}
+}
--- a/pkg/lease/slope_test.go
+++ b/pkg/lease/slope_test.go
@@ -101,7 +101,7 @@
 	if !*slopes {
 		t.Skip("a measure, run with -slopes")
 	}
-	for _, hosts := range []int{8, 32, 128} {
+	for _, hosts := range []int{8, 32, 128, designHosts} {
 		for _, duties := range []int{2, designDuties} {
 			got := steadyRates(t, hosts, duties)
 			t.Logf("%3d hosts, %2d duties: %.1f reads/s, %.1f writes/s", hosts, duties, got.reads, got.writes)
