--- a/pkg/config/world_test.go
+++ b/pkg/config/world_test.go
@@ -5,8 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -248,3 +251,20 @@
 		<-n.done
 	}
 }
+
+// forget makes a node hold another for dead.
+func (n *node) forget(i int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	member := n.members[i]
+	member.Status = membership.Dead
+	n.members[i] = member
+}
+
+func (w *world) writeHolds(t *testing.T, holds Holds, base platform.Version) platform.Version {
+	value, err := json.Marshal(holds)
+	must.NoError(t, err)
+	version, err := w.inner.CompareAndSwap(w.ctx, platform.Swap{Key: HoldsKey, Base: base, Value: value})
+	must.NoError(t, err)
+	return version
+}
