--- a/pkg/usage/source.go
+++ b/pkg/usage/source.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
@@ -99,7 +100,7 @@
 func (s *Source) Run(ctx context.Context) error {
 	ticker := time.NewTicker(s.opts.TailEvery)
 	defer ticker.Stop()
-	checkpointAt := time.Now().Add(s.opts.Knobs().CheckpointEvery.D())
+	checkpointAt := s.nextCheckpoint(time.Now())
 	var heads time.Time
 	for {
 		select {
@@ -112,7 +113,7 @@
 		}
 		s.sendTail()
 		if now := time.Now(); !now.Before(checkpointAt) {
-			checkpointAt = now.Add(s.opts.Knobs().CheckpointEvery.D())
+			checkpointAt = s.nextCheckpoint(now)
 			s.logged("checkpoint", s.Checkpoint(ctx))
 		}
 		if time.Since(heads) >= s.length() {
@@ -122,6 +123,27 @@
 	}
 }
 
+// nextCheckpoint returns when to write next: after the usual time, but soon
+// after the end of the open window where that is before, so that the window's
+// figures are in time for its report. The daemons' writes then spread over half
+// of the grace.
+func (s *Source) nextCheckpoint(now time.Time) time.Time {
+	knobs := s.opts.Knobs()
+	usual := now.Add(knobs.CheckpointEvery.D())
+	s.mu.Lock()
+	end := s.state.open.End
+	s.mu.Unlock()
+	share := float64(xxhash.Sum64String(string(s.opts.Host))%spreadSteps) / spreadSteps
+	closing := end.Time().Add(time.Duration(share * float64(knobs.Grace.D()) / 2))
+	if closing.After(now) && closing.Before(usual) {
+		return closing
+	}
+	return usual
+}
+
+// spreadSteps is how fine the daemons' writes are spread.
+const spreadSteps = 1024
+
 // logged logs a step that failed; it is tried again in its turn.
 func (s *Source) logged(step string, err error) {
 	if err != nil {
--- a/pkg/usage/state.go
+++ b/pkg/usage/state.go
@@ -64,8 +64,14 @@
 	s.pending = make(sums)
 }
 
-// roll closes the open batch where its window has ended.
+// roll closes the open batch where its window has ended. Before the first
+// record the length in force holds at once, since the source may have begun
+// before the configuration was read.
 func (s *state) roll(now Stamp, length time.Duration) {
+	if s.sequence == 0 {
+		s.begin(s.open.Number, now.align(length), length)
+		return
+	}
 	if now < s.open.End {
 		return
 	}
