--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
+	"amaranthplank.example/amaranthplank/pkg/burn"
 	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/dissemination"
@@ -52,6 +53,7 @@
 	duties      *duties
 	engines     *orders.EngineManager
 	supply      *orders.SupplyManager
+	burn        *burn.Manager
 	admin       *http.Server
 }
 
@@ -68,6 +70,7 @@
 	}
 	d.newControl()
 	d.newUsage()
+	d.newBurn()
 	d.newView()
 	d.newOrders()
 	d.newSupply()
@@ -110,7 +113,7 @@
 	d.runPeers(ctx, group)
 	parts := []func(context.Context) error{
 		d.config.Run, d.spread.Run, d.running.run, d.targets.Run, d.meter.Run, d.tails.Run,
-		d.relay.Run, d.claims.Run, d.engines.Run, d.duties.run,
+		d.relay.Run, d.claims.Run, d.burn.Run, d.engines.Run, d.duties.run,
 	}
 	for _, run := range parts {
 		group.Go(func() error { return run(ctx) })
--- a/pkg/daemon/path.go
+++ b/pkg/daemon/path.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/burn"
 	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/entry"
@@ -40,6 +41,7 @@
 	return entry.New(entry.Options{
 		Config: d.config, Admission: admit, Relay: d.relay, Recorder: d.meter,
 		Log: d.opts.Log, Registerer: d.registry, Ready: d.serving, Claims: d.claims, MaxBodyBytes: maxBodyBytes,
+		Observer: burn.Observer{Recorder: d.burn},
 	})
 }
 
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -5,6 +5,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"amaranthplank.example/amaranthplank/pkg/dissemination"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/peer"
@@ -29,7 +30,8 @@
 			Region: d.opts.Region, Address: d.opts.PeerListener.Addr().String(),
 		},
 		Links: links, Seeds: d.opts.PeerSeeds, Hosts: d.opts.Hosts, Loaded: func() (ident.Revision, ident.Revision) { return d.config.Loaded() }, Degree: d.opts.PeerDegree,
-		Log: d.opts.Log, Registerer: d.registry,
+		Neighbours: dissemination.Neighbours,
+		Log:        d.opts.Log, Registerer: d.registry,
 	})
 	return nil
 }
