Show that the checks on agreement and bounds can fail

Change: a bundle taken from one node fails the agreement, mute links fail the bound on time and a wide epidemic the bound on bytes; the hosts are ordered anew only when they changed. go test -run 'Agree|Bounds' ./pkg/dissemination passes.

--- a/pkg/dissemination/bounds_test.go
+++ b/pkg/dissemination/bounds_test.go
@@ -24,6 +24,13 @@
 	must.LessEq(t, maxControlBytes, r.worst)
 }
 
+func TestBoundsCatchMuteLinksAndCostlyWays(t *testing.T) {
+	mute := measure(newFleet(8, Flat{}, 1), scenario{loss: 1}, 10*time.Second)
+	must.Greater(t, maxChange, mute.worstChange())
+	costly := measure(newFleet(32, Epidemic{16, 16}, 1), scenario{}, 5*time.Second)
+	must.Greater(t, maxControlBytes, costly.worst)
+}
+
 // compareSizes returns the sizes from the environment.
 func compareSizes() []int {
 	var sizes []int
--- a/pkg/dissemination/loop.go
+++ b/pkg/dissemination/loop.go
@@ -1,6 +1,8 @@
 package dissemination
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -93,7 +95,11 @@
 		}
 	}
 	m.node.strategy = strategy
-	m.node.SetPeers(NewPeers(m.life.Host, hosts, up), TimingFor(len(hosts)+1))
+	// Ordering the hosts costs more than comparing them, at every tick.
+	if !slices.Equal(hosts, m.hosts) || !maps.Equal(up, m.node.peers.Up) {
+		m.hosts = hosts
+		m.node.SetPeers(NewPeers(m.life.Host, hosts, up), TimingFor(len(hosts)+1))
+	}
 	for host := range linked {
 		if !m.linked[host] {
 			m.node.Greet(host)
--- a/pkg/dissemination/manager.go
+++ b/pkg/dissemination/manager.go
@@ -24,6 +24,8 @@
 	// last holds the newest value of each item, so that an unchanged one is
 	// not published again, and a new life can publish all.
 	last map[Key][]byte
+	// hosts are the other hosts that the node was last told of.
+	hosts []ident.Host
 	// linked holds the hosts that had a link at the last tick.
 	linked map[ident.Host]bool
 }
--- a/pkg/dissemination/properties_test.go
+++ b/pkg/dissemination/properties_test.go
@@ -144,6 +144,16 @@
 	must.Error(t, m.check(f.nodes[0]))
 }
 
+func TestAgreeCatchesAMissingBundle(t *testing.T) {
+	f := newFleet(3, Flat{}, 1)
+	f.run(5 * time.Second)
+	f.nodes[2].down = true
+	f.run(15 * time.Second)
+	must.NoError(t, f.agree())
+	f.nodes[0].origins[f.nodes[2].self].whole--
+	must.Error(t, f.agree())
+}
+
 func TestForgottenOriginStaysForgotten(t *testing.T) {
 	n := NewNode(Life{"a", 1}, Flat{}, TimingFor(2), nil)
 	now := time.Unix(0, 0)
