--- a/pkg/dissemination/bounds_test.go
+++ b/pkg/dissemination/bounds_test.go
@@ -27,7 +27,7 @@
 func TestBoundsCatchMuteLinksAndCostlyWays(t *testing.T) {
 	mute := measure(newFleet(8, Flat{}, 1), scenario{loss: 1}, 10*time.Second)
 	must.Greater(t, maxChange, mute.worstChange())
-	costly := measure(newFleet(32, Epidemic{16, 16}, 1), scenario{}, 5*time.Second)
+	costly := measure(newFleet(16, Epidemic{8, 8}, 1), scenario{}, 5*time.Second)
 	must.Greater(t, maxControlBytes, costly.worst)
 }
 
