--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -44,6 +44,7 @@
 	router      *routing.ByKind
 	spread      *dissemination.Manager
 	running     *runningShare
+	burn        *burn.Manager
 	relay       *relay.Relay
 	acceptance  *config.Acceptance
 	meter       *usage.Source
@@ -53,7 +54,6 @@
 	duties      *duties
 	engines     *orders.EngineManager
 	supply      *orders.SupplyManager
-	burn        *burn.Manager
 	admin       *http.Server
 }
 
@@ -70,7 +70,6 @@
 	}
 	d.newControl()
 	d.newUsage()
-	d.newBurn()
 	d.newView()
 	d.newOrders()
 	d.newSupply()
@@ -113,7 +112,7 @@
 	d.runPeers(ctx, group)
 	parts := []func(context.Context) error{
 		d.config.Run, d.spread.Run, d.running.run, d.targets.Run, d.meter.Run, d.tails.Run,
-		d.relay.Run, d.claims.Run, d.burn.Run, d.engines.Run, d.duties.run,
+		d.relay.Run, d.claims.Run, d.engines.Run, d.burn.Run, d.duties.run,
 	}
 	for _, run := range parts {
 		group.Go(func() error { return run(ctx) })
--- a/pkg/daemon/path.go
+++ b/pkg/daemon/path.go
@@ -38,10 +38,14 @@
 		Now: time.Now, Knobs: d.admissionKnobs, Weight: d.weight,
 	})}
 	d.claims = claims.New(claims.Options{Store: d.opts.Store, Log: d.opts.Log})
+	d.burn = burn.New(burn.Options{
+		Host: d.opts.Host, Incarnation: d.incarnation, Store: d.opts.Store, Config: d.config,
+		Log: d.opts.Log, Registerer: d.registry,
+	})
 	return entry.New(entry.Options{
 		Config: d.config, Admission: admit, Relay: d.relay, Recorder: d.meter,
-		Log: d.opts.Log, Registerer: d.registry, Ready: d.serving, Claims: d.claims, MaxBodyBytes: maxBodyBytes,
-		Observer: burn.Observer{Recorder: d.burn},
+		Log: d.opts.Log, Registerer: d.registry, Ready: d.serving, Claims: d.claims,
+		Observer: burn.Observer{Recorder: d.burn}, MaxBodyBytes: maxBodyBytes,
 	})
 }
 
