Link hosts that nobody has heard of yet

Cause: a development run of 12 daemons had no links at all: the trees passed over every host that was not yet heard, so above nine hosts nobody dialled first, and a replaced host with the highest name would have stayed alone. Change: the links of the trees with every host up are always kept, and those that stand in for hosts that are down come beside them.

--- a/pkg/dissemination/options.go
+++ b/pkg/dissemination/options.go
@@ -2,7 +2,9 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -76,17 +78,27 @@
 	return Trees{Count: max(degree/2, 1)}
 }
 
-// Neighbours returns the hosts that the strategy of a fleet sends to, for
-// membership.Options.
+// Neighbours returns the hosts that a daemon of the fleet keeps links to, for
+// membership.Options: those beside it in the trees with every host up, so that
+// hosts that come up are found whoever they are, and those that stand in for
+// hosts that are down.
 func Neighbours(self ident.Host, hosts []ident.Host, up map[ident.Host]bool, degree int) []ident.Host {
-	peers := NewPeers(self, hosts, up)
+	all := make(map[ident.Host]bool, len(hosts)+1)
+	for _, host := range append([]ident.Host{self}, hosts...) {
+		all[host] = true
+	}
+	peers := NewPeers(self, hosts, all)
 	trees, ok := StrategyFor(len(peers.Ring), degree).(Trees)
 	if !ok {
 		return without(peers.Ring, self)
 	}
-	links := trees.Links(peers)
-	if buddy := trees.buddy(peers); buddy != "" {
-		links = append(without(links, buddy), buddy)
+	chosen := make(map[ident.Host]bool)
+	for _, known := range []*Peers{peers, NewPeers(self, hosts, up)} {
+		for _, host := range append(trees.Links(known), trees.buddy(known)) {
+			chosen[host] = true
+		}
 	}
-	return links
+	delete(chosen, "")
+	delete(chosen, self)
+	return slices.Sorted(maps.Keys(chosen))
 }
--- a/pkg/dissemination/stack_test.go
+++ b/pkg/dissemination/stack_test.go
@@ -68,15 +68,21 @@
 }
 
 func TestDaemonsShareStateOverRealLinks(t *testing.T) {
+	t.Run("mesh", func(t *testing.T) { shareState(t, 4) })
+	t.Run("trees", func(t *testing.T) { shareState(t, 12) })
+}
+
+// shareState runs so many daemons and replaces the one with the highest name,
+// which only others dial.
+func shareState(t *testing.T, hosts int) {
 	defer goleak.VerifyNone(t)
-	const hosts = 4
 	var seeds []platform.HostRecord
 	var listeners []net.Listener
 	for i := range hosts {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		must.NoError(t, err)
 		listeners = append(listeners, listener)
-		seeds = append(seeds, platform.HostRecord{Host: ident.Host(fmt.Sprintf("host-%d", i)), PeerAddress: listener.Addr().String()})
+		seeds = append(seeds, platform.HostRecord{Host: ident.Host(fmt.Sprintf("host-%02d", i)), PeerAddress: listener.Addr().String()})
 	}
 	publish := func(s *stack, i int) {
 		must.NoError(t, s.state.Publish(Key{SectionLoad, fmt.Sprintf("engine-%d", i)}, i, false))
@@ -104,11 +110,12 @@
 		}
 	}
 	wait("state of all at all")
-	must.NoError(t, stacks[1].stop())
-	listener, err := net.Listen("tcp", seeds[1].PeerAddress)
+	last := hosts - 1
+	must.NoError(t, stacks[last].stop())
+	listener, err := net.Listen("tcp", seeds[last].PeerAddress)
 	must.NoError(t, err)
-	stacks[1] = startStack(t, listener, seeds[1], 2, seeds)
-	publish(stacks[1], 1)
+	stacks[last] = startStack(t, listener, seeds[last], 2, seeds)
+	publish(stacks[last], last)
 	wait("state of the replaced host")
 	for _, m := range stacks[0].members.Members() {
 		must.Eq(t, 3, m.Revision)
