--- a/pkg/config/knobs_roles.go
+++ b/pkg/config/knobs_roles.go
@@ -17,4 +17,7 @@
 	MixedShare float64 `json:"mixedShare" default:"0.5" unit:"ratio" min:"0" max:"1"`
 	// Interval is the least time between two changes of one engine.
 	Interval Duration `json:"interval" default:"60s" unit:"duration" min:"1s" max:"1h"`
+	// RolloutShare is the share of a model's engines that may be away at once
+	// to load another version; it is one engine at the least.
+	RolloutShare float64 `json:"rolloutShare" default:"0.1" unit:"ratio" min:"0" max:"1"`
 }
--- a/pkg/daemon/works.go
+++ b/pkg/daemon/works.go
@@ -12,6 +12,7 @@
 	"amaranthplank.example/amaranthplank/pkg/lease"
 	"amaranthplank.example/amaranthplank/pkg/orders"
 	"amaranthplank.example/amaranthplank/pkg/roles"
+	"amaranthplank.example/amaranthplank/pkg/rollout"
 	"amaranthplank.example/amaranthplank/pkg/supply"
 	"amaranthplank.example/amaranthplank/pkg/target"
 	"amaranthplank.example/amaranthplank/pkg/usage"
@@ -21,13 +22,36 @@
 func (d *Daemon) newOrders() {
 	d.engines = orders.NewEngineManager(orders.EngineOptions{
 		Host: d.opts.Host, Incarnation: d.incarnation, View: d.targets, Store: d.opts.Store,
-		NewPlanner: func(ident.Model) orders.EnginePlanner { return roles.NewPlanner(d.roleKnobs) },
+		NewPlanner: d.newEnginePlanner,
 		Client:     target.NewControl(target.NewClient(), d.opts.Credential),
 		Holds:      d.acceptance, Fates: fates{members: d.members}, Weights: d.opts.Weights,
 		Clock: clock.Boot{}, NewID: uuid.NewString, Terms: orders.DefaultTerms(), Log: d.opts.Log, Registerer: d.registry,
 	})
 }
 
+// newEnginePlanner returns the planner of one hold of a model's duty. A load of
+// another version goes before a change of role.
+func (d *Daemon) newEnginePlanner(ident.Model) orders.EnginePlanner {
+	return orders.Planners{
+		&rollout.Planner{Version: d.modelVersion, Knobs: d.roleKnobs},
+		roles.NewPlanner(d.roleKnobs),
+	}
+}
+
+// modelVersion returns the version that a model's engines are to load.
+func (d *Daemon) modelVersion(name ident.Model) string {
+	snapshot := d.config.Current()
+	if snapshot == nil {
+		return ""
+	}
+	for i := range snapshot.Document.Models {
+		if snapshot.Document.Models[i].Name == name {
+			return snapshot.Document.Models[i].Version
+		}
+	}
+	return ""
+}
+
 // newSupply makes what orders targets from the platform.
 func (d *Daemon) newSupply() {
 	d.supply = orders.NewSupplyManager(orders.SupplyOptions{
--- a/pkg/devmode/configuration.go
+++ b/pkg/devmode/configuration.go
@@ -11,6 +11,8 @@
 const (
 	// devModel is the model that the stand-in engines serve.
 	devModel ident.Model = "counting"
+	// devVersion is the version that the engines start with.
+	devVersion = "1"
 	// devService is the plain service that stands in.
 	devService ident.Service = "ledger"
 	// devRegion is the region of all parts.
@@ -26,7 +28,7 @@
 	// Fleet-wide defaults; knobs that are left out keep their built-in value.
 	"defaults": {"usage": {"window": "10s", "grace": "2s"}},
 	"workspaces": [{"name": "dev", "weight": 1, "keys": [{"name": "first", "digest": %q}]}],
-	"models": [{"name": %q, "version": "1"}],
+	"models": [{"name": %q, "version": %q}],
 	"services": [{"name": %q}],
 	"routes": [
 		{"name": "chat", "path": "/v1/chat/completions", "class": "interactive", "idempotent": true},
@@ -35,5 +37,5 @@
 		{"name": "ledger-write", "path": "/services/ledger/adjustments", "methods": ["POST"], "class": "interactive", "idempotent": false},
 	],
 	"exceptions": [],
-}`, digest, devModel, devService)
+}`, digest, devModel, devVersion, devService)
 }
--- a/pkg/devmode/standins.go
+++ b/pkg/devmode/standins.go
@@ -45,6 +45,8 @@
 	// storeWrites and storeReads bound the store's calls per second.
 	storeWrites = 500
 	storeReads  = 2000
+	// changeTime is how long a change keeps an engine away.
+	changeTime = 2 * time.Second
 	// loopback is the address that every part listens on.
 	loopback = "127.0.0.1"
 )
@@ -110,7 +112,7 @@
 			Kind: platform.Dependable, Model: devModel, ChecksFencing: i%2 == 0,
 		}
 		handler := engine.New(engine.Options{
-			Target: record.Target, Model: devModel, TokenInterval: tokenInterval,
+			Target: record.Target, Model: devModel, Version: devVersion, ChangeTime: changeTime, TokenInterval: tokenInterval,
 			Slots: engineSlots, DefaultTokens: defaultTokens, ChecksFencing: record.ChecksFencing,
 		})
 		address, err := serve(ctx, group, 0, handler)
--- a/pkg/fleet/snapshot.go
+++ b/pkg/fleet/snapshot.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "amaranthplank.example/amaranthplank/pkg/ident"
+import (
+	"maps"
+	"slices"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
 
 // Snapshot is the view of all targets at one moment. It is never changed.
 type Snapshot struct {
@@ -43,5 +48,8 @@
 // Model returns the indexes in Targets of a model's engines.
 func (s *Snapshot) Model(model ident.Model) []int { return s.byModel[model] }
 
+// Models returns the models that engines serve, in order.
+func (s *Snapshot) Models() []ident.Model { return slices.Sorted(maps.Keys(s.byModel)) }
+
 // Service returns the indexes in Targets of a service's replicas.
 func (s *Snapshot) Service(service ident.Service) []int { return s.bySvc[service] }
--- a/pkg/roles/planner.go
+++ b/pkg/roles/planner.go
@@ -51,7 +51,7 @@
 // model.
 func (p *Planner) PlanEngines(snapshot *fleet.Snapshot, now time.Time) []orders.Wanted {
 	var wanted []orders.Wanted
-	for _, model := range modelsOf(snapshot) {
+	for _, model := range snapshot.Models() {
 		knobs := p.knobs(model)
 		p.meter.Observe(snapshot, now, knobs.Smoothing.D())
 		d, ok := p.meter.Of(model)
@@ -63,18 +63,6 @@
 	return wanted
 }
 
-// modelsOf returns the models of a snapshot's engines, in order.
-func modelsOf(snapshot *fleet.Snapshot) []ident.Model {
-	var models []ident.Model
-	for i := range snapshot.Targets {
-		if model := snapshot.Targets[i].Record.Model; model != "" && !slices.Contains(models, model) {
-			models = append(models, model)
-		}
-	}
-	slices.Sort(models)
-	return models
-}
-
 // planModel returns one model's wanted changes.
 func (p *Planner) planModel(snapshot *fleet.Snapshot, model ident.Model, d demand.Demand, knobs *config.RoleKnobs, now time.Time) []orders.Wanted {
 	state, ok := p.models[model]
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -37,7 +37,7 @@
 		streams: make(map[ident.Attempt]*stream),
 		runs:    make(map[ident.Attempt]int),
 		words:   make(map[string]int),
-		control: newControl(),
+		control: newControl(opts.Version),
 	}
 	e.mux.HandleFunc("POST "+target.PathChat, e.complete)
 	e.mux.HandleFunc("POST "+target.PathCompletions, e.complete)
--- a/pkg/standin/engine/options.go
+++ b/pkg/standin/engine/options.go
@@ -10,6 +10,8 @@
 type Options struct {
 	Target ident.Target
 	Model  ident.Model
+	// Version is the model's version that the engine starts with.
+	Version string
 	// TokenInterval is the time between tokens.
 	TokenInterval time.Duration
 	// Slots is how many requests run at once.
--- a/pkg/standin/engine/order.go
+++ b/pkg/standin/engine/order.go
@@ -23,7 +23,9 @@
 }
 
 // newControl returns the state of an engine that has taken no order.
-func newControl() control { return control{role: fleet.Mixed, incarnation: 1} }
+func newControl(version string) control {
+	return control{role: fleet.Mixed, version: version, incarnation: 1}
+}
 
 // Orders returns the orders that the engine took.
 func (e *Engine) Orders() []target.Order {
--- a/pkg/supply/planner.go
+++ b/pkg/supply/planner.go
@@ -57,7 +57,7 @@
 // each failure domain and kind.
 func (p *Planner) PlanSupply(snapshot *fleet.Snapshot, now time.Time) []platform.TargetOrder {
 	var list []platform.TargetOrder
-	for _, model := range modelsOf(snapshot) {
+	for _, model := range snapshot.Models() {
 		knobs := p.opts.Knobs(model)
 		p.meter.Observe(snapshot, now, knobs.Smoothing.D())
 		if d, ok := p.meter.Of(model); ok {
@@ -67,18 +67,6 @@
 	return list
 }
 
-// modelsOf returns the models of a snapshot's engines, in order.
-func modelsOf(snapshot *fleet.Snapshot) []ident.Model {
-	var models []ident.Model
-	for i := range snapshot.Targets {
-		if model := snapshot.Targets[i].Record.Model; model != "" && !slices.Contains(models, model) {
-			models = append(models, model)
-		}
-	}
-	slices.Sort(models)
-	return models
-}
-
 // planModel returns one model's wanted counts.
 func (p *Planner) planModel(snapshot *fleet.Snapshot, model ident.Model, d demand.Demand, knobs *config.SupplyKnobs, now time.Time) []platform.TargetOrder {
 	state, ok := p.models[model]
