--- a/bench/shift/bounds_test.go
+++ b/bench/shift/bounds_test.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -22,11 +23,24 @@
 // testScale shortens the traces for tests; the benchmark plays them whole.
 const testScale = 0.3
 
-// play measures a trace that bears a name.
+// played keeps the figures of runs that several tests look at.
+var played = map[string]figures{}
+
+// play measures a trace that bears a name, once.
 func play(d *deployment, name string, p *policy, flooding bool) figures {
+	key := fmt.Sprint(d.name, name, p.name, flooding)
+	if f, ok := played[key]; ok {
+		return f
+	}
+	played[key] = measure(d, traceNamed(name), p, flooding)
+	return played[key]
+}
+
+// traceNamed returns a shortened trace.
+func traceNamed(name string) *trace {
 	for _, t := range traces(testScale) {
 		if t.name == name {
-			return measure(d, t, p, flooding)
+			return t
 		}
 	}
 	panic("no trace is named " + name)
@@ -45,7 +59,7 @@
 	}
 	// The measure sees a policy that does not hold: without the index and the
 	// home engines, Himalsetu's catalogues are computed again and again.
-	off := policy{name: "broken", noRoles: true, noSupply: true, noMoves: true}
+	off := policy{name: "no caches", noRoles: true, noSupply: true, noMoves: true}
 	off.routing.Index, off.routing.Affinity = true, true
 	must.Less(t, leastGoodput, play(himalsetu(), "swing", &off, false).Goodput)
 }
@@ -66,7 +80,7 @@
 		must.GreaterEq(t, leastWorst, worstKept(d, policyNamed("ours")), must.Sprint(d.name))
 	}
 	// The measure sees a queue that serves in order of arrival alone.
-	off := policy{name: "broken", noRoles: true, noSupply: true}
+	off := policy{name: "in order", noRoles: true, noSupply: true}
 	off.admission.Fair, off.admission.Excess = true, true
 	must.Less(t, leastWorst, worstKept(kivotos(), &off))
 }
@@ -80,7 +94,8 @@
 }
 
 func TestSameSeedsGiveSameFigures(t *testing.T) {
-	first, second := play(kivotos(), "crash", policyNamed("ours"), false), play(kivotos(), "crash", policyNamed("ours"), false)
+	first := measure(kivotos(), traceNamed("crash"), policyNamed("ours"), false)
+	second := measure(kivotos(), traceNamed("crash"), policyNamed("ours"), false)
 	first.tally, second.tally = nil, nil
 	must.Eq(t, first, second)
 }
--- a/bench/shift/shift_bench_test.go
+++ b/bench/shift/shift_bench_test.go
@@ -2,54 +2,74 @@
 
 import (
 	"fmt"
-	"os"
+	"slices"
 	"sync"
 	"testing"
-	"text/tabwriter"
 )
 
-// workers bounds the runs at once.
-const workers = 6
+const (
+	// workers bounds the runs at once.
+	workers = 6
+	// partsScale shortens the traces on which parts are left out.
+	partsScale = 0.5
+)
+
+// whole are the policies that are played over every trace.
+var whole = []string{"round robin", "least outstanding", "ours", "ours, all dependable"}
+
+// partTraces are the traces on which parts are left out.
+var partTraces = []string{"swing", "flood", "reclaim", "late reports"}
 
-// table plays every policy over every trace of every deployment.
-func table(scale float64, keep func(d *deployment, t *trace, p *policy) bool) []figures {
-	var all []*figures
+// printRow prints one run's figures as a row of the table.
+func printRow(f *figures) {
+	fmt.Printf("| %s | %s | %s | %.3f | %.3f | %.4f | %.4f | %.4f | %d | %.3f | %.2f | %d |\n", f.Deployment, f.Trace, f.Policy,
+		f.Goodput, f.Worst, f.Lookups, f.Interactive, f.Deferrable, f.Changes, f.Spend, f.Cheap, f.Harmed)
+}
+
+// printTable plays the policies that are kept and prints the rows in order, each
+// as soon as those before it are there.
+func printTable(scale float64, keep func(t *trace, p *policy) bool) {
+	fmt.Println("\n| deployment | trace | policy | goodput | worst | lookups | interactive | deferrable | changes | spend | cheap | harmed |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
 	var wait sync.WaitGroup
+	var rows []chan *figures
 	slots := make(chan struct{}, workers)
 	for _, d := range deployments() {
 		for _, t := range traces(scale) {
 			for _, p := range policies() {
-				if !keep(d, t, p) {
+				if !keep(t, p) {
 					continue
 				}
-				f := new(figures)
-				all = append(all, f)
+				row := make(chan *figures, 1)
+				rows = append(rows, row)
 				wait.Go(func() {
 					slots <- struct{}{}
 					defer func() { <-slots }()
-					*f = measure(d, t, p, true)
+					f := measure(d, t, p, true)
+					row <- &f
 				})
 			}
 		}
 	}
-	wait.Wait()
-	list := make([]figures, len(all))
-	for i, f := range all {
-		list[i] = *f
+	for _, row := range rows {
+		printRow(<-row)
 	}
-	return list
+	wait.Wait()
 }
 
-// BenchmarkShift prints the table of figures by deployment, trace and policy.
+// BenchmarkShift prints the figures of the baselines and of ours for every
+// deployment and trace.
 func BenchmarkShift(b *testing.B) {
 	for range b.N {
-		list := table(1, func(*deployment, *trace, *policy) bool { return true })
-		w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-		_, _ = fmt.Fprintln(w, "deployment\ttrace\tpolicy\tgoodput\tworst\tlookups\tinteractive\tdeferrable\tchanges\tspend\tcheap\tharmed")
-		for _, f := range list {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%.3f\t%.3f\t%.4f\t%.4f\t%.4f\t%d\t%.3f\t%.2f\t%d\n", f.Deployment, f.Trace, f.Policy,
-				f.Goodput, f.Worst, f.Lookups, f.Interactive, f.Deferrable, f.Changes, f.Spend, f.Cheap, f.Harmed)
-		}
-		_ = w.Flush()
+		printTable(1, func(_ *trace, p *policy) bool { return slices.Contains(whole, p.name) })
+	}
+}
+
+// BenchmarkShiftParts prints the figures with each part left out.
+func BenchmarkShiftParts(b *testing.B) {
+	for range b.N {
+		printTable(partsScale, func(t *trace, p *policy) bool {
+			return slices.Contains(partTraces, t.name) && (p.name == "ours" || !slices.Contains(whole, p.name))
+		})
 	}
 }
