--- a/pkg/claims/shard.go
+++ b/pkg/claims/shard.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
-	"github.com/go-faster/errors"
+	"golang.org/x/time/rate"
 
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/platform"
@@ -21,6 +19,8 @@
 	// throttledWait is the mean wait before a write that the store refused
 	// for its rate.
 	throttledWait = 100 * time.Millisecond
+	// refusedWait is the wait that is advised where claims can't be written.
+	refusedWait = 2 * time.Second
 	// owedRetry is the pause before operations that nobody waits for are
 	// tried again.
 	owedRetry = time.Second
@@ -31,8 +31,9 @@
 	store platform.Store
 	log   *slog.Logger
 	key   platform.Key
-	pause time.Duration
-	queue chan operation
+	// limiter bounds the writes of all shards of the daemon.
+	limiter *rate.Limiter
+	queue   chan operation
 	// stopped is closed when the shard runs no more.
 	stopped chan struct{}
 
@@ -44,10 +45,13 @@
 	owed []operation
 }
 
+// errBusy says that the daemon's part of the store's write rate is used up.
+var errBusy = fault.New(fault.Unavailable, "the daemon's writes of claims are used up", "ask for a higher rate of claims")
+
 // newShard returns a shard that has read nothing.
-func newShard(opts Options, key platform.Key) *shard {
+func newShard(opts Options, key platform.Key, limiter *rate.Limiter) *shard {
 	return &shard{
-		store: opts.Store, log: opts.Log, key: key, pause: opts.Pause,
+		store: opts.Store, log: opts.Log, key: key, limiter: limiter,
 		queue: make(chan operation, queueLimit), stopped: make(chan struct{}),
 	}
 }
@@ -92,7 +96,7 @@
 			s.last()
 			return nil
 		case first := <-s.queue:
-			s.batch(ctx, first)
+			s.write(ctx, s.drain([]operation{first}))
 		case <-retry:
 			s.write(ctx, nil)
 		}
@@ -110,17 +114,6 @@
 	s.write(ctx, batch)
 }
 
-// batch writes an operation with those that wait behind it.
-func (s *shard) batch(ctx context.Context, first operation) {
-	s.write(ctx, s.drain([]operation{first}))
-	if s.pause > 0 {
-		select {
-		case <-time.After(s.pause):
-		case <-ctx.Done():
-		}
-	}
-}
-
 // drain appends the operations that wait.
 func (s *shard) drain(batch []operation) []operation {
 	for {
@@ -147,7 +140,7 @@
 		return
 	}
 	s.log.Warn("claims not written", "shard", s.key, "operations", len(batch), "error", err)
-	refused := result{err: fault.Wrap(err, fault.Unavailable, errStopped.Reason, errStopped.Remedy).After(time.Second)}
+	refused := result{err: fault.Wrap(err, fault.Unavailable, errStopped.Reason, errStopped.Remedy).After(refusedWait)}
 	for i := range batch {
 		s.failed(batch[i], sent, refused)
 	}
@@ -168,86 +161,3 @@
 		s.owed = append(s.owed, o)
 	}
 }
-
-// commit applies a batch to the shard's newest value and swaps it in. It
-// reports whether a write was sent whose effect is not known.
-func (s *shard) commit(ctx context.Context, batch []operation) ([]result, bool, error) {
-	sent := false
-	fresh := s.document == nil
-	var err error
-	for range writeAttempts {
-		if s.document == nil {
-			if err = s.read(ctx); err != nil {
-				return nil, sent, err
-			}
-			fresh = true
-		}
-		next, results := s.document.apply(batch, time.Now())
-		if next == s.document && fresh {
-			return results, false, nil
-		}
-		if next == s.document {
-			s.document = nil
-			continue
-		}
-		err = s.swap(ctx, next)
-		if err == nil {
-			return results, false, nil
-		}
-		switch fault.KindOf(err) {
-		case fault.Unavailable:
-			return nil, sent, err
-		case fault.Limited:
-			s.backOff(ctx)
-		case fault.Conflict:
-			s.document = nil
-		default:
-			sent = true
-			s.document = nil
-		}
-	}
-	return nil, sent, err
-}
-
-// backOff waits before a write that the store refused for its rate. What comes
-// meanwhile goes with the next batch.
-func (s *shard) backOff(ctx context.Context) {
-	timer := time.NewTimer(throttledWait/2 + rand.N(throttledWait))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// read reads the shard's value.
-func (s *shard) read(ctx context.Context) error {
-	entry, err := s.store.Get(ctx, s.key)
-	if errors.Is(err, platform.ErrKeyNotFound) {
-		s.document, s.version = &Document{Claims: make(map[digest]Claim)}, entry.Version
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	document, err := parseDocument(entry.Value)
-	if err != nil {
-		return err
-	}
-	s.document, s.version = document, entry.Version
-	return nil
-}
-
-// swap writes the shard's next value.
-func (s *shard) swap(ctx context.Context, next *Document) error {
-	value, err := json.Marshal(next)
-	if err != nil {
-		return err
-	}
-	version, err := s.store.CompareAndSwap(ctx, platform.Swap{Key: s.key, Base: s.version, Value: value})
-	if err != nil {
-		return err
-	}
-	s.document, s.version = next, version
-	return nil
-}
--- a/pkg/config/manager.go
+++ b/pkg/config/manager.go
@@ -38,6 +38,10 @@
 	// seen is the newest of each part that the store has shown, malformed ones
 	// included. Invariant: seen never falls.
 	seen Revisions
+	// marker is the newest that was read or raised, and wanted what it should
+	// name, since a writer waits for it.
+	marker Revisions
+	wanted Revisions
 	// confirmed is when the newest confirming read was sent.
 	confirmed    time.Duration
 	hasConfirmed bool
--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -1,13 +1,11 @@
 package daemon
 
 import (
-	"context"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/config"
-	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/orders"
+	"amaranthplank.example/amaranthplank/pkg/targetwatch"
 )
 
 // rosterEvery is the time between looks at the platform's list of hosts.
@@ -29,21 +27,18 @@
 	}
 }
 
-// holds tells the order executor which holds are in force.
-type holds struct {
-	acceptance *config.Acceptance
+// heldTargets tells the view of the targets which get no new work.
+type heldTargets struct {
+	config *config.Manager
 }
 
-var _ orders.HoldAcceptance = holds{}
+var _ targetwatch.HoldSource = heldTargets{}
 
-// holdsTimeout bounds one question.
-const holdsTimeout = 2 * time.Second
-
-// HoldsInForce reports whether every daemon that serves keeps to the holds of
-// the revision. A question that can't be answered counts as no.
-func (h holds) HoldsInForce(revision ident.Revision) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), holdsTimeout)
-	defer cancel()
-	inForce, err := h.acceptance.HoldsAccepted(ctx, revision)
-	return err == nil && inForce
+// CurrentHolds returns the holds in force, or nil before the first.
+func (h heldTargets) CurrentHolds() *config.Holds {
+	snapshot := h.config.Holds()
+	if snapshot == nil {
+		return nil
+	}
+	return &snapshot.Holds
 }
--- a/pkg/dissemination/manager.go
+++ b/pkg/dissemination/manager.go
@@ -124,16 +124,16 @@
 	return found
 }
 
-// Consume counts consumption of a workspace on this daemon.
-func (m *Manager) Consume(workspace ident.Workspace, amount uint64) {
+// Consume counts consumption on this daemon.
+func (m *Manager) Consume(workspace ident.Workspace, use Use) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.ledger.Add(workspace, amount)
+	m.ledger.Add(workspace, use)
 }
 
-// Elsewhere returns what a workspace has consumed on other daemons since this
-// one started or before, as far as it is known here. It never falls.
-func (m *Manager) Elsewhere(workspace ident.Workspace) uint64 {
+// Elsewhere returns what a workspace has consumed on other daemons, before this
+// one started too, as far as it is known here. It never falls.
+func (m *Manager) Elsewhere(workspace ident.Workspace) Use {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.ledger.Elsewhere(workspace)
