--- a/bench/shift/arrival.go
+++ b/bench/shift/arrival.go
@@ -96,7 +96,7 @@
 	group := random.IntN(groups)
 	a.req = &request.Request{
 		Workspace: ident.Workspace("workspace-" + strconv.Itoa(workspace)), Route: ident.Route(k.name), Class: k.class,
-		Service: k.service, Idempotent: k.idempotent, ReceivedAt: epoch.Add(at), Deadline: epoch.Add(at + k.deadline),
+		Service: k.service, Idempotent: k.idempotent, Deadline: epoch.Add(at + k.deadline),
 		PromptTokens: k.shared + unique, MaxOutputTokens: a.output,
 		Prefix: prefixOf(k, workspace, group, unique, random.Uint64()),
 	}
--- a/pkg/daemon/path.go
+++ b/pkg/daemon/path.go
@@ -27,6 +27,8 @@
 		View: d.targets, Domain: d.opts.FailureDomain, Now: time.Now,
 		Knobs:  func() *config.RoutingKnobs { return &d.knobs(config.Selector{}).Routing },
 		Random: newRandom(),
+		// The members are the other daemons.
+		Daemons: func() int { return 1 + len(membership.AliveHosts(d.members.Members())) },
 	})
 	d.relay = relay.New(relay.Options{
 		Router: d.router, Client: target.NewClient(), Config: d.config, Credential: d.opts.Credential,
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -24,8 +24,6 @@
 	Idempotent bool
 	// IdempotencyKey is the caller's own key for the request, or empty.
 	IdempotencyKey string
-	// ReceivedAt is when the request came; zero where it isn't known.
-	ReceivedAt time.Time
 	// Deadline is when the answer is of no more use.
 	Deadline time.Time
 	// Stream says that the caller takes the answer as server-sent events.
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -28,6 +28,8 @@
 	// targets in the same order.
 	seen *fleet.Snapshot
 	refs []*ledger
+	// daemons counts the daemons that send to the engines, as of that snapshot.
+	daemons int
 	// scores and depths are reused by each decision.
 	scores []score
 	depths [prefix.MaxEngines]int32
@@ -102,7 +104,7 @@
 		if !takesNew(state, knobs, now) {
 			continue
 		}
-		e := estimateOf(state, r.own(i), r.daemons(), knobs, now)
+		e := estimateOf(state, r.own(i), r.daemons, knobs, now)
 		run := r.uncached(i, false, true, req, knobs)/e.prefillRate + output/e.decodeRate
 		if least < 0 || run < least {
 			least = run
@@ -142,6 +144,7 @@
 		return snapshot
 	}
 	r.seen = snapshot
+	r.daemons = r.countDaemons()
 	r.refs = r.refs[:0]
 	for i := range snapshot.Targets {
 		r.refs = append(r.refs, r.takeIn(&snapshot.Targets[i]))
@@ -192,8 +195,8 @@
 	return r.refs[i]
 }
 
-// daemons returns how many daemons send to the engines.
-func (r *ModelRouter) daemons() int {
+// countDaemons returns how many daemons send to the engines.
+func (r *ModelRouter) countDaemons() int {
 	if r.opts.Off.Unseen || r.opts.Daemons == nil {
 		return 1
 	}
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -43,7 +43,7 @@
 		if !takesNew(state, knobs, now) || slices.Contains(exclude, state.Record.Target) {
 			continue
 		}
-		e := estimateOf(state, r.own(i), r.daemons(), knobs, now)
+		e := estimateOf(state, r.own(i), r.daemons, knobs, now)
 		s := score{
 			target: i, role: state.Load.Role, slots: e.slots, occupied: e.occupied,
 			uncached: r.uncached(i, i == home, known, req, knobs),
