--- a/pkg/orders/shard.go
+++ b/pkg/orders/shard.go
@@ -160,6 +160,9 @@
 	if s.busy(w.Target) || len(open) >= s.manager.opts.Terms.Concurrency || !gate(open, state.Record, w.Order.Kind) {
 		return
 	}
+	if repeats(s.lastOf(w.Target), w.Order, state, time.Now()) {
+		return
+	}
 	record := newRecord(s.lastOf(w.Target), state.Record, w.Order, s.manager.opts.NewID())
 	record.WrittenAt = time.Now()
 	written, err := s.journal.write(ctx, record)
