--- a/pkg/devmode/standins.go
+++ b/pkg/devmode/standins.go
@@ -32,6 +32,8 @@
 	engineSlots = 64
 	// tokenInterval is the pace of an engine's answers.
 	tokenInterval = 20 * time.Millisecond
+	// prefillRate is the stated pace of prompts, in tokens per second.
+	prefillRate = 20000
 	// defaultTokens is the length of an answer that sets none.
 	defaultTokens = 16
 	// ledgers is how many replicas of the ledger stand in.
@@ -112,7 +114,7 @@
 			Kind: platform.Dependable, Model: devModel, ChecksFencing: i%2 == 0,
 		}
 		handler := engine.New(engine.Options{
-			Target: record.Target, Model: devModel, Version: devVersion, ChangeTime: changeTime, TokenInterval: tokenInterval,
+			Target: record.Target, Model: devModel, Version: devVersion, ChangeTime: changeTime, TokenInterval: tokenInterval, PrefillRate: prefillRate,
 			Slots: engineSlots, DefaultTokens: defaultTokens, ChecksFencing: record.ChecksFencing,
 		})
 		address, err := serve(ctx, group, 0, handler)
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -16,6 +17,9 @@
 	opts  Options
 	mux   *http.ServeMux
 	slots chan struct{}
+	// computed and generated count prompt and output tokens.
+	computed  atomic.Uint64
+	generated atomic.Uint64
 
 	mu       sync.Mutex
 	streams  map[ident.Attempt]*stream
@@ -131,6 +135,7 @@
 		return
 	}
 	defer func() { <-e.slots }()
+	e.computed.Add(uint64(body.promptTokens()))
 	tokens, word := body.tokens(e.opts.DefaultTokens), body.word(e.opts.Echo)
 	for n := range tokens {
 		select {
@@ -139,6 +144,7 @@
 		case <-time.After(e.opts.TokenInterval):
 		}
 		s.add(tokenEvent(word, n))
+		e.generated.Add(1)
 	}
 	s.add(usageEvent(body.promptTokens(), tokens))
 	s.add(target.EndMarker)
--- a/pkg/standin/engine/options.go
+++ b/pkg/standin/engine/options.go
@@ -14,6 +14,8 @@
 	Version string
 	// TokenInterval is the time between tokens.
 	TokenInterval time.Duration
+	// PrefillRate is the stated pace of prompts, in tokens per second.
+	PrefillRate float64
 	// Slots is how many requests run at once.
 	Slots int
 	// DefaultTokens is the answer's length where the request sets none.
--- a/pkg/standin/engine/order.go
+++ b/pkg/standin/engine/order.go
@@ -104,19 +104,22 @@
 	e.mu.Lock()
 	e.sequence++
 	report := fleet.LoadReport{
-		Target:      e.opts.Target,
-		Incarnation: e.control.incarnation,
-		Sequence:    e.sequence,
-		Role:        e.control.role,
-		Running:     len(e.slots),
-		Queued:      e.queued,
-		Slots:       e.opts.Slots,
-		OrderID:     e.control.orderID,
-		Fencing:     e.control.fencing,
-		Model:       e.opts.Model,
-		Version:     e.control.version,
-		DecodeRate:  float64(time.Second) / float64(max(e.opts.TokenInterval, 1)),
-		TakenAt:     time.Now(),
+		Target:          e.opts.Target,
+		Incarnation:     e.control.incarnation,
+		Sequence:        e.sequence,
+		Role:            e.control.role,
+		Running:         len(e.slots),
+		Queued:          e.queued,
+		Slots:           e.opts.Slots,
+		OrderID:         e.control.orderID,
+		Fencing:         e.control.fencing,
+		Model:           e.opts.Model,
+		Version:         e.control.version,
+		ComputedTokens:  e.computed.Load(),
+		GeneratedTokens: e.generated.Load(),
+		PrefillRate:     e.opts.PrefillRate,
+		DecodeRate:      float64(time.Second) / float64(max(e.opts.TokenInterval, 1)),
+		TakenAt:         time.Now(),
 	}
 	e.mu.Unlock()
 	writeJSON(w, report)
