Move running streams off engines that are taken away

Cause: a reclaimed engine cut the streams that would not end in its notice; nothing used the decision on which work must move. One test of the roster gave either verdict: a daemon that was ending could still send a heartbeat after the test had dropped it (5 of 8 runs failed under the race detector). Change: at a stream's event the relay looks whether its engine leaves before the expected end, has the KV cache copied by two orders between the engines and goes on at the other one on a new connection; the burn report counts deadlines that callers state; the roster's test waits for the daemon's end, and the fake daemons' jitter is seeded.

--- a/pkg/config/roster_test.go
+++ b/pkg/config/roster_test.go
@@ -65,6 +65,7 @@
 		n := w.nodes[0]
 		for i, gone := range w.nodes[3:] {
 			gone.cancel()
+			<-gone.done
 			n.forget(3 + i)
 		}
 		keeper := RosterKeeper{
--- a/pkg/config/world_test.go
+++ b/pkg/config/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -93,7 +94,8 @@
 	n.members = make(map[int]membership.Member)
 	n.ctx, n.cancel, n.done = ctx, cancel, make(chan struct{})
 	n.mu.Unlock()
-	m := NewManager(Options{Host: hostOf(n.index), Store: n.store, Mesh: n, View: n, Clock: n})
+	random := rand.New(rand.NewPCG(uint64(n.index), uint64(n.incarnation)))
+	m := NewManager(Options{Host: hostOf(n.index), Store: n.store, Mesh: n, View: n, Clock: n, Random: random})
 	acceptance := NewAcceptance(m)
 	n.mu.Lock()
 	n.manager = m
--- a/pkg/daemon/path.go
+++ b/pkg/daemon/path.go
@@ -11,6 +11,7 @@
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/kvmove"
 	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/request"
@@ -32,7 +33,9 @@
 	})
 	d.relay = relay.New(relay.Options{
 		Router: d.router, Client: target.NewClient(), Config: d.config, Credential: d.opts.Credential,
-		Log: d.opts.Log, Registerer: d.registry,
+		Log: d.opts.Log, Registerer: d.registry, Moves: &kvmove.Mover{
+			View: d.targets, Sender: target.NewControl(target.NewClient(), d.opts.Credential), Knobs: d.supplyKnobs,
+		},
 	})
 	d.running = newRunningShare(d.spread, d.opts.Log, d.nearConcurrency)
 	admit := &sharedAdmission{spread: d.spread, running: d.running, inner: admission.NewFair(admission.Options{
--- a/pkg/devmode/standins.go
+++ b/pkg/devmode/standins.go
@@ -60,6 +60,8 @@
 	usage   *usagesink.Sink
 	hosts   *hosts.List
 	weights *weights.Store
+	// reclaimable holds what ends the reclaimable engines, by failure domain.
+	reclaimable map[ident.FailureDomain][]context.CancelFunc
 	// key is the workspace's key in the first configuration.
 	key string
 }
@@ -67,10 +69,11 @@
 // startStandIns starts the targets and writes the first configuration.
 func startStandIns(ctx context.Context, group *errgroup.Group) (*standIns, error) {
 	s := &standIns{
-		store:   faultstore.New(memstore.New(clock.Boot{})),
-		usage:   usagesink.New(),
-		weights: weights.New(weightInterval),
-		key:     newKey(),
+		store:       faultstore.New(memstore.New(clock.Boot{})),
+		usage:       usagesink.New(),
+		weights:     weights.New(weightInterval),
+		key:         newKey(),
+		reclaimable: make(map[ident.FailureDomain][]context.CancelFunc),
 	}
 	s.setFaults(faultstore.Faults{})
 	text := documentText(config.DigestKey(s.key))
@@ -80,7 +83,7 @@
 	if _, err := s.store.CompareAndSwap(ctx, platform.Swap{Key: config.StoreKey, Value: text}); err != nil {
 		return nil, err
 	}
-	records, err := startTargets(ctx, group)
+	records, err := s.startTargets(ctx, group)
 	if err != nil {
 		return nil, err
 	}
@@ -99,29 +102,29 @@
 func (s *standIns) servePlatform(ctx context.Context, group *errgroup.Group, port int) (string, error) {
 	handler := platformserver.New(platformserver.Systems{
 		Store: s.store, Usage: s.usage, Targets: s.targets, Hosts: s.hosts, Weights: s.weights, Reports: s.usage.Reports,
-		SetFaults: s.setFaults, SetHosts: s.hosts.Set,
+		SetFaults: s.setFaults, SetHosts: s.hosts.Set, Reclaim: s.reclaim,
 	})
 	address, err := serve(ctx, group, port, handler)
 	return "http://" + address, err
 }
 
+// reclaim takes the reclaimable engines of a failure domain away after the
+// notice.
+func (s *standIns) reclaim(domain ident.FailureDomain, notice time.Duration) {
+	s.targets.Reclaim(domain, notice)
+	for _, end := range s.reclaimable[domain] {
+		time.AfterFunc(notice, end)
+	}
+}
+
 // startTargets starts the engines and the ledger and returns their records.
-func startTargets(ctx context.Context, group *errgroup.Group) ([]platform.TargetRecord, error) {
+func (s *standIns) startTargets(ctx context.Context, group *errgroup.Group) ([]platform.TargetRecord, error) {
 	var records []platform.TargetRecord
 	for i := range engines {
-		record := platform.TargetRecord{
-			Target: ident.Target(fmt.Sprintf("engine-%d", i+1)), FailureDomain: domainOf(i), Region: devRegion,
-			Kind: platform.Dependable, Model: devModel, ChecksFencing: i%2 == 0,
-		}
-		handler := engine.New(engine.Options{
-			Target: record.Target, Model: devModel, Version: devVersion, ChangeTime: changeTime, TokenInterval: tokenInterval, PrefillRate: prefillRate,
-			Slots: engineSlots, DefaultTokens: defaultTokens, ChecksFencing: record.ChecksFencing,
-		})
-		address, err := serve(ctx, group, 0, handler)
+		record, err := s.startEngine(ctx, group, i)
 		if err != nil {
 			return nil, err
 		}
-		record.Address = address
 		records = append(records, record)
 	}
 	for i := range ledgers {
@@ -137,6 +140,28 @@
 	return records, nil
 }
 
+// startEngine starts the i-th engine. The later half can be reclaimed.
+func (s *standIns) startEngine(ctx context.Context, group *errgroup.Group, i int) (platform.TargetRecord, error) {
+	record := platform.TargetRecord{
+		Target: ident.Target(fmt.Sprintf("engine-%d", i+1)), FailureDomain: domainOf(i), Region: devRegion,
+		Kind: platform.Dependable, Model: devModel, ChecksFencing: i%2 == 0,
+	}
+	if i >= engines/2 {
+		var end context.CancelFunc
+		ctx, end = context.WithCancel(ctx)
+		record.Kind = platform.Reclaimable
+		s.reclaimable[record.FailureDomain] = append(s.reclaimable[record.FailureDomain], end)
+	}
+	handler := engine.New(engine.Options{
+		Target: record.Target, Model: devModel, Version: devVersion, ChangeTime: changeTime,
+		TokenInterval: tokenInterval, PrefillRate: prefillRate,
+		Slots: engineSlots, DefaultTokens: defaultTokens, ChecksFencing: record.ChecksFencing,
+	})
+	address, err := serve(ctx, group, 0, handler)
+	record.Address = address
+	return record, err
+}
+
 // serve serves a stand-in until ctx ends, on a free port where port is zero.
 func serve(ctx context.Context, group *errgroup.Group, port int, handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, port))
--- a/pkg/entry/observer.go
+++ b/pkg/entry/observer.go
@@ -25,6 +25,9 @@
 	// FirstPart is the time to the first part of the answer, and Total the
 	// time to its end.
 	FirstPart, Total time.Duration
+	// Deadline says that the caller stated one, InTime that the whole answer
+	// kept it.
+	Deadline, InTime bool
 	// Events counts the stream events that were handed to the caller.
 	Events uint64
 }
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -161,6 +161,8 @@
 		Workspace: s.req.Workspace, Route: s.req.Route, Class: s.req.Class, Model: s.req.Model,
 		Outcome: result.Outcome, CallerGone: result.CallerGone, Total: now.Sub(s.began), Events: result.Events,
 	}
+	observation.Deadline = s.http.Header.Get(HeaderDeadline) != ""
+	observation.InTime = result.Outcome == request.Answered && !now.After(s.req.Deadline)
 	class := string(s.req.Class)
 	if result.Started {
 		observation.FirstPart = result.FirstAt.Sub(s.began)
--- /dev/null
+++ b/pkg/kvmove/mover.go
@@ -0,0 +1,53 @@
+package kvmove
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/relay"
+	"amaranthplank.example/amaranthplank/pkg/supply"
+	"amaranthplank.example/amaranthplank/pkg/target"
+)
+
+// Sender sends orders to engines; target.Control implements it.
+type Sender interface {
+	// Send sends an order once.
+	Send(ctx context.Context, engine platform.TargetRecord, order target.Order) error
+}
+
+// Mover decides which streams must leave their engines and has them copied.
+type Mover struct {
+	View   fleet.View
+	Sender Sender
+	Knobs  func(model ident.Model) *config.SupplyKnobs
+}
+
+var _ relay.Moves = (*Mover)(nil)
+
+// Due reports whether the platform takes the engine away before the stream is
+// expected to end.
+func (m *Mover) Due(engine ident.Target, model ident.Model, end, _ time.Time) bool {
+	state := m.View.Snapshot().Target(engine)
+	if state == nil || !state.Record.Leaving {
+		return false
+	}
+	return supply.MustMove(end, state.Record.LeaveBy, m.Knobs(model))
+}
+
+// Copy orders the one engine to export an attempt's KV cache and the other to
+// import it. Both orders belong to the attempt and bear no fencing number: they
+// change nothing that another order could conflict with.
+func (m *Mover) Copy(ctx context.Context, attempt ident.Attempt, from, to *platform.TargetRecord) error {
+	export := target.Order{OrderID: uuid.NewString(), Kind: target.OrderExport, Attempt: attempt, Peer: to.Address}
+	if err := m.Sender.Send(ctx, *from, export); err != nil {
+		return err
+	}
+	load := target.Order{OrderID: uuid.NewString(), Kind: target.OrderImport, Attempt: attempt, Peer: from.Address}
+	return m.Sender.Send(ctx, *to, load)
+}
--- a/pkg/platform/wire/messages.go
+++ b/pkg/platform/wire/messages.go
@@ -88,3 +88,11 @@
 	// SilentWatches makes watches wait without an end.
 	SilentWatches bool `json:"silentWatches"`
 }
+
+// ReclaimRequest has the stand-in take a failure domain's reclaimable targets
+// away.
+type ReclaimRequest struct {
+	FailureDomain ident.FailureDomain `json:"failureDomain"`
+	// Notice is the time until they are gone.
+	Notice time.Duration `json:"notice"`
+}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
 	"amaranthplank.example/amaranthplank/pkg/fleet"
@@ -32,7 +33,9 @@
 	refusal *answer
 	// quiet counts the resumes since the last event.
 	quiet int
-	pause backoff.BackOff
+	// moveAfter is when the stream may next be moved.
+	moveAfter time.Time
+	pause     backoff.BackOff
 	// win reports whether the attempt is the one that may answer. It is nil
 	// where there is no other.
 	win func() bool
@@ -66,6 +69,11 @@
 func (a *attempt) make(ctx context.Context) (retry.Decision, error) {
 	err := a.first(ctx)
 	for err != nil {
+		if errors.Is(err, errMoveDue) {
+			a.move(ctx)
+			err = a.resume(ctx)
+			continue
+		}
 		failure := failureOf(err)
 		decision := a.call.run.Failed(a.phase, failure, time.Now())
 		a.call.relay.metrics.failed(a.phase, failure, decision)
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -61,12 +61,12 @@
 		c.result.Attempts++
 		a := newAttempt(c, state)
 		decision, err := a.make(ctx)
-		c.relay.opts.Router.Done(c.req, state.Record.Target)
-		c.tell(state.Record.Target, err)
+		c.relay.opts.Router.Done(c.req, a.target)
+		c.tell(a.target, err)
 		if decision != retry.Again {
 			return c.finish(a, decision, err)
 		}
-		c.failed = append(c.failed, state.Record.Target)
+		c.failed = append(c.failed, a.target)
 	}
 }
 
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -11,6 +11,7 @@
 	failures *prometheus.CounterVec
 	events   prometheus.Counter
 	cancels  *prometheus.CounterVec
+	moves    prometheus.Counter
 }
 
 // newMetrics returns registered metrics.
@@ -26,9 +27,12 @@
 		cancels: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "amaranthplank_relay_cancels_total", Help: "Attempts cancelled at engines, by result.",
 		}, []string{"result"}),
+		moves: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "amaranthplank_relay_moves_total", Help: "Streams that another engine took over.",
+		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.failures, m.events, m.cancels)
+		registerer.MustRegister(m.failures, m.events, m.cancels, m.moves)
 	}
 	return m
 }
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -15,6 +15,8 @@
 	Router routing.Router
 	Client *target.Client
 	Config config.Source
+	// Moves has streams leave engines that are taken away. Nil leaves them.
+	Moves Moves
 	// Credential is the system's own towards targets. It may be empty.
 	Credential string
 	Log        *slog.Logger
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -48,6 +48,9 @@
 		if err := controller.Flush(); err != nil {
 			return &exchangeError{failure: retry.CallerGone, cause: err}
 		}
+		if a.moveDue() {
+			return errMoveDue
+		}
 	}
 }
 
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -47,6 +47,7 @@
 	e.mux.HandleFunc("POST "+target.PathCompletions, e.complete)
 	e.mux.HandleFunc("GET "+target.PathStreams+"{attempt}", e.resume)
 	e.mux.HandleFunc("DELETE "+target.PathStreams+"{attempt}", e.cancel)
+	e.mux.HandleFunc("GET "+pathCache+"{attempt}", e.sendCache)
 	e.mux.HandleFunc("GET "+target.PathLoad, e.load)
 	e.mux.HandleFunc("POST "+target.PathOrders, e.order)
 	return e
@@ -117,7 +118,7 @@
 // start runs a generation beside the connection that asked for it.
 func (e *Engine) start(attempt ident.Attempt, body *completionBody) *stream {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := newStream(cancel)
+	s := newStream(cancel, body)
 	e.mu.Lock()
 	e.streams[attempt] = s
 	e.runs[attempt]++
@@ -135,9 +136,11 @@
 		return
 	}
 	defer func() { <-e.slots }()
-	e.computed.Add(uint64(body.promptTokens()))
+	if s.count() == 0 {
+		e.computed.Add(uint64(body.promptTokens()))
+	}
 	tokens, word := body.tokens(e.opts.DefaultTokens), body.word(e.opts.Echo)
-	for n := range tokens {
+	for n := s.count(); n < tokens; n++ {
 		select {
 		case <-ctx.Done():
 			return
--- a/pkg/standin/engine/order.go
+++ b/pkg/standin/engine/order.go
@@ -60,6 +60,12 @@
 		http.Error(w, "malformed order", http.StatusBadRequest)
 		return
 	}
+	if order.Kind == target.OrderImport {
+		if err := e.importCache(r.Context(), order); err != nil {
+			http.Error(w, "no such cache at the peer", http.StatusNotFound)
+			return
+		}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.take(order) {
--- a/pkg/standin/engine/stream.go
+++ b/pkg/standin/engine/stream.go
@@ -11,6 +11,7 @@
 // connections may read.
 type stream struct {
 	cancel context.CancelFunc
+	body   *completionBody
 
 	mu     sync.Mutex
 	events []string
@@ -20,8 +21,15 @@
 }
 
 // newStream returns an empty stream.
-func newStream(cancel context.CancelFunc) *stream {
-	return &stream{cancel: cancel, grown: make(chan struct{})}
+func newStream(cancel context.CancelFunc, body *completionBody) *stream {
+	return &stream{cancel: cancel, body: body, grown: make(chan struct{})}
+}
+
+// count returns how many events there are.
+func (s *stream) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.events)
 }
 
 // add appends an event's data.
--- a/pkg/standin/platformserver/server.go
+++ b/pkg/standin/platformserver/server.go
@@ -52,6 +52,10 @@
 		systems.SetHosts(message.Hosts)
 		return wire.Empty{}, nil
 	})
+	handle(mux, wire.PathReclaim, func(_ context.Context, message wire.ReclaimRequest) (wire.Empty, error) {
+		systems.Reclaim(message.FailureDomain, message.Notice)
+		return wire.Empty{}, nil
+	})
 	handle(mux, wire.PathFaults, func(_ context.Context, message wire.FaultsRequest) (wire.Empty, error) {
 		systems.SetFaults(faultstore.Faults{Down: message.Down, Delay: message.Delay, SilentWatches: message.SilentWatches})
 		return wire.Empty{}, nil
--- a/pkg/standin/platformserver/systems.go
+++ b/pkg/standin/platformserver/systems.go
@@ -1,6 +1,9 @@
 package platformserver
 
 import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/standin/faultstore"
 )
@@ -14,6 +17,8 @@
 	Weights platform.WeightStore
 	// SetHosts replaces the host list.
 	SetHosts func(records []platform.HostRecord)
+	// Reclaim takes a failure domain's reclaimable targets away.
+	Reclaim func(domain ident.FailureDomain, notice time.Duration)
 	// SetFaults sets the store's failures.
 	SetFaults func(faults faultstore.Faults)
 	// Reports returns the usage reports taken so far, for those who look at
