Read settings and configuration by one decoder

Cause: two strict readers of JSON with comments stood side by side. Change: the configuration's decoder, which goes on after a problem, becomes pkg/jsonc and reads the settings too; waiting requests look at the queue at most once a millisecond together, where each of them did every 5 ms.

--- a/pkg/admission/fair.go
+++ b/pkg/admission/fair.go
@@ -13,11 +13,17 @@
 // targets' load changes without a call to the queue.
 const pollEvery = 5 * time.Millisecond
 
+// pumpPause is the least time between two looks on behalf of waiting requests,
+// however many wait.
+const pumpPause = time.Millisecond
+
 // Fair is the Controller over a Queue. Callers' goroutines do its work: each
 // that waits looks at the gate now and then for all.
 type Fair struct {
 	mu    sync.Mutex
 	queue *Queue
+	// pumpedAt is when the queue was last pumped.
+	pumpedAt time.Time
 }
 
 var _ Controller = (*Fair)(nil)
@@ -84,11 +90,14 @@
 func (f *Fair) pump() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.pumpLocked()
+	if time.Since(f.pumpedAt) >= pumpPause {
+		f.pumpLocked()
+	}
 }
 
 // pumpLocked lets requests through; f.mu is held.
 func (f *Fair) pumpLocked() {
+	f.pumpedAt = time.Now()
 	run, refused := f.queue.Pump()
 	for _, e := range run {
 		close(e.ready)
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -42,11 +42,11 @@
 func (d *decoder) checkName(path, name string, taken map[string]bool) {
 	field := path + ".name"
 	switch {
-	case d.malformed[field] || d.malformed[path]:
+	case d.Malformed(field) || d.Malformed(path):
 	case name == "":
-		d.problem(field, "the name is missing", "give the item a name")
+		d.Problem(field, "the name is missing", "give the item a name")
 	case taken[name]:
-		d.problem(field, fmt.Sprintf("the name %q stands twice", name), "rename one of them")
+		d.Problem(field, fmt.Sprintf("the name %q stands twice", name), "rename one of them")
 	}
 	taken[name] = true
 }
@@ -57,8 +57,8 @@
 		workspace := &document.Workspaces[i]
 		path := fmt.Sprintf("workspaces[%d]", i)
 		d.checkName(path, string(workspace.Name), names.workspaces)
-		if workspace.Weight <= 0 && !d.malformed[path] && !d.malformed[path+".weight"] {
-			d.problem(path+".weight", "the weight must be above zero", "write 1 for an ordinary workspace")
+		if workspace.Weight <= 0 && !d.Malformed(path) && !d.Malformed(path+".weight") {
+			d.Problem(path+".weight", "the weight must be above zero", "write 1 for an ordinary workspace")
 		}
 		taken := make(map[string]bool)
 		for j := range workspace.Keys {
@@ -75,11 +75,11 @@
 // checkDigest checks that a digest is one and belongs to one key only.
 func (d *decoder) checkDigest(path string, digest KeyDigest, names *nameIndex) {
 	switch {
-	case d.malformed[path]:
+	case d.Malformed(path):
 	case !digest.valid():
-		d.problem(path, "this is no SHA-256 digest", fmt.Sprintf("write %d lower-case hexadecimal digits, never the key itself", digestLength))
+		d.Problem(path, "this is no SHA-256 digest", fmt.Sprintf("write %d lower-case hexadecimal digits, never the key itself", digestLength))
 	case names.digests[digest]:
-		d.problem(path, "another key has the same digest", "give each key to one workspace")
+		d.Problem(path, "another key has the same digest", "give each key to one workspace")
 	}
 	names.digests[digest] = true
 }
--- a/pkg/config/checkexception.go
+++ b/pkg/config/checkexception.go
@@ -14,17 +14,17 @@
 	for i := range document.Exceptions {
 		exception := &document.Exceptions[i]
 		path := fmt.Sprintf("exceptions[%d]", i)
-		if d.malformed[path] {
+		if d.Malformed(path) {
 			continue
 		}
-		if strings.TrimSpace(exception.Reason) == "" && !d.malformed[path+".reason"] {
-			d.problem(path+".reason", "the reason is missing", "say why the default does not fit here")
+		if strings.TrimSpace(exception.Reason) == "" && !d.Malformed(path+".reason") {
+			d.Problem(path+".reason", "the reason is missing", "say why the default does not fit here")
 		}
 		d.checkSelector(&exception.Selector, path+".selector", names)
 		d.checkSetting(document, exception, path)
 		for j := range i {
 			if document.Exceptions[j].clashes(exception) {
-				d.problem(path, fmt.Sprintf("it and exceptions[%d] set %s for the same requests with the same rank", j, exception.Setting), "make one selector name more fields, which then wins")
+				d.Problem(path, fmt.Sprintf("it and exceptions[%d] set %s for the same requests with the same rank", j, exception.Setting), "make one selector name more fields, which then wins")
 			}
 		}
 	}
@@ -33,8 +33,8 @@
 // checkSelector checks that a selector names something that exists.
 func (d *decoder) checkSelector(selector *Selector, path string, names *nameIndex) {
 	if *selector == (Selector{}) {
-		if !d.malformed[path] {
-			d.problem(path, "the selector is empty", "name a workspace, route, model, service or failure domain, or change the default")
+		if !d.Malformed(path) {
+			d.Problem(path, "the selector is empty", "name a workspace, route, model, service or failure domain, or change the default")
 		}
 		return
 	}
@@ -47,7 +47,7 @@
 // checkReference checks that a name, where it is given, is defined.
 func (d *decoder) checkReference(path, what, name string, defined map[string]bool) {
 	if name != "" && !defined[name] {
-		d.problem(path, fmt.Sprintf("there is no %s %q", what, name), "mend the name or remove the exception")
+		d.Problem(path, fmt.Sprintf("there is no %s %q", what, name), "mend the name or remove the exception")
 	}
 }
 
@@ -56,22 +56,22 @@
 func (d *decoder) checkSetting(document *Document, exception *Exception, path string) {
 	knob := knobTable().byPath[exception.Setting]
 	if knob == nil {
-		if !d.malformed[path+".setting"] {
-			d.problem(path+".setting", fmt.Sprintf("there is no setting %q", exception.Setting), `name a knob by its path, such as "retry.maxAttempts"`)
+		if !d.Malformed(path + ".setting") {
+			d.Problem(path+".setting", fmt.Sprintf("there is no setting %q", exception.Setting), `name a knob by its path, such as "retry.maxAttempts"`)
 		}
 		return
 	}
 	if knob.FleetWide {
-		d.problem(path+".setting", knob.Path+" holds for the whole fleet", "change the default")
+		d.Problem(path+".setting", knob.Path+" holds for the whole fleet", "change the default")
 		return
 	}
 	value, err := knob.read(hujson.Literal(exception.Value))
 	if err != nil || len(exception.Value) == 0 {
-		d.problem(path+".value", fmt.Sprintf("the value does not fit %s: %v", knob.Path, err), knob.remedy())
+		d.Problem(path+".value", fmt.Sprintf("the value does not fit %s: %v", knob.Path, err), knob.remedy())
 		return
 	}
-	if value.Equal(knob.in(&document.Defaults)) && !d.malformed[defaultsPrefix+knob.Path] {
-		d.problem(path+".value", "the value is the default", "remove the exception")
+	if value.Equal(knob.in(&document.Defaults)) && !d.Malformed(defaultsPrefix+knob.Path) {
+		d.Problem(path+".value", "the value is the default", "remove the exception")
 	}
 }
 
@@ -79,7 +79,7 @@
 func (d *decoder) checkExpired(document *Document, now time.Time) {
 	for i := range document.Exceptions {
 		if exception := &document.Exceptions[i]; exception.expired(now) {
-			d.problem(fmt.Sprintf("exceptions[%d].expires", i), "the exception has expired", "remove it, or give it a later time")
+			d.Problem(fmt.Sprintf("exceptions[%d].expires", i), "the exception has expired", "remove it, or give it a later time")
 		}
 	}
 }
--- a/pkg/config/checkroute.go
+++ b/pkg/config/checkroute.go
@@ -17,7 +17,7 @@
 	for i := range document.Routes {
 		route := &document.Routes[i]
 		path := fmt.Sprintf("routes[%d]", i)
-		if d.malformed[path] {
+		if d.Malformed(path) {
 			continue
 		}
 		d.checkName(path, string(route.Name), names.routes)
@@ -27,7 +27,7 @@
 		}
 		for j := range i {
 			if document.Routes[j].covers(route) {
-				d.problem(path, fmt.Sprintf("the route %q before it matches all of its requests", document.Routes[j].Name), "put the route with the longer path first")
+				d.Problem(path, fmt.Sprintf("the route %q before it matches all of its requests", document.Routes[j].Name), "put the route with the longer path first")
 				break
 			}
 		}
@@ -36,33 +36,33 @@
 
 // checkRoute checks one route's own fields.
 func (d *decoder) checkRoute(route *Route, path string, names *nameIndex) {
-	if !strings.HasPrefix(route.Path, "/") && !d.malformed[path+".path"] {
-		d.problem(path+".path", "the path must start with a slash", `write a path such as "/v1/completions"`)
+	if !strings.HasPrefix(route.Path, "/") && !d.Malformed(path+".path") {
+		d.Problem(path+".path", "the path must start with a slash", `write a path such as "/v1/completions"`)
 	}
 	for i, method := range route.Methods {
 		if !slices.Contains(knownMethods, method) {
-			d.problem(fmt.Sprintf("%s.methods[%d]", path, i), fmt.Sprintf("%q is no method", method), "use one of "+strings.Join(knownMethods, ", "))
+			d.Problem(fmt.Sprintf("%s.methods[%d]", path, i), fmt.Sprintf("%q is no method", method), "use one of "+strings.Join(knownMethods, ", "))
 		}
 	}
 	d.checkRouteTarget(route, path, names)
-	if !validClass(route.Class) && !d.malformed[path+".class"] {
-		d.problem(path+".class", fmt.Sprintf("there is no class %q", route.Class), "use lookup, interactive or deferrable")
+	if !validClass(route.Class) && !d.Malformed(path+".class") {
+		d.Problem(path+".class", fmt.Sprintf("there is no class %q", route.Class), "use lookup, interactive or deferrable")
 	}
 }
 
 // checkRouteTarget checks the model or service that a route is for.
 func (d *decoder) checkRouteTarget(route *Route, path string, names *nameIndex) {
 	if route.Model != "" && route.Service != "" {
-		d.problem(path+".service", "a route can't be for a model and a service", "remove one of them")
+		d.Problem(path+".service", "a route can't be for a model and a service", "remove one of them")
 	}
 	if route.Model != "" && !names.models[string(route.Model)] {
-		d.problem(path+".model", fmt.Sprintf("there is no model %q", route.Model), "add it under models or mend the name")
+		d.Problem(path+".model", fmt.Sprintf("there is no model %q", route.Model), "add it under models or mend the name")
 	}
 	if route.Service != "" && !names.services[string(route.Service)] {
-		d.problem(path+".service", fmt.Sprintf("there is no service %q", route.Service), "add it under services or mend the name")
+		d.Problem(path+".service", fmt.Sprintf("there is no service %q", route.Service), "add it under services or mend the name")
 	}
 	if route.Service != "" && !strings.HasPrefix(route.Path, servicePath(route.Service)) {
-		d.problem(path+".path", "the path is not one of the route's service", "start it with "+servicePath(route.Service))
+		d.Problem(path+".path", "the path is not one of the route's service", "start it with "+servicePath(route.Service))
 	}
 }
 
@@ -70,13 +70,13 @@
 // opened wider than meant.
 func (d *decoder) checkOpen(route *Route, path string) {
 	if route.Model == "" && route.Service == "" {
-		d.problem(path+".open", "an open route must be for one model or service", "name the model or the service")
+		d.Problem(path+".open", "an open route must be for one model or service", "name the model or the service")
 	}
 	if len(route.Methods) == 0 {
-		d.problem(path+".open", "an open route must list its methods", `add methods such as ["GET"]`)
+		d.Problem(path+".open", "an open route must list its methods", `add methods such as ["GET"]`)
 	}
 	if !route.Idempotent {
-		d.problem(path+".open", "an open route must be idempotent", "ask for a key where a request changes something")
+		d.Problem(path+".open", "an open route must be idempotent", "ask for a key where a request changes something")
 	}
 }
 
--- a/pkg/config/duration.go
+++ b/pkg/config/duration.go
@@ -12,6 +12,9 @@
 // D returns the duration as the standard library's type.
 func (d Duration) D() time.Duration { return time.Duration(d) }
 
+// JSONType says how a duration is written.
+func (Duration) JSONType() string { return `a duration with its unit in quotes, such as "250ms",` }
+
 // MarshalText writes the duration as time.Duration does.
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(time.Duration(d).String()), nil
--- a/pkg/config/knob.go
+++ b/pkg/config/knob.go
@@ -2,8 +2,9 @@
 
 import (
 	"reflect"
-	"strings"
 	"sync"
+
+	"amaranthplank.example/amaranthplank/pkg/jsonc"
 )
 
 // Knob describes one value that defaults and exceptions may set.
@@ -48,7 +49,7 @@
 func (x *knobIndex) collect(section reflect.Type, prefix string, at []int) {
 	for i := range section.NumField() {
 		field := section.Field(i)
-		path := prefix + jsonName(field)
+		path := prefix + jsonc.FieldName(field)
 		index := append(append([]int(nil), at...), i)
 		if field.Type.Kind() == reflect.Struct {
 			x.collect(field.Type, path+".", index)
@@ -62,12 +63,6 @@
 	}
 }
 
-// jsonName returns the name that a field has in the document.
-func jsonName(field reflect.StructField) string {
-	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
-	return name
-}
-
 // in returns the knob's field of the given values.
 func (k *Knob) in(knobs *Knobs) reflect.Value {
 	return reflect.ValueOf(knobs).Elem().FieldByIndex(k.index)
--- a/pkg/ctl/check.go
+++ b/pkg/ctl/check.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/jsonc"
 )
 
 // checkFlags are the flags of check.
@@ -51,15 +52,15 @@
 }
 
 // problemsIn returns what is wrong with a file's text.
-func problemsIn(name string) ([]config.Problem, error) {
+func problemsIn(name string) ([]jsonc.Problem, error) {
 	text, err := os.ReadFile(name)
 	if err != nil {
-		return []config.Problem{}, err
+		return []jsonc.Problem{}, err
 	}
 	_, err = config.Check(text, time.Now())
-	var problems *config.ProblemsError
+	var problems *jsonc.ProblemsError
 	if errors.As(err, &problems) {
 		return problems.Problems, err
 	}
-	return []config.Problem{}, err
+	return []jsonc.Problem{}, err
 }
--- a/pkg/config/depth.go
+++ b/pkg/jsonc/depth.go
@@ -1,7 +1,10 @@
-package config
+package jsonc
 
 import "bytes"
 
+// maxDepth bounds how deep a document nests.
+const maxDepth = 16
+
 // nestsTooDeep looks for brackets over the bound before the parser, which
 // recurses, sees the text. It returns where the first one stands.
 func nestsTooDeep(text []byte) (int, bool) {
--- a/pkg/config/problem.go
+++ b/pkg/jsonc/problem.go
@@ -1,11 +1,11 @@
-package config
+package jsonc
 
 import (
 	"fmt"
 	"strings"
 )
 
-// Problem is one thing that is wrong with a configuration's text.
+// Problem is one thing that is wrong with a document.
 type Problem struct {
 	// Line counts from one.
 	Line int `json:"line"`
@@ -24,7 +24,7 @@
 	return fmt.Sprintf("line %d: %s: %s; %s", p.Line, p.Field, p.Reason, p.Remedy)
 }
 
-// ProblemsError is everything that is wrong with a configuration's text, in
+// ProblemsError is everything that is wrong with a document, in
 // the order of the lines.
 type ProblemsError struct {
 	Problems []Problem
--- /dev/null
+++ b/pkg/jsonc/scalar.go
@@ -0,0 +1,94 @@
+package jsonc
+
+import (
+	"encoding"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/tailscale/hujson"
+)
+
+// Described is a type that says how it is written, such as "a date in quotes".
+type Described interface {
+	// JSONType says how a value is written.
+	JSONType() string
+}
+
+// isText reports whether values of a type are read from quoted text.
+func isText(kind reflect.Type) bool {
+	return reflect.PointerTo(kind).Implements(reflect.TypeFor[encoding.TextUnmarshaler]())
+}
+
+// TypeName names a type as a reader of the document knows it.
+func TypeName(kind reflect.Type) string {
+	if described, ok := reflect.TypeAssert[Described](reflect.Zero(kind)); ok {
+		return described.JSONType()
+	}
+	switch {
+	case kind == reflect.TypeFor[time.Time]():
+		return `a time in quotes, such as "2027-01-31T12:00:00Z"`
+	case kind.Kind() == reflect.Int64, kind.Kind() == reflect.Int:
+		return "a whole number"
+	case kind.Kind() == reflect.Float64:
+		return "a number"
+	case kind.Kind() == reflect.Bool:
+		return "true or false"
+	case kind.Kind() == reflect.Slice:
+		return "a list in square brackets"
+	case kind.Kind() == reflect.Struct:
+		return "an object in braces"
+	default:
+		return "text in quotes"
+	}
+}
+
+// SetScalar sets a field from a literal of the fitting type.
+func SetScalar(field reflect.Value, literal hujson.Literal) error {
+	if !fits(field, literal.Kind()) {
+		return errors.Errorf("%s is not %s", string(literal), TypeName(field.Type()))
+	}
+	if reader, ok := reflect.TypeAssert[encoding.TextUnmarshaler](field.Addr()); ok {
+		return reader.UnmarshalText([]byte(literal.String()))
+	}
+	switch field.Kind() {
+	case reflect.Int64, reflect.Int:
+		n, err := strconv.ParseInt(string(literal), 10, 64)
+		field.SetInt(n)
+		return err
+	case reflect.Float64:
+		x, err := strconv.ParseFloat(string(literal), 64)
+		field.SetFloat(x)
+		return err
+	case reflect.Bool:
+		field.SetBool(literal.Bool())
+	default:
+		field.SetString(strings.Clone(literal.String()))
+	}
+	return nil
+}
+
+// fits reports whether a field can be read from a literal of the kind.
+func fits(field reflect.Value, kind hujson.Kind) bool {
+	if isText(field.Type()) {
+		return kind == '"'
+	}
+	switch field.Kind() {
+	case reflect.Int64, reflect.Int, reflect.Float64:
+		return kind == '0'
+	case reflect.Bool:
+		return kind == 't' || kind == 'f'
+	case reflect.String:
+		return kind == '"'
+	default:
+		return false
+	}
+}
+
+// FieldName returns the name that a struct's field has in the document.
+func FieldName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	return name
+}
--- a/pkg/settings/parse.go
+++ b/pkg/settings/parse.go
@@ -24,16 +24,17 @@
 
 // Parse reads and checks settings in JSON with comments.
 func Parse(source []byte) (*Settings, error) {
-	text, err := jsonc.Parse(source)
-	if err != nil {
-		return nil, err
-	}
 	s := &Settings{
 		Shutdown: Shutdown{BalancerDelay: config.Duration(defaultBalancerDelay)},
 		Log:      Log{Level: "info", Format: "text"},
 	}
-	if err := text.Decode(s); err != nil {
+	d := jsonc.NewDecoder(source, nil)
+	if err := d.Decode(s); err != nil {
+		return nil, err
+	}
+	check(d, s)
+	if err := d.Err("the settings are not valid"); err != nil {
 		return nil, err
 	}
-	return s, jsonc.Join(check(text, s))
+	return s, nil
 }
