Try moves of streams at any time

Cause: moves were proved by one check on processes. Change: tests in fake time over the request path: an engine taken away, a move that fails, moves left out, and a property over when the notice comes and how long it is.

--- /dev/null
+++ b/pkg/entry/moves_test.go
@@ -0,0 +1,145 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/kvmove"
+	"amaranthplank.example/amaranthplank/pkg/relay"
+	"amaranthplank.example/amaranthplank/pkg/standin/rig"
+)
+
+// longTokens is the length of the streams that are moved, longPace their pace.
+const (
+	longTokens = 50
+	longPace   = 100 * time.Millisecond
+)
+
+// longStream returns a request for a stream of five seconds that may run once.
+func longStream() *http.Request {
+	body := fmt.Sprintf(`{"model":"counting","stream":true,"max_tokens":%d,"prompt":"count shelf"}`, longTokens)
+	r, err := http.NewRequest(http.MethodPost, "http://"+rig.DaemonAddress+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+rig.Key("one"))
+	return r
+}
+
+// longAnswer reports whether the reply is the whole stream.
+func longAnswer(got reply) bool {
+	at := 0
+	for n := range longTokens {
+		word := fmt.Sprintf("shelf%d ", n)
+		if strings.Count(got.body, word) != 1 || strings.Index(got.body, word) < at {
+			return false
+		}
+		at = strings.Index(got.body, word)
+	}
+	return got.err == nil && strings.HasSuffix(got.body, "data: [DONE]\n\n")
+}
+
+// moving shapes a rig whose streams leave engines.
+var moving = rig.Options{Engines: 3, TokenInterval: longPace, Silence: 500 * time.Millisecond, Moves: func(r *rig.Rig) relay.Moves {
+	knobs := config.BuiltinKnobs()
+	return &kvmove.Mover{
+		View: r.View, Sender: r.Control(), Knobs: func(ident.Model) *config.SupplyKnobs { return &knobs.Supply },
+	}
+}}
+
+// reclaim takes the engine that runs the stream away, and ends it in time.
+func reclaim(r *rig.Rig, notice time.Duration) {
+	for i, e := range r.Engines {
+		if e.RunsOf("shelf") == 0 {
+			continue
+		}
+		name := ident.Target(fmt.Sprintf("engine-%d", i+1))
+		r.View.Leave(name, time.Now().Add(notice))
+		time.Sleep(notice)
+		r.Network.Refuse(string(name)+":80", true)
+		e.Forget()
+		return
+	}
+}
+
+func TestStreamLeavesAnEngineThatIsTakenAway(t *testing.T) {
+	inFakeTime(t, moving, func(t *testing.T, r *rig.Rig) {
+		done := make(chan reply)
+		go func() { done <- send(r.Caller(), longStream()) }()
+		time.Sleep(time.Second)
+		reclaim(r, 3*time.Second)
+		got := <-done
+		must.True(t, longAnswer(got), must.Sprint(got))
+		must.Eq(t, 1, kind(onceStream).runs(r, "shelf"))
+		records := r.Usage.Records()
+		must.SliceLen(t, 1, records)
+		must.Eq(t, longTokens, records[0].Figures.OutputTokens)
+	})
+}
+
+func TestWithoutMovesTheStreamIsCut(t *testing.T) {
+	still := moving
+	still.Moves = nil
+	inFakeTime(t, still, func(t *testing.T, r *rig.Rig) {
+		done := make(chan reply)
+		go func() { done <- send(r.Caller(), longStream()) }()
+		time.Sleep(time.Second)
+		reclaim(r, 3*time.Second)
+		must.False(t, longAnswer(<-done))
+	})
+}
+
+func TestFailedMoveLeavesTheStreamWhereItIs(t *testing.T) {
+	inFakeTime(t, moving, func(t *testing.T, r *rig.Rig) {
+		done := make(chan reply)
+		go func() { done <- send(r.Caller(), longStream()) }()
+		time.Sleep(time.Second)
+		for i, e := range r.Engines {
+			name := fmt.Sprintf("engine-%d", i+1)
+			if e.RunsOf("shelf") == 0 {
+				r.Network.Refuse(name+":80", true)
+				continue
+			}
+			r.View.Leave(ident.Target(name), time.Now().Add(time.Second))
+		}
+		got := <-done
+		must.True(t, longAnswer(got), must.Sprint(got))
+		must.Eq(t, 1, kind(onceStream).runs(r, "shelf"))
+	})
+}
+
+func TestMovesAtAnyTimeKeepTheAnswer(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		after := time.Duration(rapid.IntRange(0, 5000).Draw(rt, "after")) * time.Millisecond
+		notice := time.Duration(rapid.IntRange(0, 5000).Draw(rt, "notice")) * time.Millisecond
+		var got reply
+		var runs int
+		synctest.Test(t, func(t *testing.T) {
+			r, err := rig.New(moving)
+			must.NoError(t, err)
+			defer r.Close()
+			done := make(chan reply)
+			go func() { done <- send(r.Caller(), longStream()) }()
+			time.Sleep(after)
+			reclaim(r, notice)
+			got = <-done
+			runs = kind(onceStream).runs(r, "shelf")
+		})
+		must.Eq(rt, 1, runs)
+		if got.err == nil && got.status == http.StatusOK {
+			must.True(rt, longAnswer(got), must.Sprint(got))
+		}
+		if after+notice > 5*time.Second || (after > 200*time.Millisecond && notice > time.Second) {
+			must.True(rt, longAnswer(got), must.Sprint(got))
+		}
+	})
+}
--- a/pkg/standin/engine/cache.go
+++ b/pkg/standin/engine/cache.go
@@ -39,7 +39,11 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(r)
+	client := e.opts.Peers
+	if client == nil {
+		client = http.DefaultClient
+	}
+	response, err := client.Do(r)
 	if err != nil {
 		return err
 	}
--- a/pkg/standin/engine/options.go
+++ b/pkg/standin/engine/options.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"net/http"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -25,6 +26,9 @@
 	Echo bool
 	// ChecksFencing makes orders with an old fencing number refused.
 	ChecksFencing bool
+	// Peers reaches other engines for their KV caches; nil means the default
+	// client.
+	Peers *http.Client
 	// ChangeTime is how long a change of role or version, or a restart, keeps
 	// the engine from answering.
 	ChangeTime time.Duration
--- a/pkg/standin/rig/options.go
+++ b/pkg/standin/rig/options.go
@@ -6,6 +6,7 @@
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
 	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
 )
 
@@ -29,7 +30,9 @@
 	Misdeclared bool
 	// Router takes the place of the baseline.
 	Router func(*Rig) routing.Router
-	Log    *slog.Logger
+	// Moves has streams leave engines; nil leaves them.
+	Moves func(*Rig) relay.Moves
+	Log   *slog.Logger
 }
 
 // withDefaults fills what was left out.
--- a/pkg/standin/rig/rig.go
+++ b/pkg/standin/rig/rig.go
@@ -71,9 +71,13 @@
 	}
 	r.startTargets()
 	r.client = target.NewClientWith(r.Network.Dial)
-	relayer := relay.New(relay.Options{
+	relayOpts := relay.Options{
 		Router: r.router(), Client: r.client, Config: r.Config, Credential: "system", Log: r.opts.Log, Registerer: r.Registry,
-	})
+	}
+	if r.opts.Moves != nil {
+		relayOpts.Moves = r.opts.Moves(r)
+	}
+	relayer := relay.New(relayOpts)
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
 	r.group.Go(func() error { return relayer.Run(ctx) })
@@ -105,6 +109,7 @@
 		name := ident.Target(fmt.Sprintf("engine-%d", i+1))
 		e := engine.New(engine.Options{
 			Target: name, Model: Model, TokenInterval: r.opts.TokenInterval, Slots: slots, DefaultTokens: defaultTokens, Echo: true,
+			Peers: r.Caller(),
 		})
 		r.Engines = append(r.Engines, e)
 		states = append(states, r.startTarget(platform.TargetRecord{Target: name, Model: Model}, e))
@@ -140,6 +145,9 @@
 	r.group.Go(func() error { return server.Serve(listener) })
 }
 
+// Control returns a client for orders to the engines.
+func (r *Rig) Control() *target.Control { return target.NewControl(r.client, "system") }
+
 // Caller returns a client that reaches the daemon.
 func (r *Rig) Caller() *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: r.Network.Dial, DisableCompression: true}}
--- a/pkg/standin/rig/view.go
+++ b/pkg/standin/rig/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -30,3 +31,14 @@
 	}
 	v.current.Store(fleet.NewSnapshot(states))
 }
+
+// Leave marks a target as taken away at the given time.
+func (v *View) Leave(target ident.Target, leaveBy time.Time) {
+	states := append([]fleet.TargetState(nil), v.Snapshot().Targets...)
+	for i := range states {
+		if states[i].Record.Target == target {
+			states[i].Draining, states[i].Record.Leaving, states[i].Record.LeaveBy = true, true, leaveBy
+		}
+	}
+	v.current.Store(fleet.NewSnapshot(states))
+}
