--- a/pkg/entry/moves_test.go
+++ b/pkg/entry/moves_test.go
@@ -79,7 +79,7 @@
 		reclaim(r, 3*time.Second)
 		got := <-done
 		must.True(t, longAnswer(got), must.Sprint(got))
-		must.Eq(t, 1, kind(onceStream).runs(r, "shelf"))
+		must.Eq(t, 1, onceStream.runs(r, "shelf"))
 		records := r.Usage.Records()
 		must.SliceLen(t, 1, records)
 		must.Eq(t, longTokens, records[0].Figures.OutputTokens)
@@ -113,7 +113,7 @@
 		}
 		got := <-done
 		must.True(t, longAnswer(got), must.Sprint(got))
-		must.Eq(t, 1, kind(onceStream).runs(r, "shelf"))
+		must.Eq(t, 1, onceStream.runs(r, "shelf"))
 	})
 }
 
@@ -132,7 +132,7 @@
 			time.Sleep(after)
 			reclaim(r, notice)
 			got = <-done
-			runs = kind(onceStream).runs(r, "shelf")
+			runs = onceStream.runs(r, "shelf")
 		})
 		must.Eq(rt, 1, runs)
 		if got.err == nil && got.status == http.StatusOK {
--- /dev/null
+++ b/pkg/prefix/slope_test.go
@@ -0,0 +1,49 @@
+package prefix
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// pieces is how many blocks an engine's memory holds.
+const pieces = 2000
+
+// BenchmarkSlopeIndex fills an index with the memories of engines that hold a
+// shared half and a half of their own, and prints its size.
+func BenchmarkSlopeIndex(b *testing.B) {
+	for _, engines := range []int{8, 26, 104, MaxEngines} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			var x *Index
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			for b.Loop() {
+				x = New()
+				for e := range engines {
+					fill(x, e)
+				}
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "B/index")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*engines*pieces), "ns/event")
+			runtime.KeepAlive(x)
+		})
+	}
+}
+
+// fill applies the events of one engine's whole memory.
+func fill(x *Index, engine int) {
+	name := ident.Target(fmt.Sprintf("e%d", engine))
+	for i := range pieces {
+		block := uint64(i)
+		if i >= pieces/2 {
+			block += uint64(engine+1) * pieces
+		}
+		x.Apply(name, fleet.CacheEvent{Sequence: uint64(i) + 1, Block: block})
+	}
+}
