--- a/pkg/entry/moves_test.go
+++ b/pkg/entry/moves_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,9 +13,11 @@
 	"pgregory.net/rapid"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/kvmove"
 	"amaranthplank.example/amaranthplank/pkg/relay"
+	"amaranthplank.example/amaranthplank/pkg/routing"
 	"amaranthplank.example/amaranthplank/pkg/standin/rig"
 )
 
@@ -117,6 +120,31 @@
 	})
 }
 
+func TestPromptAndAnswerAreComputedApart(t *testing.T) {
+	apart := moving
+	apart.Engines = 2
+	apart.Router = func(r *rig.Rig) routing.Router {
+		knobs := config.BuiltinKnobs()
+		return routing.New(routing.Options{
+			View: r.View, Now: time.Now, Random: rand.New(rand.NewPCG(1, 2)),
+			Knobs: func() *config.RoutingKnobs { return &knobs.Routing },
+		})
+	}
+	inFakeTime(t, apart, func(t *testing.T, r *rig.Rig) {
+		states := append([]fleet.TargetState(nil), r.View.Snapshot().Targets...)
+		for i, role := range []fleet.Role{fleet.Prefill, fleet.Decode} {
+			states[i].SeenAt, states[i].LoadAt = time.Now(), time.Now()
+			states[i].Load = fleet.LoadReport{Sequence: 1, Role: role, Slots: 8, PrefillRate: 1000, DecodeRate: 10}
+		}
+		r.View.Set(states...)
+		got := send(r.Caller(), longStream())
+		must.True(t, longAnswer(got), must.Sprint(got))
+		must.Eq(t, 1, onceStream.runs(r, "shelf"))
+		must.Less(t, 5, r.Engines[0].Generated())
+		must.GreaterEq(t, longTokens-5, r.Engines[1].Generated())
+	})
+}
+
 func TestMovesAtAnyTimeKeepTheAnswer(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		after := time.Duration(rapid.IntRange(0, 5000).Draw(rt, "after")) * time.Millisecond
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -33,6 +33,9 @@
 	refusal *answer
 	// quiet counts the resumes since the last event.
 	quiet int
+	// decode is the engine that takes the stream over once the prompt is
+	// computed. It is nil where there is none, or none any more.
+	decode *fleet.TargetState
 	// moveAfter is when the stream may next be moved.
 	moveAfter time.Time
 	pause     backoff.BackOff
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -53,15 +53,19 @@
 		}
 	}
 	for {
-		state, err := c.choose()
+		placement, err := c.place()
 		if err != nil {
 			return c.noTarget(err)
 		}
 		c.run.Begin()
 		c.result.Attempts++
-		a := newAttempt(c, state)
+		a := newAttempt(c, placement.Target)
+		a.decode = placement.Decode
 		decision, err := a.make(ctx)
 		c.relay.opts.Router.Done(c.req, a.target)
+		if a.decode != nil {
+			c.relay.opts.Router.Done(c.req, a.decode.Record.Target)
+		}
 		c.tell(a.target, err)
 		if decision != retry.Again {
 			return c.finish(a, decision, err)
@@ -87,6 +91,21 @@
 	results.Result(c.req, name, err == nil)
 }
 
+// place returns where the next attempt runs. Only a stream can change its
+// engine, so all else gets one target.
+func (c *call) place() (routing.Placement, error) {
+	placer, ok := c.relay.opts.Router.(routing.Placer)
+	if !ok || c.relay.opts.Moves == nil || !c.req.Stream || c.req.Model == "" {
+		state, err := c.choose()
+		return routing.Placement{Target: state}, err
+	}
+	placement, err := placer.Place(c.req, c.failed)
+	if err != nil && len(c.failed) > 0 {
+		return placer.Place(c.req, nil)
+	}
+	return placement, err
+}
+
 // choose returns a target that no attempt failed on, or, where there is none
 // other, any.
 func (c *call) choose() (*fleet.TargetState, error) {
--- a/pkg/relay/move.go
+++ b/pkg/relay/move.go
@@ -38,6 +38,9 @@
 	if moves == nil {
 		return false
 	}
+	if a.decode != nil {
+		return true
+	}
 	now := time.Now()
 	if now.Before(a.moveAfter) {
 		return false
@@ -62,7 +65,7 @@
 func (a *attempt) move(ctx context.Context) {
 	a.moveAfter = time.Now().Add(movePause)
 	router := a.call.relay.opts.Router
-	state, err := router.Choose(a.call.req, append(a.call.failed[:len(a.call.failed):len(a.call.failed)], a.target))
+	state, err := a.successor()
 	if err != nil {
 		return
 	}
@@ -79,6 +82,17 @@
 	a.call.relay.metrics.moves.Inc()
 }
 
+// successor returns the engine that the stream goes to: the one that was placed
+// for its answer, or another that takes new work.
+func (a *attempt) successor() (*fleet.TargetState, error) {
+	if state := a.decode; state != nil {
+		a.decode = nil
+		return state, nil
+	}
+	failed := a.call.failed[:len(a.call.failed):len(a.call.failed)]
+	return a.call.relay.opts.Router.Choose(a.call.req, append(failed, a.target))
+}
+
 // copyTo has the KV cache copied to another engine.
 func (a *attempt) copyTo(ctx context.Context, state *fleet.TargetState) error {
 	from := &platform.TargetRecord{Target: a.target, Address: a.address, Model: a.call.req.Model}
--- a/pkg/routing/bykind.go
+++ b/pkg/routing/bykind.go
@@ -15,7 +15,10 @@
 	Services *ServiceRouter
 }
 
-var _ Router = (*ByKind)(nil)
+var (
+	_ Router = (*ByKind)(nil)
+	_ Placer = (*ByKind)(nil)
+)
 
 // New returns the routers of a daemon. Each has a random source of its own,
 // since each locks for itself.
@@ -33,6 +36,15 @@
 	return b.Models.Choose(req, exclude)
 }
 
+// Place returns where the request's next attempt runs.
+func (b *ByKind) Place(req *request.Request, exclude []ident.Target) (Placement, error) {
+	if req.Service != "" {
+		state, err := b.Services.Choose(req, exclude)
+		return Placement{Target: state}, err
+	}
+	return b.Models.Place(req, exclude)
+}
+
 // Done tells that an attempt has ended.
 func (b *ByKind) Done(req *request.Request, target ident.Target) {
 	if req.Service != "" {
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -80,6 +80,9 @@
 	return e.words[word]
 }
 
+// Generated returns how many output tokens the engine has computed.
+func (e *Engine) Generated() uint64 { return e.generated.Load() }
+
 // Cancels returns how many streams were cancelled.
 func (e *Engine) Cancels() int {
 	e.mu.Lock()
