Let the keeper that heard last seal a source's figures

Ruled out: windows closed before the seal (late figures go to a later window), and the copy's interval. Change: a keeper waits for as long as the source had been silent to it, 10 s at most.

--- a/pkg/usage/keeper.go
+++ b/pkg/usage/keeper.go
@@ -44,8 +44,18 @@
 	through uint64
 	chunks  []Chunk
 	heardAt time.Time
+	// endedAt is when the source was first seen to have ended.
+	endedAt time.Time
 }
 
+// longestSealWait bounds the wait of a keeper that has heard nothing for long.
+const longestSealWait = 10 * time.Second
+
+// sealWait is how long after the source's end the tail is sealed: as long as the
+// source had been silent here. A source may have changed its keeper since, and
+// the one that heard from it last must come first.
+func (t *keptTail) sealWait() time.Duration { return min(t.endedAt.Sub(t.heardAt), longestSealWait) }
+
 // maxKeptChunks bounds the chunks of one tail: those of a long outage of the
 // store. Beyond it, later chunks are not confirmed.
 const maxKeptChunks = 8192
@@ -87,7 +97,7 @@
 		tail = &keptTail{through: message.Base}
 		k.tails[message.Source] = tail
 	}
-	tail.process, tail.heardAt = message.Process, time.Now()
+	tail.process, tail.heardAt, tail.endedAt = message.Process, time.Now(), time.Time{}
 	tail.drop(message.Base)
 	for _, packed := range message.Chunks {
 		if packed.Number != tail.through+1 || len(tail.chunks) >= maxKeptChunks {
@@ -152,7 +162,12 @@
 	for source, tail := range k.tails {
 		switch {
 		case ended(source.Host, tail.process):
-			due[source] = append([]Chunk(nil), tail.chunks...)
+			if tail.endedAt.IsZero() {
+				tail.endedAt = time.Now()
+			}
+			if time.Since(tail.endedAt) >= tail.sealWait() {
+				due[source] = append([]Chunk(nil), tail.chunks...)
+			}
 		case time.Since(tail.heardAt) > k.opts.KeepFor:
 			delete(k.tails, source)
 		}
