State shared retry decisions once, and name the running requests' section

Cause: two rows of the retry table stood twice, and a section of the spread state had a bare number of its own beside the named ones. Change: one value for both rows; SectionRunning beside the other sections. No decision changes.

--- a/pkg/daemon/runningshare.go
+++ b/pkg/daemon/runningshare.go
@@ -11,9 +11,6 @@
 	"amaranthplank.example/amaranthplank/pkg/peer"
 )
 
-// sectionRunning holds how many requests of a workspace run at one daemon.
-const sectionRunning dissemination.Section = 100
-
 // runningShare tells the daemons of each other's running requests. Only the
 // workspaces that come near their limit on concurrency are told of, which
 // bounds the bytes.
@@ -97,7 +94,7 @@
 // read sums what the others have published.
 func (s *runningShare) read() {
 	others := make(map[ident.Workspace]int)
-	for _, found := range s.spread.Items(sectionRunning) {
+	for _, found := range s.spread.Items(dissemination.SectionRunning) {
 		var running int
 		if found.Own || peer.Decode(found.Value, &running) != nil {
 			continue
@@ -111,5 +108,5 @@
 
 // runningKey names a workspace's item.
 func runningKey(workspace ident.Workspace) dissemination.Key {
-	return dissemination.Key{Section: sectionRunning, Name: string(workspace)}
+	return dissemination.Key{Section: dissemination.SectionRunning, Name: string(workspace)}
 }
--- a/pkg/dissemination/ids.go
+++ b/pkg/dissemination/ids.go
@@ -49,6 +49,8 @@
 	SectionEvents Section = 6
 	// SectionConsumption holds what workspaces have consumed.
 	SectionConsumption Section = 7
+	// SectionRunning holds how many requests of a workspace run at one daemon.
+	SectionRunning Section = 8
 )
 
 // Key names an item within its origin.
--- a/pkg/retry/table.go
+++ b/pkg/retry/table.go
@@ -30,6 +30,20 @@
 	connectAgain = resumeOr
 )
 
+// sent holds the decisions once a byte of the request may have left. That the
+// answer has begun changes none of them until a part of it was handed on.
+var sent = [failures]cell{
+	ConnectFailed:  connectAgain,
+	ConnectionLost: resumeOr,
+	Silence:        resumeOr,
+	Mismatch:       resumeOr,
+	Refused:        againOrOwn,
+	StreamGone:     againOrEnd,
+	TooLarge:       end,
+	DeadlinePassed: end,
+	CallerGone:     end,
+}
+
 // table holds the decision for every phase and failure. Combinations that can't
 // come about end as unknown, which is never a wrong promise.
 var table = [phases][failures]cell{
@@ -44,28 +58,8 @@
 		DeadlinePassed: unsentEnd,
 		CallerGone:     unsentEnd,
 	},
-	Sent: {
-		ConnectFailed:  connectAgain,
-		ConnectionLost: resumeOr,
-		Silence:        resumeOr,
-		Mismatch:       resumeOr,
-		Refused:        againOrOwn,
-		StreamGone:     againOrEnd,
-		TooLarge:       end,
-		DeadlinePassed: end,
-		CallerGone:     end,
-	},
-	Answering: {
-		ConnectFailed:  connectAgain,
-		ConnectionLost: resumeOr,
-		Silence:        resumeOr,
-		Mismatch:       resumeOr,
-		Refused:        againOrOwn,
-		StreamGone:     againOrEnd,
-		TooLarge:       end,
-		DeadlinePassed: end,
-		CallerGone:     end,
-	},
+	Sent:      sent,
+	Answering: sent,
 	Streaming: {
 		ConnectFailed:  resumeOrEnd,
 		ConnectionLost: resumeOrEnd,
