--- a/bench/shift/control.go
+++ b/bench/shift/control.go
@@ -6,7 +6,7 @@
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/roles"
 	"amaranthplank.example/amaranthplank/pkg/supply"
 )
@@ -33,7 +33,7 @@
 // placeKey names what a target order is for.
 type placeKey struct {
 	domain ident.FailureDomain
-	kind   platform.TargetKind
+	kind   external.TargetKind
 }
 
 // newControl returns the control of a run.
@@ -108,7 +108,7 @@
 }
 
 // supplyTo orders or returns engines so that the wanted count is there.
-func (c *control) supplyTo(order platform.TargetOrder) {
+func (c *control) supplyTo(order external.TargetOrder) {
 	key := placeKey{order.FailureDomain, order.Kind}
 	var here []*engine
 	for _, e := range c.run.engines {
--- a/bench/shift/engine.go
+++ b/bench/shift/engine.go
@@ -8,7 +8,7 @@
 
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/request"
 )
 
@@ -42,7 +42,7 @@
 // engine is a fake model engine with continuous batching.
 type engine struct {
 	sim    *simulator
-	record platform.TargetRecord
+	record external.TargetRecord
 	role   fleet.Role
 	alive  bool
 	// born and gone bound the time that the engine is paid for.
--- a/bench/shift/replica.go
+++ b/bench/shift/replica.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // replicaSlots is how many calls a replica of a service runs at once.
@@ -12,7 +12,7 @@
 // replica is a fake replica of a plain service.
 type replica struct {
 	sim     *simulator
-	record  platform.TargetRecord
+	record  external.TargetRecord
 	running int
 	waiting []call
 }
--- /dev/null
+++ b/cmd/amaranthplank/hosted.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"os"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/gateway"
+	"amaranthplank.example/amaranthplank/pkg/registry"
+	"amaranthplank.example/amaranthplank/platform"
+)
+
+// adminPort is where operators read the metrics of a process on the platform.
+const adminPort = "9464"
+
+// runHosted runs a process on the platform until a planned stop is complete.
+func runHosted(ctx context.Context, stop <-chan struct{}, policyFile string, check bool) error {
+	path, err := platform.SettingsPath()
+	if err != nil {
+		return err
+	}
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	policy, err := readPolicy(policyFile)
+	if err != nil || check {
+		return err
+	}
+	log := slog.New(slog.NewTextHandler(os.Stdout, nil))
+	opts, err := hostedOptions(settings, policy, log)
+	if err != nil {
+		return err
+	}
+	g := gateway.New(opts)
+	go func() {
+		<-stop
+		g.Stop()
+	}()
+	log.Info("process starts", "host", settings.Host, "failureDomain", settings.FailureDomain)
+	return g.Run(ctx)
+}
+
+// readPolicy reads the fleet's defaults and exceptions.
+func readPolicy(file string) (*config.Document, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "the policy can't be read", "name its file with -policy")
+	}
+	return config.ParsePolicy(text)
+}
+
+// hostedOptions returns the options of a process on the platform.
+func hostedOptions(s *platform.Settings, policy *config.Document, log *slog.Logger) (gateway.Options, error) {
+	published := config.NewPublished(policy, log)
+	opts := gateway.Options{
+		Host: s.Host, FailureDomain: s.FailureDomain, Log: log, ReadyHandler: platform.Readiness,
+		Store: platform.NewStore(s.Store), Published: published,
+		Feed: &platform.Configuration{Published: published, Log: log},
+		Entries: registry.Options{
+			Prefix: platform.EntryPrefix, Decode: platform.Entries{ChecksFencing: s.ChecksFencing}.Decode, Log: log,
+		},
+		Format: platform.Callers{}, Protocol: platform.Replicas{}, StopGrace: s.StopGrace,
+	}
+	var err error
+	if opts.Listener, err = net.Listen("tcp", s.Callers); err != nil {
+		return opts, listenError(err, s.Callers)
+	}
+	if opts.ReadyListener, err = net.Listen("tcp", s.Readiness); err != nil {
+		return opts, listenError(err, s.Readiness)
+	}
+	admin := net.JoinHostPort(s.Address, adminPort)
+	if opts.AdminListener, err = net.Listen("tcp", admin); err != nil {
+		return opts, listenError(err, admin)
+	}
+	return opts, nil
+}
+
+// listenError names the address that is not free.
+func listenError(err error, address string) error {
+	return fault.Wrap(err, fault.Invalid, "the address "+address+" can't be listened on", "free it or change the settings")
+}
--- a/cmd/amaranthplank/main.go
+++ b/cmd/amaranthplank/main.go
@@ -32,6 +32,9 @@
 func run(args []string) error {
 	flags := flag.NewFlagSet("amaranthplank", flag.ExitOnError)
 	file := flags.String("settings", "", "the `file` with this process's settings")
+	hosted := flags.Bool("platform", false, "run on the platform, with the settings file that the environment names")
+	policy := flags.String("policy", "deploy/policy.jsonc", "with -platform, the `file` with the fleet's defaults and exceptions")
+	check := flags.Bool("check", false, "with -platform, check the settings and the policy and end")
 	dev := flags.Bool("dev", false, "run with stand-ins for the platform and the targets")
 	var opts devmode.Options
 	flags.IntVar(&opts.Daemons, "dev-daemons", 1, "with -dev, how many daemons to run; 0 runs the stand-ins alone")
@@ -44,6 +47,8 @@
 	defer cut()
 	stop := watchSignals(cut)
 	switch {
+	case *hosted && *file == "" && !*dev:
+		return runHosted(ctx, stop, *policy, *check)
 	case *dev && *file == "":
 		opts.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 		opts.Out = os.Stdout
@@ -53,7 +58,7 @@
 		return serve(ctx, stop, *file)
 	default:
 		flags.Usage()
-		return fault.New(fault.Invalid, "the command line names no settings", "pass either -settings FILE or -dev")
+		return fault.New(fault.Invalid, "the command line names no settings", "pass one of -platform, -settings FILE and -dev")
 	}
 }
 
--- a/pkg/burn/checkpoint.go
+++ b/pkg/burn/checkpoint.go
@@ -7,12 +7,12 @@
 
 	"github.com/go-faster/errors"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // pageState is what a process knows of its page in the store.
 type pageState struct {
-	version platform.Version
+	version external.Version
 	// written is the value that stands there.
 	written []byte
 }
@@ -57,7 +57,7 @@
 		return nil
 	}
 	key := pageKey(time.Unix(start, 0), m.opts.Host, m.opts.Incarnation)
-	version, err := m.opts.Store.CompareAndSwap(ctx, platform.Swap{Key: key, Base: state.version, Value: value})
+	version, err := m.opts.Store.CompareAndSwap(ctx, external.Swap{Key: key, Base: state.version, Value: value})
 	if err != nil {
 		m.reread(ctx, start, key)
 		return err
@@ -67,12 +67,12 @@
 }
 
 // reread learns where the page stands after a write of unknown outcome.
-func (m *Manager) reread(ctx context.Context, start int64, key platform.Key) {
+func (m *Manager) reread(ctx context.Context, start int64, key external.Key) {
 	entry, err := m.opts.Store.Get(ctx, key)
 	switch {
 	case err == nil:
 		m.versions[start] = pageState{version: entry.Version, written: entry.Value}
-	case errors.Is(err, platform.ErrKeyNotFound):
+	case errors.Is(err, external.ErrKeyNotFound):
 		delete(m.versions, start)
 	}
 }
@@ -125,7 +125,7 @@
 	missing := 0
 	m.mu.Lock()
 	slots.Merge(m.own)
-	mine := make(map[platform.Key]bool)
+	mine := make(map[external.Key]bool)
 	for slot := range m.own {
 		mine[pageKey(time.Unix(slot, 0).Truncate(pageLength), m.opts.Host, m.opts.Incarnation)] = true
 	}
--- a/pkg/burn/options.go
+++ b/pkg/burn/options.go
@@ -7,15 +7,15 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Options shape a Manager.
 type Options struct {
 	Host        ident.Host
 	Incarnation ident.Incarnation
-	Store       platform.Store
+	Store       external.Store
 	Config      config.Source
 	Log         *slog.Logger
 	Registerer  prometheus.Registerer
--- a/pkg/burn/page.go
+++ b/pkg/burn/page.go
@@ -6,22 +6,22 @@
 	"slices"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/peer"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // keyPrefix starts the keys of all checkpoints.
-const keyPrefix platform.Key = "burn/"
+const keyPrefix external.Key = "burn/"
 
 // pagePrefix starts the keys of the checkpoints of one page.
-func pagePrefix(start time.Time) platform.Key {
-	return keyPrefix + platform.Key(start.UTC().Format("20060102T15")) + "/"
+func pagePrefix(start time.Time) external.Key {
+	return keyPrefix + external.Key(start.UTC().Format("20060102T15")) + "/"
 }
 
 // pageKey is where one process keeps one page. No other writes there.
-func pageKey(start time.Time, host ident.Host, incarnation ident.Incarnation) platform.Key {
-	return pagePrefix(start) + platform.Key(fmt.Sprintf("%s-%d", host, incarnation))
+func pageKey(start time.Time, host ident.Host, incarnation ident.Incarnation) external.Key {
+	return pagePrefix(start) + external.Key(fmt.Sprintf("%s-%d", host, incarnation))
 }
 
 // row is one slot and subject of a checkpoint.
--- a/pkg/claims/commit.go
+++ b/pkg/claims/commit.go
@@ -8,8 +8,8 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // commit applies a batch to the shard's newest value and swaps it in. It
@@ -78,7 +78,7 @@
 func (s *shard) read(ctx context.Context) error {
 	s.document = nil
 	entry, err := s.store.Get(ctx, s.key)
-	if errors.Is(err, platform.ErrKeyNotFound) {
+	if errors.Is(err, external.ErrKeyNotFound) {
 		s.document, s.version = &Document{Claims: make(map[digest]Claim)}, entry.Version
 		return nil
 	}
@@ -109,7 +109,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "claims can't be encoded", "report the defect")
 	}
-	version, err := s.store.CompareAndSwap(ctx, platform.Swap{Key: s.key, Base: s.version, Value: value})
+	version, err := s.store.CompareAndSwap(ctx, external.Swap{Key: s.key, Base: s.version, Value: value})
 	if err != nil {
 		return err
 	}
--- a/pkg/claims/registry.go
+++ b/pkg/claims/registry.go
@@ -11,13 +11,13 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Options are what a Registry works with.
 type Options struct {
-	Store platform.Store
+	Store external.Store
 	Log   *slog.Logger
 	// Keep is how long a claim is remembered after its request's deadline;
 	// zero means DefaultKeep. It must exceed what hosts' clocks differ by.
@@ -58,7 +58,7 @@
 	limiter := rate.NewLimiter(rate.Limit(opts.WritesPerSecond), max(1, int(opts.WritesPerSecond)))
 	r := &Registry{opts: opts}
 	for i := range r.shards {
-		key := platform.Key(fmt.Sprintf("claims/%02x", i))
+		key := external.Key(fmt.Sprintf("claims/%02x", i))
 		r.shards[i] = newShard(opts, key, limiter)
 	}
 	return r
--- a/pkg/claims/shard.go
+++ b/pkg/claims/shard.go
@@ -7,8 +7,8 @@
 
 	"golang.org/x/time/rate"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 const (
@@ -28,9 +28,9 @@
 
 // shard writes one shard's operations, a batch at a time.
 type shard struct {
-	store platform.Store
+	store external.Store
 	log   *slog.Logger
-	key   platform.Key
+	key   external.Key
 	// limiter bounds the writes of all shards of the daemon.
 	limiter *rate.Limiter
 	queue   chan operation
@@ -40,7 +40,7 @@
 	// document is the value as last seen at version; nil means not known. The
 	// running goroutine alone uses it.
 	document *Document
-	version  platform.Version
+	version  external.Version
 	// owed are operations that nobody waits for and that must be tried again.
 	owed []operation
 }
@@ -49,7 +49,7 @@
 var errBusy = fault.New(fault.Unavailable, "the daemon's writes of claims are used up", "ask for a higher rate of claims")
 
 // newShard returns a shard that has read nothing.
-func newShard(opts Options, key platform.Key, limiter *rate.Limiter) *shard {
+func newShard(opts Options, key external.Key, limiter *rate.Limiter) *shard {
 	return &shard{
 		store: opts.Store, log: opts.Log, key: key, limiter: limiter,
 		queue: make(chan operation, queueLimit), stopped: make(chan struct{}),
--- a/pkg/config/applier.go
+++ b/pkg/config/applier.go
@@ -8,9 +8,9 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Applier puts operators' changes into the store and waits for their
@@ -66,7 +66,7 @@
 	store := a.Manager.opts.Store
 	lost := false
 	for range swapTries {
-		version, err := store.CompareAndSwap(ctx, platform.Swap{Key: StoreKey, Base: platform.Version(base), Value: text})
+		version, err := store.CompareAndSwap(ctx, external.Swap{Key: StoreKey, Base: external.Version(base), Value: text})
 		kind := fault.KindOf(err)
 		switch {
 		case err == nil:
@@ -93,7 +93,7 @@
 	switch {
 	case err == nil:
 		winner = fmt.Sprintf("revision %d", entry.Version)
-	case errors.Is(err, platform.ErrKeyNotFound):
+	case errors.Is(err, external.ErrKeyNotFound):
 		winner = "no revision"
 	}
 	reason := fmt.Sprintf("the file was edited from revision %d, but the store holds %s", base, winner)
--- a/pkg/config/checkexception.go
+++ b/pkg/config/checkexception.go
@@ -44,9 +44,10 @@
 	d.checkReference(path+".service", "service", string(selector.Service), names.services)
 }
 
-// checkReference checks that a name, where it is given, is defined.
+// checkReference checks that a name, where it is given, is defined. A policy
+// defines no names itself.
 func (d *decoder) checkReference(path, what, name string, defined map[string]bool) {
-	if name != "" && !defined[name] {
+	if name != "" && defined != nil && !defined[name] {
 		d.Problem(path, fmt.Sprintf("there is no %s %q", what, name), "mend the name or remove the exception")
 	}
 }
--- a/pkg/config/checkroute.go
+++ b/pkg/config/checkroute.go
@@ -61,7 +61,7 @@
 	if route.Service != "" && !names.services[string(route.Service)] {
 		d.Problem(path+".service", fmt.Sprintf("there is no service %q", route.Service), "add it under services or mend the name")
 	}
-	if route.Service != "" && !strings.HasPrefix(route.Path, servicePath(route.Service)) {
+	if route.Service != "" && route.Host == "" && !strings.HasPrefix(route.Path, servicePath(route.Service)) {
 		d.Problem(path+".path", "the path is not one of the route's service", "start it with "+servicePath(route.Service))
 	}
 }
@@ -85,6 +85,9 @@
 	if r.Path == "" || !strings.HasPrefix(other.Path, r.Path) {
 		return false
 	}
+	if r.Host != "" && r.Host != other.Host {
+		return false
+	}
 	if r.Model != "" && r.Model != other.Model {
 		return false
 	}
--- a/pkg/config/confirm.go
+++ b/pkg/config/confirm.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // confirmSpread is the share by which the time between reads is drawn around
@@ -95,7 +95,7 @@
 	}
 	m.metrics.reads.WithLabelValues(part.String()).Inc()
 	entry, err := m.opts.Store.Get(ctx, part.key())
-	if errors.Is(err, platform.ErrKeyNotFound) {
+	if errors.Is(err, external.ErrKeyNotFound) {
 		return !newer
 	}
 	if err != nil {
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -10,4 +10,6 @@
 	Services   []Service   `json:"services"`
 	Routes     []Route     `json:"routes"`
 	Exceptions []Exception `json:"exceptions"`
+	// Limits bound what callers may send.
+	Limits Limits `json:"limits,omitzero"`
 }
--- a/pkg/config/intake.go
+++ b/pkg/config/intake.go
@@ -1,8 +1,8 @@
 package config
 
 import (
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // origin says what brought a revision.
@@ -17,7 +17,7 @@
 )
 
 // takeEntry takes an entry of the store in.
-func (m *Manager) takeEntry(entry platform.Entry, from origin) {
+func (m *Manager) takeEntry(entry external.Entry, from origin) {
 	part, ok := partOf(entry.Key)
 	if !ok || entry.Deleted {
 		return
--- a/pkg/config/marker.go
+++ b/pkg/config/marker.go
@@ -6,17 +6,17 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // readMarker returns the newest revisions that the store's marker names, and
 // the marker's version. A marker that does not exist names none.
-func readMarker(ctx context.Context, store platform.Store) (Revisions, platform.Version, error) {
+func readMarker(ctx context.Context, store external.Store) (Revisions, external.Version, error) {
 	var marker Revisions
 	entry, err := store.Get(ctx, MarkerKey)
-	if errors.Is(err, platform.ErrKeyNotFound) {
-		return marker, platform.NoVersion, nil
+	if errors.Is(err, external.ErrKeyNotFound) {
+		return marker, external.NoVersion, nil
 	}
 	if err != nil {
 		return marker, 0, err
@@ -32,7 +32,7 @@
 
 // raiseMarker raises the store's marker to the revisions. Writers race without
 // harm, since each only raises it and a lost answer is followed by a read.
-func raiseMarker(ctx context.Context, store platform.Store, to Revisions) error {
+func raiseMarker(ctx context.Context, store external.Store, to Revisions) error {
 	var last error
 	for range markerTries {
 		marker, version, err := readMarker(ctx, store)
@@ -46,7 +46,7 @@
 		if err != nil {
 			return errors.Wrap(err, "encode the marker")
 		}
-		_, last = store.CompareAndSwap(ctx, platform.Swap{Key: MarkerKey, Base: version, Value: value})
+		_, last = store.CompareAndSwap(ctx, external.Swap{Key: MarkerKey, Base: version, Value: value})
 		if last == nil {
 			return nil
 		}
--- a/pkg/config/options.go
+++ b/pkg/config/options.go
@@ -7,16 +7,16 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/peer"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Options are what a Manager works on.
 type Options struct {
 	Host  ident.Host
-	Store platform.Store
+	Store external.Store
 	// Mesh and View reach the other daemons. Both are nil where there are
 	// none.
 	Mesh peer.Mesh
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // Parse reads a document in JSON with comments and checks it whole. Its error
@@ -35,10 +35,30 @@
 	return document, nil
 }
 
+// ParsePolicy reads the part of a document that operators keep beside a
+// configuration which is published elsewhere: the defaults and the exceptions.
+// The names that exceptions bear are not checked, since the published part
+// defines them.
+func ParsePolicy(text []byte) (*Document, error) {
+	d := newDecoder(text)
+	document := &Document{Defaults: BuiltinKnobs()}
+	if err := d.Decode(document); err != nil {
+		return nil, err
+	}
+	if len(document.Workspaces)+len(document.Models)+len(document.Services)+len(document.Routes) > 0 {
+		d.Problem("", "a policy holds defaults and exceptions alone", "remove workspaces, models, services and routes")
+	}
+	d.checkExceptions(document, &nameIndex{})
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	return document, nil
+}
+
 // parse decodes the text and runs the checks that need no time.
 func parse(text []byte) (*Document, *decoder, error) {
 	d := newDecoder(text)
-	if len(text) > platform.MaxValueBytes {
+	if len(text) > external.MaxValueBytes {
 		d.Problem("", "the text is over one megabyte", "shorten it")
 		return nil, nil, d.err()
 	}
--- a/pkg/config/part.go
+++ b/pkg/config/part.go
@@ -1,8 +1,8 @@
 package config
 
 import (
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Part names one of the two parts of the control state.
@@ -20,7 +20,7 @@
 var parts = []Part{PartConfig, PartHolds}
 
 // key returns where the part stands in the store.
-func (p Part) key() platform.Key {
+func (p Part) key() external.Key {
 	if p == PartHolds {
 		return HoldsKey
 	}
@@ -52,7 +52,7 @@
 }
 
 // partOf returns the part that stands under a key, or false.
-func partOf(key platform.Key) (Part, bool) {
+func partOf(key external.Key) (Part, bool) {
 	for _, part := range parts {
 		if part.key() == key {
 			return part, true
--- a/pkg/config/roster.go
+++ b/pkg/config/roster.go
@@ -3,9 +3,9 @@
 import (
 	"slices"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Roster lists the hosts whose majority accepts a change. Two rosters that
@@ -51,7 +51,7 @@
 // add or remove one host at a time. A host is added once it has loaded the
 // control state, and removed once the platform no longer lists it and the
 // other daemons hold it for gone.
-func NextRoster(current Roster, listed []platform.HostRecord, members []membership.Member) (Roster, bool) {
+func NextRoster(current Roster, listed []external.HostRecord, members []membership.Member) (Roster, bool) {
 	if len(listed) == 0 {
 		return current, false
 	}
@@ -93,7 +93,7 @@
 }
 
 // stayingHosts returns the hosts that the platform does not plan to take away.
-func stayingHosts(listed []platform.HostRecord) []ident.Host {
+func stayingHosts(listed []external.HostRecord) []ident.Host {
 	var hosts []ident.Host
 	for _, record := range listed {
 		if !record.Leaving {
--- a/pkg/config/rosterkeeper.go
+++ b/pkg/config/rosterkeeper.go
@@ -8,10 +8,10 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // RosterDuty is the duty of keeping the roster. That one process holds it saves
@@ -23,7 +23,7 @@
 type RosterKeeper struct {
 	Manager    *Manager
 	Acceptance *Acceptance
-	Hosts      platform.HostList
+	Hosts      external.HostList
 	Log        *slog.Logger
 	// Every is the time between looks at the list.
 	Every time.Duration
@@ -51,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	if version != platform.NoVersion {
+	if version != external.NoVersion {
 		accepted, err := k.Acceptance.accepted(ctx, PartHolds, ident.Revision(version))
 		if err != nil || !accepted {
 			return err
@@ -74,10 +74,10 @@
 }
 
 // read returns the holds as they stand in the store.
-func (k *RosterKeeper) read(ctx context.Context) (Holds, platform.Version, error) {
+func (k *RosterKeeper) read(ctx context.Context) (Holds, external.Version, error) {
 	entry, err := k.Manager.opts.Store.Get(ctx, HoldsKey)
-	if errors.Is(err, platform.ErrKeyNotFound) {
-		return Holds{}, platform.NoVersion, nil
+	if errors.Is(err, external.ErrKeyNotFound) {
+		return Holds{}, external.NoVersion, nil
 	}
 	if err != nil {
 		return Holds{}, 0, err
@@ -88,12 +88,12 @@
 
 // write swaps the holds in. A lost answer needs no care: the next step reads
 // the store first.
-func (k *RosterKeeper) write(ctx context.Context, holds Holds, base platform.Version) error {
+func (k *RosterKeeper) write(ctx context.Context, holds Holds, base external.Version) error {
 	value, err := json.Marshal(holds)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "the roster was not encoded", "report the defect")
 	}
-	version, err := k.Manager.opts.Store.CompareAndSwap(ctx, platform.Swap{Key: HoldsKey, Base: base, Value: value})
+	version, err := k.Manager.opts.Store.CompareAndSwap(ctx, external.Swap{Key: HoldsKey, Base: base, Value: value})
 	if err != nil {
 		return err
 	}
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -16,6 +16,9 @@
 	keys     map[KeyDigest]keyOwner
 	names    map[ident.Workspace]*Workspace
 	resolver *resolver
+	// byHost holds the routes that may match a host's requests, in the
+	// document's order; the empty host stands for all that no route names.
+	byHost map[string][]*Route
 }
 
 // keyOwner is the workspace and key that a digest belongs to.
@@ -37,9 +40,35 @@
 			s.keys[workspace.Keys[j].Digest] = keyOwner{workspace: workspace, key: &workspace.Keys[j]}
 		}
 	}
+	s.byHost = routesByHost(document)
 	return s
 }
 
+// routesByHost lists the routes that may match the requests for each host.
+func routesByHost(document *Document) map[string][]*Route {
+	hosts := map[string][]*Route{"": nil}
+	for i := range document.Routes {
+		hosts[document.Routes[i].Host] = nil
+	}
+	for host := range hosts {
+		for i := range document.Routes {
+			route := &document.Routes[i]
+			if route.Host == "" || route.Host == host {
+				hosts[host] = append(hosts[host], route)
+			}
+		}
+	}
+	return hosts
+}
+
+// routesOf returns the routes that may match the requests for a host.
+func (s *Snapshot) routesOf(host string) []*Route {
+	if routes, ok := s.byHost[host]; ok {
+		return routes
+	}
+	return s.byHost[""]
+}
+
 // WorkspaceOf returns the workspace that a key belongs to at the given time,
 // or false where the key is not valid.
 func (s *Snapshot) WorkspaceOf(digest KeyDigest, now time.Time) (*Workspace, bool) {
@@ -58,12 +87,11 @@
 
 // Route returns the first route that matches, or nil. A path with dot segments
 // has none, since a target may resolve it to the path of another route.
-func (s *Snapshot) Route(method, path string, model ident.Model) *Route {
+func (s *Snapshot) Route(host, method, path string, model ident.Model) *Route {
 	if hasDotSegment(path) {
 		return nil
 	}
-	for i := range s.Document.Routes {
-		route := &s.Document.Routes[i]
+	for _, route := range s.routesOf(host) {
 		if route.matches(method, path, model) {
 			return route
 		}
@@ -71,6 +99,17 @@
 	return nil
 }
 
+// MayBeOpen reports whether a request without a valid key may fall under a
+// route that is open to all.
+func (s *Snapshot) MayBeOpen(host, path string) bool {
+	for _, route := range s.routesOf(host) {
+		if route.Open && strings.HasPrefix(path, route.Path) {
+			return true
+		}
+	}
+	return false
+}
+
 // matches reports whether a request falls under the route.
 func (r *Route) matches(method, path string, model ident.Model) bool {
 	if !strings.HasPrefix(path, r.Path) {
@@ -79,6 +118,9 @@
 	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
 		return false
 	}
+	if r.Host != "" {
+		return true
+	}
 	if r.Service != "" && !strings.HasPrefix(path, servicePath(r.Service)) {
 		return false
 	}
--- a/pkg/config/watch.go
+++ b/pkg/config/watch.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // retryDelay is the pause after a failed watch.
@@ -19,7 +19,7 @@
 // should. Each watch is bounded, and a silent one does no harm, since the reads
 // go on beside it.
 func (m *Manager) runWatch(ctx context.Context) error {
-	cursor := platform.StartCursor
+	cursor := external.StartCursor
 	for ctx.Err() == nil {
 		if !m.watches() {
 			sleep(ctx, m.opts.Timing.ConfirmEvery)
@@ -40,7 +40,7 @@
 }
 
 // watchOnce waits for changes for a bounded time.
-func (m *Manager) watchOnce(ctx context.Context, cursor platform.Cursor) (platform.Changes, error) {
+func (m *Manager) watchOnce(ctx context.Context, cursor external.Cursor) (external.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.opts.Timing.WatchFor)
 	defer cancel()
 	m.setWatching(true)
--- a/pkg/daemon/fates.go
+++ b/pkg/daemon/fates.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/orders"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 const (
@@ -21,7 +21,7 @@
 // fates tells which lives of hosts' processes are known to be over.
 type fates struct {
 	members membership.View
-	hosts   platform.HostList
+	hosts   external.HostList
 
 	mu sync.Mutex
 	// seen are the hosts that were ever listed, listed those of the last read.
@@ -33,7 +33,7 @@
 var _ orders.ProcessFate = (*fates)(nil)
 
 // newFates returns fates that know of no host.
-func newFates(members membership.View, hosts platform.HostList) *fates {
+func newFates(members membership.View, hosts external.HostList) *fates {
 	return &fates{members: members, hosts: hosts, seen: make(map[ident.Host]bool)}
 }
 
--- a/pkg/daemon/options.go
+++ b/pkg/daemon/options.go
@@ -5,9 +5,9 @@
 	"net"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/peer"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Options are what a daemon runs with.
@@ -26,16 +26,16 @@
 	PeerSecret   []byte
 	PeerTLS      peer.TLSSource
 	// PeerSeeds are hosts to link to before the platform's list is read.
-	PeerSeeds []platform.HostRecord
+	PeerSeeds []external.HostRecord
 	// PeerDegree bounds the links of the daemon; zero takes the default.
 	PeerDegree int
 	// Credential is the system's own towards targets. It may be empty.
 	Credential string
-	Store      platform.Store
-	Targets    platform.TargetOrderer
-	Usage      platform.UsageSink
-	Hosts      platform.HostList
-	Weights    platform.WeightStore
+	Store      external.Store
+	Targets    external.TargetOrderer
+	Usage      external.UsageSink
+	Hosts      external.HostList
+	Weights    external.WeightStore
 	// BalancerDelay is how long after readiness fails the balancer may still
 	// send requests.
 	BalancerDelay time.Duration
--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -8,10 +8,10 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/external/httpclient"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/peer"
-	"amaranthplank.example/amaranthplank/pkg/platform"
-	"amaranthplank.example/amaranthplank/pkg/platform/httpclient"
 	"amaranthplank.example/amaranthplank/pkg/settings"
 )
 
@@ -28,7 +28,7 @@
 		BalancerDelay: s.Shutdown.BalancerDelay.D(),
 	}
 	for _, seed := range s.Peers.Seeds {
-		opts.PeerSeeds = append(opts.PeerSeeds, platform.HostRecord{
+		opts.PeerSeeds = append(opts.PeerSeeds, external.HostRecord{
 			Host: seed.Host, FailureDomain: seed.FailureDomain, Region: seed.Region, PeerAddress: seed.Address,
 		})
 	}
--- a/pkg/devmode/slot.go
+++ b/pkg/devmode/slot.go
@@ -6,13 +6,13 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // slot is the place of one daemon: its names and its open listeners.
 type slot struct {
-	record    platform.HostRecord
+	record    external.HostRecord
 	callers   net.Listener
 	operators net.Listener
 	peers     net.Listener
@@ -45,7 +45,7 @@
 	if s.peers, err = net.Listen("tcp", loopback+":0"); err != nil {
 		return slot{}, errors.Wrap(err, "listen for links")
 	}
-	s.record = platform.HostRecord{
+	s.record = external.HostRecord{
 		Host: ident.Host(fmt.Sprintf("host-%d", i+1)), FailureDomain: domainOf(i), Region: devRegion,
 		PeerAddress: s.peers.Addr().String(),
 	}
@@ -53,8 +53,8 @@
 }
 
 // recordsOf returns the slots' records for the host list.
-func recordsOf(slots []slot) []platform.HostRecord {
-	records := make([]platform.HostRecord, 0, len(slots))
+func recordsOf(slots []slot) []external.HostRecord {
+	records := make([]external.HostRecord, 0, len(slots))
 	for _, s := range slots {
 		records = append(records, s.record)
 	}
--- a/pkg/drain/options.go
+++ b/pkg/drain/options.go
@@ -17,6 +17,9 @@
 	// BalancerDelay is how long after readiness fails the balancer may still
 	// send requests.
 	BalancerDelay time.Duration
+	// LatestClose bounds the time after which the listener closes, counted from
+	// the request to stop. Zero takes a multiple of BalancerDelay.
+	LatestClose time.Duration
 	// AtStart run as soon as a stop is asked for, such as to hand leases to
 	// other daemons.
 	AtStart []Hook
--- a/pkg/drain/server.go
+++ b/pkg/drain/server.go
@@ -116,6 +116,9 @@
 func (s *Server) waitForBalancer(ctx context.Context, asked time.Time) {
 	sleep(ctx, s.opts.BalancerDelay-time.Since(asked))
 	latest := asked.Add((1 + lookAwayFactor) * s.opts.BalancerDelay)
+	if s.opts.LatestClose > 0 {
+		latest = asked.Add(s.opts.LatestClose)
+	}
 	for ctx.Err() == nil && time.Now().Before(latest) {
 		quiet := time.Since(time.Unix(0, s.lastAt.Load()))
 		if quiet >= quietTime {
--- a/pkg/entry/auth.go
+++ b/pkg/entry/auth.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"net/http"
-	"strings"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
@@ -22,16 +20,11 @@
 	key string
 }
 
-// scheme is the start of the header that bears a key.
-const scheme = "bearer "
-
 // identify returns the workspace whose key came with the request.
-func identify(snapshot *config.Snapshot, header http.Header) caller {
-	values := header.Values(headerAuthorization)
-	if len(values) != 1 || len(values[0]) <= len(scheme) || !strings.EqualFold(values[0][:len(scheme)], scheme) {
+func identify(snapshot *config.Snapshot, key string) caller {
+	if key == "" {
 		return caller{}
 	}
-	key := strings.TrimSpace(values[0][len(scheme):])
 	c := caller{key: key, digest: config.DigestKey(key)}
 	if workspace, ok := snapshot.WorkspaceOf(c.digest, time.Now()); ok {
 		c.workspace = workspace.Name
@@ -50,15 +43,3 @@
 	}
 	return nil
 }
-
-// mayBeOpen reports whether a request without a valid key may fall under a
-// route that is open to all. The body of others is not read.
-func mayBeOpen(snapshot *config.Snapshot, r *http.Request) bool {
-	for i := range snapshot.Document.Routes {
-		route := &snapshot.Document.Routes[i]
-		if route.Open && strings.HasPrefix(r.URL.Path, route.Path) {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -29,4 +29,4 @@
 }
 
 // errBodyTooLarge tells the caller of the bound on bodies.
-var errBodyTooLarge = fault.New(fault.Invalid, "the body is too large", "send a smaller body")
+var errBodyTooLarge = fault.New(fault.TooLarge, "the body is too large", "send a smaller body")
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -3,10 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/google/uuid"
-
 	"amaranthplank.example/amaranthplank/pkg/fault"
-	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
 )
 
@@ -26,10 +23,13 @@
 // ServeHTTP serves one request. An answer that was begun and can't be completed
 // is aborted by a panic.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := ident.Request(uuid.NewString())
-	w.Header().Set(HeaderRequest, string(id))
+	id, err := h.opts.Format.Begin(w, r)
 	s := newSession(h, newCallerWriter(w, h.opts.WriteTimeout), r, id)
 	defer s.leave()
+	if err != nil {
+		s.fail(request.NotRun, err)
+		return
+	}
 	if err := s.read(); err != nil {
 		s.fail(request.NotRun, err)
 		return
--- a/pkg/entry/options.go
+++ b/pkg/entry/options.go
@@ -15,6 +15,8 @@
 
 // Options are what a Handler works with.
 type Options struct {
+	// Format is the callers'; nil means Completions.
+	Format    Format
 	Config    config.Source
 	Admission admission.Controller
 	Relay     *relay.Relay
@@ -47,6 +49,16 @@
 	DefaultWriteTimeout = 30 * time.Second
 )
 
+// bodyLimits returns the bounds on a body that are in force: the operators',
+// where they set any.
+func (o *Options) bodyLimits(snapshot *config.Snapshot) (bytes int64, timeout time.Duration) {
+	bytes, timeout = o.MaxBodyBytes, o.BodyTimeout
+	if limits := &snapshot.Document.Limits; limits.BodyBytes > 0 {
+		bytes = limits.BodyBytes
+	}
+	return bytes, timeout
+}
+
 // withDefaults fills what was left out.
 func (o Options) withDefaults() Options {
 	if o.BodyTimeout == 0 {
@@ -55,6 +67,9 @@
 	if o.WriteTimeout == 0 {
 		o.WriteTimeout = DefaultWriteTimeout
 	}
+	if o.Format == nil {
+		o.Format = Completions{}
+	}
 	if o.Ready == nil {
 		o.Ready = func() error { return nil }
 	}
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -33,6 +33,8 @@
 	ticket admission.Ticket
 	// hold is the claim of the request's idempotency key, or nil.
 	hold *claims.Hold
+	// callerWaits says that the caller stated how long it waits.
+	callerWaits bool
 	// figures are what the ticket is given back with.
 	figures request.Figures
 }
@@ -77,19 +79,25 @@
 	if err := checkPath(s.http.URL); err != nil {
 		return err
 	}
-	s.from = identify(snapshot, s.http.Header)
-	if s.from.workspace == "" && !mayBeOpen(snapshot, s.http) {
+	opts := &s.handler.opts
+	s.from = identify(snapshot, opts.Format.Key(s.http.Header))
+	if s.from.workspace == "" && !snapshot.MayBeOpen(s.http.Host, s.http.URL.Path) {
 		return errNoKey
 	}
-	opts := &s.handler.opts
-	body, err := readBody(s.writer.ResponseWriter, s.http, opts.MaxBodyBytes, opts.BodyTimeout)
+	limit, timeout := opts.bodyLimits(snapshot)
+	body, err := readBody(s.writer.ResponseWriter, s.http, limit, timeout)
 	if err != nil {
 		return err
 	}
 	if err := checkLeaks(snapshot, s.from, s.http, body); err != nil {
 		return err
 	}
-	s.req, err = build(snapshot, s.http, s.id, s.from, body)
+	said, err := opts.Format.Describe(s.http, body)
+	if err != nil {
+		return err
+	}
+	s.callerWaits = said.Wait > 0
+	s.req, err = build(snapshot, s.http, s.id, s.from, &said, body)
 	return err
 }
 
@@ -124,9 +132,7 @@
 	s.settleClaim(result.Outcome)
 	switch {
 	case result.Outcome == request.Answered:
-		if s.writer.Header().Get(HeaderOutcome) == "" {
-			s.writer.Header().Set(http.TrailerPrefix+HeaderOutcome, string(request.Answered))
-		}
+		s.handler.opts.Format.Answered(s.writer)
 		s.end(request.Answered, nil)
 	case result.Started:
 		s.end(result.Outcome, result.Err)
@@ -161,7 +167,7 @@
 		Workspace: s.req.Workspace, Route: s.req.Route, Class: s.req.Class, Model: s.req.Model,
 		Outcome: result.Outcome, CallerGone: result.CallerGone, Total: now.Sub(s.began), Events: result.Events,
 	}
-	observation.Deadline = s.http.Header.Get(HeaderDeadline) != ""
+	observation.Deadline = s.callerWaits
 	observation.InTime = result.Outcome == request.Answered && !now.After(s.req.Deadline)
 	class := string(s.req.Class)
 	if result.Started {
@@ -177,7 +183,9 @@
 // fail ends the request and tells the caller why, at once.
 func (s *session) fail(outcome request.Outcome, err error) {
 	s.end(outcome, err)
-	writeError(s.writer, s.id, outcome, err)
+	s.handler.opts.Format.Fail(s.writer, Failure{
+		ID: s.id, Outcome: outcome, Err: err, Wait: waitOf(err, fault.KindOf(err)),
+	})
 }
 
 // end counts the request's end and logs it where it was not answered.
@@ -200,7 +208,7 @@
 // about themselves is kept out of the way, since they could flood the log.
 func levelOf(kind fault.Kind) slog.Level {
 	switch kind {
-	case fault.Unauthenticated, fault.Forbidden, fault.Invalid, fault.NotFound, fault.Limited:
+	case fault.Unauthenticated, fault.Forbidden, fault.Invalid, fault.NotFound, fault.Limited, fault.TooLarge:
 		return slog.LevelDebug
 	default:
 		return slog.LevelWarn
--- a/pkg/platform/cursor.go
+++ b/pkg/external/cursor.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 // Cursor is a place in the store's history of changes.
 type Cursor uint64
--- a/pkg/platform/entry.go
+++ b/pkg/external/entry.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 // Entry is a key with its value at one version.
 type Entry struct {
--- a/pkg/platform/errors.go
+++ b/pkg/external/errors.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 import "amaranthplank.example/amaranthplank/pkg/fault"
 
@@ -14,6 +14,8 @@
 	ErrStoreUnavailable = fault.New(fault.Unavailable, "the store can't be reached", "try again later")
 	// ErrStoreUnknown says that the store may have taken the write.
 	ErrStoreUnknown = fault.New(fault.Unknown, "the store's answer was lost", "read the key back before writing again")
+	// ErrHistoryGone says that the changes after a cursor are not kept any more.
+	ErrHistoryGone = fault.New(fault.NotFound, "the store's history after the cursor is gone", "watch from StartCursor")
 	// ErrStoreThrottled says that the store refused the call for its rate.
 	ErrStoreThrottled = fault.New(fault.Limited, "the store's call rate is used up", "back off and try again")
 )
--- a/pkg/platform/httpclient/client.go
+++ b/pkg/external/httpclient/client.go
@@ -11,8 +11,8 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external/wire"
 	"amaranthplank.example/amaranthplank/pkg/fault"
-	"amaranthplank.example/amaranthplank/pkg/platform/wire"
 )
 
 const (
--- a/pkg/platform/httpclient/hosts.go
+++ b/pkg/external/httpclient/hosts.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
-	"amaranthplank.example/amaranthplank/pkg/platform/wire"
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/external/wire"
 )
 
 // HostList lists hosts over HTTP.
@@ -12,13 +12,13 @@
 	client *Client
 }
 
-var _ platform.HostList = (*HostList)(nil)
+var _ external.HostList = (*HostList)(nil)
 
 // NewHostList returns the host list behind a client.
 func NewHostList(client *Client) *HostList { return &HostList{client: client} }
 
 // Hosts returns what the platform knows at present.
-func (h *HostList) Hosts(ctx context.Context) ([]platform.HostRecord, error) {
+func (h *HostList) Hosts(ctx context.Context) ([]external.HostRecord, error) {
 	list, err := post[wire.HostList](ctx, h.client, callTimeout, wire.PathHosts, wire.Empty{})
 	return list.Hosts, err
 }
--- a/pkg/platform/httpclient/store.go
+++ b/pkg/external/httpclient/store.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
-	"amaranthplank.example/amaranthplank/pkg/platform/wire"
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/external/wire"
 )
 
 // Store is the platform's key-value service over HTTP.
@@ -13,59 +13,59 @@
 	client *Client
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ external.Store = (*Store)(nil)
 
 // NewStore returns the store behind a client.
 func NewStore(client *Client) *Store { return &Store{client: client} }
 
 // Get returns one key.
-func (s *Store) Get(ctx context.Context, key platform.Key) (platform.Entry, error) {
-	return post[platform.Entry](ctx, s.client, callTimeout, wire.PathGet, wire.KeyRequest{Key: key})
+func (s *Store) Get(ctx context.Context, key external.Key) (external.Entry, error) {
+	return post[external.Entry](ctx, s.client, callTimeout, wire.PathGet, wire.KeyRequest{Key: key})
 }
 
 // List returns the keys that start with prefix.
-func (s *Store) List(ctx context.Context, prefix platform.Key) ([]platform.Entry, error) {
+func (s *Store) List(ctx context.Context, prefix external.Key) ([]external.Entry, error) {
 	list, err := post[wire.EntryList](ctx, s.client, callTimeout, wire.PathList, wire.KeyRequest{Key: prefix})
 	return list.Entries, err
 }
 
 // CompareAndSwap writes a value over its base version.
-func (s *Store) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.Version, error) {
+func (s *Store) CompareAndSwap(ctx context.Context, swap external.Swap) (external.Version, error) {
 	answer, err := post[wire.VersionAnswer](ctx, s.client, callTimeout, wire.PathSwap, swap)
 	return answer.Version, err
 }
 
 // Delete removes a key at a version.
-func (s *Store) Delete(ctx context.Context, key platform.Key, version platform.Version) error {
+func (s *Store) Delete(ctx context.Context, key external.Key, version external.Version) error {
 	_, err := post[wire.Empty](ctx, s.client, callTimeout, wire.PathDelete, wire.DeleteRequest{Key: key, Version: version})
 	return err
 }
 
 // Grant creates a lease.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (external.LeaseID, error) {
 	answer, err := post[wire.LeaseMessage](ctx, s.client, callTimeout, wire.PathGrant, wire.GrantRequest{TTL: ttl})
 	return answer.Lease, err
 }
 
 // KeepAlive renews a lease.
-func (s *Store) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+func (s *Store) KeepAlive(ctx context.Context, lease external.LeaseID) error {
 	_, err := post[wire.Empty](ctx, s.client, callTimeout, wire.PathKeepAlive, wire.LeaseMessage{Lease: lease})
 	return err
 }
 
 // Revoke ends a lease.
-func (s *Store) Revoke(ctx context.Context, lease platform.LeaseID) error {
+func (s *Store) Revoke(ctx context.Context, lease external.LeaseID) error {
 	_, err := post[wire.Empty](ctx, s.client, callTimeout, wire.PathRevoke, wire.LeaseMessage{Lease: lease})
 	return err
 }
 
 // Watch waits for changes under a prefix. The platform ends the wait from time
 // to time, which returns no changes.
-func (s *Store) Watch(ctx context.Context, prefix platform.Key, after platform.Cursor) (platform.Changes, error) {
+func (s *Store) Watch(ctx context.Context, prefix external.Key, after external.Cursor) (external.Changes, error) {
 	message := wire.WatchRequest{Prefix: prefix, After: after, Wait: watchWait}
-	changes, err := post[platform.Changes](ctx, s.client, watchWait+callTimeout, wire.PathWatch, message)
+	changes, err := post[external.Changes](ctx, s.client, watchWait+callTimeout, wire.PathWatch, message)
 	if err != nil {
-		return platform.Changes{Next: after}, err
+		return external.Changes{Next: after}, err
 	}
 	return changes, nil
 }
--- a/pkg/platform/httpclient/targets.go
+++ b/pkg/external/httpclient/targets.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
-	"amaranthplank.example/amaranthplank/pkg/platform/wire"
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/external/wire"
 )
 
 // TargetOrderer orders and lists targets over HTTP.
@@ -12,25 +12,25 @@
 	client *Client
 }
 
-var _ platform.TargetOrderer = (*TargetOrderer)(nil)
+var _ external.TargetOrderer = (*TargetOrderer)(nil)
 
 // NewTargetOrderer returns the orderer behind a client.
 func NewTargetOrderer(client *Client) *TargetOrderer { return &TargetOrderer{client: client} }
 
 // Order asks for a wanted count.
-func (t *TargetOrderer) Order(ctx context.Context, order platform.TargetOrder) error {
+func (t *TargetOrderer) Order(ctx context.Context, order external.TargetOrder) error {
 	_, err := post[wire.Empty](ctx, t.client, callTimeout, wire.PathOrder, order)
 	return err
 }
 
 // Orders returns the newest orders.
-func (t *TargetOrderer) Orders(ctx context.Context) ([]platform.TargetOrder, error) {
+func (t *TargetOrderer) Orders(ctx context.Context) ([]external.TargetOrder, error) {
 	list, err := post[wire.OrderList](ctx, t.client, callTimeout, wire.PathOrders, wire.Empty{})
 	return list.Orders, err
 }
 
 // Targets returns the placed targets.
-func (t *TargetOrderer) Targets(ctx context.Context) ([]platform.TargetRecord, error) {
+func (t *TargetOrderer) Targets(ctx context.Context) ([]external.TargetRecord, error) {
 	list, err := post[wire.TargetList](ctx, t.client, callTimeout, wire.PathTargets, wire.Empty{})
 	return list.Targets, err
 }
--- a/pkg/platform/httpclient/usage.go
+++ b/pkg/external/httpclient/usage.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
-	"amaranthplank.example/amaranthplank/pkg/platform/wire"
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/external/wire"
 )
 
 // UsageSink takes usage reports over HTTP.
@@ -12,13 +12,13 @@
 	client *Client
 }
 
-var _ platform.UsageSink = (*UsageSink)(nil)
+var _ external.UsageSink = (*UsageSink)(nil)
 
 // NewUsageSink returns the sink behind a client.
 func NewUsageSink(client *Client) *UsageSink { return &UsageSink{client: client} }
 
 // Report hands in one window's figures.
-func (u *UsageSink) Report(ctx context.Context, report platform.UsageReport) error {
+func (u *UsageSink) Report(ctx context.Context, report external.UsageReport) error {
 	_, err := post[wire.Empty](ctx, u.client, callTimeout, wire.PathReport, report)
 	return err
 }
--- a/pkg/platform/httpclient/weights.go
+++ b/pkg/external/httpclient/weights.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/external/wire"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
-	"amaranthplank.example/amaranthplank/pkg/platform/wire"
 )
 
 // WeightStore reserves weight loads over HTTP.
@@ -14,7 +14,7 @@
 	client *Client
 }
 
-var _ platform.WeightStore = (*WeightStore)(nil)
+var _ external.WeightStore = (*WeightStore)(nil)
 
 // NewWeightStore returns the weight store behind a client.
 func NewWeightStore(client *Client) *WeightStore { return &WeightStore{client: client} }
--- a/pkg/platform/leaseid.go
+++ b/pkg/external/leaseid.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 // LeaseID names a lease of the store. NoLease marks a key that is not bound
 // to any.
--- a/pkg/platform/swap.go
+++ b/pkg/external/swap.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 // Swap is one compare-and-swap.
 type Swap struct {
--- a/pkg/platform/targetkind.go
+++ b/pkg/external/targetkind.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 // TargetKind tells how a target is paid for.
 type TargetKind string
--- a/pkg/platform/usageline.go
+++ b/pkg/external/usageline.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 import (
 	"time"
--- a/pkg/platform/version.go
+++ b/pkg/external/version.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 // Version numbers the states of one key. NoVersion is a key that does not
 // exist; every write raises it. A deleted key that comes back goes on rising.
--- a/pkg/platform/wire/messages.go
+++ b/pkg/external/wire/messages.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Empty is a message that bears nothing.
@@ -12,23 +12,23 @@
 
 // KeyRequest asks for one key, or for the keys that start with it.
 type KeyRequest struct {
-	Key platform.Key `json:"key"`
+	Key external.Key `json:"key"`
 }
 
 // EntryList answers with entries.
 type EntryList struct {
-	Entries []platform.Entry `json:"entries"`
+	Entries []external.Entry `json:"entries"`
 }
 
 // VersionAnswer answers a write with the new version.
 type VersionAnswer struct {
-	Version platform.Version `json:"version"`
+	Version external.Version `json:"version"`
 }
 
 // DeleteRequest asks to delete a key at a version.
 type DeleteRequest struct {
-	Key     platform.Key     `json:"key"`
-	Version platform.Version `json:"version"`
+	Key     external.Key     `json:"key"`
+	Version external.Version `json:"version"`
 }
 
 // GrantRequest asks for a lease.
@@ -38,35 +38,35 @@
 
 // LeaseMessage names a lease.
 type LeaseMessage struct {
-	Lease platform.LeaseID `json:"lease"`
+	Lease external.LeaseID `json:"lease"`
 }
 
 // WatchRequest asks for the changes under a prefix after a cursor. The answer
 // is empty when Wait is over.
 type WatchRequest struct {
-	Prefix platform.Key    `json:"prefix"`
-	After  platform.Cursor `json:"after"`
+	Prefix external.Key    `json:"prefix"`
+	After  external.Cursor `json:"after"`
 	Wait   time.Duration   `json:"wait"`
 }
 
 // ReportList answers with usage reports.
 type ReportList struct {
-	Reports []platform.UsageReport `json:"reports"`
+	Reports []external.UsageReport `json:"reports"`
 }
 
 // OrderList answers with target orders.
 type OrderList struct {
-	Orders []platform.TargetOrder `json:"orders"`
+	Orders []external.TargetOrder `json:"orders"`
 }
 
 // TargetList answers with targets.
 type TargetList struct {
-	Targets []platform.TargetRecord `json:"targets"`
+	Targets []external.TargetRecord `json:"targets"`
 }
 
 // HostList answers with hosts.
 type HostList struct {
-	Hosts []platform.HostRecord `json:"hosts"`
+	Hosts []external.HostRecord `json:"hosts"`
 }
 
 // ReserveRequest asks to load a model's weights.
--- a/pkg/fault/error.go
+++ b/pkg/fault/error.go
@@ -80,3 +80,10 @@
 	}
 	return 0
 }
+
+// As returns the typed error within err, or false.
+func As(err error) (*Error, bool) {
+	var e *Error
+	ok := errors.As(err, &e)
+	return e, ok
+}
--- a/pkg/fault/httpstatus.go
+++ b/pkg/fault/httpstatus.go
@@ -23,6 +23,8 @@
 		return http.StatusGatewayTimeout
 	case Unknown:
 		return http.StatusBadGateway
+	case TooLarge:
+		return http.StatusRequestEntityTooLarge
 	case Internal:
 		return http.StatusInternalServerError
 	}
--- a/pkg/fault/kind.go
+++ b/pkg/fault/kind.go
@@ -26,6 +26,8 @@
 	Timeout Kind = "timeout"
 	// Fenced means that the sender has lost its authority.
 	Fenced Kind = "fenced"
+	// TooLarge means that the input exceeds a bound on its size.
+	TooLarge Kind = "too_large"
 	// Internal means a defect of the system itself.
 	Internal Kind = "internal"
 )
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"golang.org/x/sync/errgroup"
+
+	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/drain"
+	"amaranthplank.example/amaranthplank/pkg/entry"
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/mirror"
+	"amaranthplank.example/amaranthplank/pkg/operator"
+	"amaranthplank.example/amaranthplank/pkg/registry"
+	"amaranthplank.example/amaranthplank/pkg/relay"
+	"amaranthplank.example/amaranthplank/pkg/routing"
+	"amaranthplank.example/amaranthplank/pkg/target"
+	"amaranthplank.example/amaranthplank/pkg/usage"
+)
+
+const (
+	// mirrorPause is the time between two reads of the store's changes.
+	mirrorPause = 500 * time.Millisecond
+	// mirrorWait bounds one such read.
+	mirrorWait = 1200 * time.Millisecond
+	// maxBodyBytes bounds a caller's body where the configuration does not.
+	maxBodyBytes = 8 << 20
+	// headerTimeout bounds how long a client of the other addresses takes to
+	// send its header.
+	headerTimeout = 2 * time.Second
+)
+
+// Gateway is one process of the system.
+type Gateway struct {
+	opts     Options
+	builtin  config.Knobs
+	registry *prometheus.Registry
+	targets  *registry.Registry
+	mirror   *mirror.Mirror
+	router   *routing.ByKind
+	relay    *relay.Relay
+	callers  *drain.Server
+}
+
+// New returns a gateway that is ready to run.
+func New(opts Options) *Gateway {
+	g := &Gateway{opts: opts, builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
+	g.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	g.targets = registry.New(opts.Entries)
+	g.mirror = mirror.New(mirror.Options{
+		Store: opts.Store, Pause: mirrorPause, Wait: mirrorWait, Log: opts.Log,
+	}, opts.Feed, g.targets)
+	g.router = routing.New(routing.Options{
+		View: g.targets, Domain: opts.FailureDomain, Now: time.Now, Random: newRandom(),
+		Knobs: func() *config.RoutingKnobs { return &g.knobs(config.Selector{}).Routing },
+	})
+	g.relay = relay.New(relay.Options{
+		Router: g.router, Client: target.NewClient(), Config: opts.Published, Protocol: opts.Protocol,
+		Log: opts.Log, Registerer: g.registry,
+	})
+	g.callers = drain.New(drain.Options{
+		Server: entry.NewServer(g.newHandler()), Listener: opts.Listener, Log: opts.Log,
+		BalancerDelay: opts.StopGrace * balancerShare / graceParts, LatestClose: opts.StopGrace * closeShare / graceParts,
+	})
+	return g
+}
+
+const (
+	// graceParts divides the time to stop; the balancer has looked away after
+	// balancerShare parts, and the listener closes after closeShare at the latest.
+	graceParts    = 16
+	balancerShare = 5
+	closeShare    = 10
+)
+
+// newHandler returns the callers' handler.
+func (g *Gateway) newHandler() http.Handler {
+	return entry.New(entry.Options{
+		Format: g.opts.Format, Config: g.opts.Published, Admission: admission.Unlimited{}, Relay: g.relay,
+		Recorder: noRecorder{}, Log: g.opts.Log, Registerer: g.registry, Ready: g.serving, MaxBodyBytes: maxBodyBytes,
+	})
+}
+
+// noRecorder counts nothing.
+type noRecorder struct{}
+
+// Record does nothing.
+func (noRecorder) Record(usage.Record) {}
+
+// newRandom returns a random source of its own seed.
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// knobs returns the values in force, or the built-in ones before the first
+// configuration.
+func (g *Gateway) knobs(selector config.Selector) *config.Knobs {
+	snapshot := g.opts.Published.Current()
+	if snapshot == nil {
+		return &g.builtin
+	}
+	return snapshot.Knobs(selector)
+}
+
+// errStarting is why a process that knows too little serves nobody.
+var errStarting = fault.New(fault.Unavailable, "the configuration and the targets were not read yet",
+	"send the request again after the time in Retry-After").After(time.Second)
+
+// serving tells whether requests may be served.
+func (g *Gateway) serving() error {
+	if g.opts.Published.Current() == nil || !g.targets.Loaded() {
+		return errStarting
+	}
+	return nil
+}
+
+// ready tells whether the balancer may send requests.
+func (g *Gateway) ready() error {
+	if err := g.callers.Ready(); err != nil {
+		return err
+	}
+	return g.serving()
+}
+
+// Stop asks for a planned stop and returns at once. Run returns when it is
+// complete.
+func (g *Gateway) Stop() { g.callers.Stop() }
+
+// Run serves until a planned stop is complete, or until ctx ends, which cuts
+// what is running. It returns the first failure of a part.
+func (g *Gateway) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run} {
+		group.Go(func() error { return run(ctx) })
+	}
+	group.Go(func() error { return serve(ctx, g.opts.ReadyHandler(g.ready), g.opts.ReadyListener) })
+	if g.opts.AdminListener != nil {
+		group.Go(func() error { return serve(ctx, operator.New(g.registry, g.ready), g.opts.AdminListener) })
+	}
+	group.Go(func() error {
+		defer cancel()
+		return g.callers.Run(ctx)
+	})
+	return group.Wait()
+}
+
+// serve takes connections until ctx ends.
+func serve(ctx context.Context, handler http.Handler, listener net.Listener) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	stopped := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stopped()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/gateway/options.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/entry"
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/mirror"
+	"amaranthplank.example/amaranthplank/pkg/registry"
+	"amaranthplank.example/amaranthplank/pkg/relay"
+)
+
+// Options are what a Gateway runs with.
+type Options struct {
+	Host          ident.Host
+	FailureDomain ident.FailureDomain
+	Log           *slog.Logger
+	// Listener takes callers' connections, ReadyListener the balancer's
+	// questions and AdminListener operators' connections, which may be nil.
+	Listener      net.Listener
+	ReadyListener net.Listener
+	AdminListener net.Listener
+	// ReadyHandler answers the balancer by what ready tells.
+	ReadyHandler func(ready func() error) http.Handler
+	Store        external.Store
+	// Published is the configuration, and Feed what brings it from the store.
+	Published *config.Published
+	Feed      mirror.Listener
+	// Entries reads the targets' entries.
+	Entries registry.Options
+	// Format is the callers', Protocol the targets'.
+	Format   entry.Format
+	Protocol relay.Protocol
+	// StopGrace is the time from the request to stop until the process is
+	// killed.
+	StopGrace time.Duration
+}
--- a/pkg/kvmove/mover.go
+++ b/pkg/kvmove/mover.go
@@ -7,9 +7,9 @@
 	"github.com/google/uuid"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/supply"
 	"amaranthplank.example/amaranthplank/pkg/target"
@@ -18,7 +18,7 @@
 // Sender sends orders to engines; target.Control implements it.
 type Sender interface {
 	// Send sends an order once.
-	Send(ctx context.Context, engine platform.TargetRecord, order target.Order) error
+	Send(ctx context.Context, engine external.TargetRecord, order target.Order) error
 }
 
 // Mover decides which streams must leave their engines and has them copied.
@@ -43,7 +43,7 @@
 // Copy orders the one engine to export an attempt's KV cache and the other to
 // import it. Both orders belong to the attempt and bear no fencing number: they
 // change nothing that another order could conflict with.
-func (m *Mover) Copy(ctx context.Context, attempt ident.Attempt, from, to *platform.TargetRecord) error {
+func (m *Mover) Copy(ctx context.Context, attempt ident.Attempt, from, to *external.TargetRecord) error {
 	export := target.Order{OrderID: uuid.NewString(), Kind: target.OrderExport, Attempt: attempt, Peer: to.Address}
 	if err := m.Sender.Send(ctx, *from, export); err != nil {
 		return err
--- a/pkg/lease/contest.go
+++ b/pkg/lease/contest.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // notFree marks a duty that was not seen free at the last look.
@@ -44,18 +44,18 @@
 }
 
 // look reads the duty, unless the process does not compete for it.
-func (c *contest) look(ctx context.Context) (Look, platform.Version, error) {
+func (c *contest) look(ctx context.Context) (Look, external.Version, error) {
 	m := c.manager
 	look := Look{Ready: m.ready(), Rank: m.place(c.duty), Held: m.Held(), Self: m.self}
 	if !m.terms.Competes(look.Ready, look.Rank) {
 		c.freeSince = notFree
-		return look, platform.NoVersion, nil
+		return look, external.NoVersion, nil
 	}
 	entry, err := m.read(ctx, c.duty)
 	if err != nil {
-		return look, platform.NoVersion, err
+		return look, external.NoVersion, err
 	}
-	look.Present = entry.Version != platform.NoVersion
+	look.Present = entry.Version != external.NoVersion
 	look.Lease = entry.Lease
 	if t := m.session.live(); t != nil {
 		look.OwnLease = t.id
@@ -71,7 +71,7 @@
 		c.freeSince = now
 	}
 	look.Free = now - c.freeSince
-	return look, platform.NoVersion, nil
+	return look, external.NoVersion, nil
 }
 
 // acquire tries to take the duty and holds it where that succeeds.
--- a/pkg/lease/decide.go
+++ b/pkg/lease/decide.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/duty"
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // Action is what a candidate does about a duty.
@@ -37,10 +37,10 @@
 	Present bool
 	// Holder is the key's writer and Lease what it is bound to.
 	Holder Writer
-	Lease  platform.LeaseID
+	Lease  external.LeaseID
 	// Self is this process and OwnLease its live lease, or NoLease.
 	Self     Writer
-	OwnLease platform.LeaseID
+	OwnLease external.LeaseID
 	// Free is how long the duty has been seen free, zero at the first look.
 	Free time.Duration
 }
@@ -56,7 +56,7 @@
 		return ActionIgnore
 	}
 	if look.Present {
-		if look.OwnLease != platform.NoLease && look.Lease == look.OwnLease && look.Holder.SameProcess(look.Self) {
+		if look.OwnLease != external.NoLease && look.Lease == look.OwnLease && look.Holder.SameProcess(look.Self) {
 			return ActionAdopt
 		}
 		return ActionWait
--- a/pkg/lease/hold.go
+++ b/pkg/lease/hold.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // ending tells why a hold ended.
@@ -24,7 +24,7 @@
 
 // hold runs the work under the authority until either ends. The duty is
 // released only after the work has returned.
-func (c *contest) hold(ctx context.Context, t *tenure, version platform.Version) {
+func (c *contest) hold(ctx context.Context, t *tenure, version external.Version) {
 	m := c.manager
 	g := &grant{duty: c.duty, fencing: ident.Fencing(version), tenure: t, over: make(chan struct{})}
 	m.held.Add(1)
@@ -97,7 +97,7 @@
 }
 
 // after releases the duty, or counts its loss.
-func (c *contest) after(ctx context.Context, end ending, version platform.Version) {
+func (c *contest) after(ctx context.Context, end ending, version external.Version) {
 	if end == endingLost {
 		c.manager.metrics.losses.Inc()
 		return
@@ -127,7 +127,7 @@
 	for ctx.Err() == nil {
 		c.sleep(ctx, m.terms.VerifyEvery)
 		entry, err := m.read(ctx, c.duty)
-		if err == nil && ctx.Err() == nil && entry.Version != platform.Version(g.fencing) {
+		if err == nil && ctx.Err() == nil && entry.Version != external.Version(g.fencing) {
 			g.end()
 			return
 		}
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/duty"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Manager competes for duties on behalf of one process.
@@ -89,12 +89,12 @@
 }
 
 // read returns a duty's entry, with a zero version where the duty is free.
-func (m *Manager) read(ctx context.Context, d ident.Duty) (platform.Entry, error) {
+func (m *Manager) read(ctx context.Context, d ident.Duty) (external.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.terms.CallTimeout)
 	defer cancel()
 	entry, err := m.opts.Store.Get(ctx, KeyOf(d))
 	if fault.KindOf(err) == fault.NotFound {
-		return platform.Entry{}, nil
+		return external.Entry{}, nil
 	}
 	return entry, err
 }
@@ -102,33 +102,33 @@
 // create writes the duty's key, which must be free, and returns its version.
 // Where the answer is lost, the key is read back; where that fails too, a later
 // look finds the key bound to this process's lease and adopts it.
-func (m *Manager) create(ctx context.Context, d ident.Duty, t *tenure) (platform.Version, error) {
+func (m *Manager) create(ctx context.Context, d ident.Duty, t *tenure) (external.Version, error) {
 	record := Record{Writer: m.nextWriter(), FailureDomain: m.opts.FailureDomain}
 	value, err := record.encode()
 	if err != nil {
-		return platform.NoVersion, err
+		return external.NoVersion, err
 	}
 	callCtx, cancel := context.WithTimeout(ctx, m.terms.CallTimeout)
 	defer cancel()
-	swap := platform.Swap{Key: KeyOf(d), Base: platform.NoVersion, Value: value, Lease: t.id}
+	swap := external.Swap{Key: KeyOf(d), Base: external.NoVersion, Value: value, Lease: t.id}
 	version, err := m.opts.Store.CompareAndSwap(callCtx, swap)
 	if fault.KindOf(err) != fault.Unknown || err == nil {
 		return version, err
 	}
 	entry, readErr := m.read(ctx, d)
 	if readErr != nil {
-		return platform.NoVersion, err
+		return external.NoVersion, err
 	}
 	found, decodeErr := decodeRecord(entry.Value)
 	if decodeErr != nil || found.Writer != record.Writer {
-		return platform.NoVersion, err
+		return external.NoVersion, err
 	}
 	return entry.Version, nil
 }
 
 // remove frees a duty's key if it still stands at the given version. The key's
 // lease frees it where this fails.
-func (m *Manager) remove(ctx context.Context, d ident.Duty, version platform.Version) {
+func (m *Manager) remove(ctx context.Context, d ident.Duty, version external.Version) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), m.terms.CallTimeout)
 	defer cancel()
 	if err := m.opts.Store.Delete(ctx, KeyOf(d), version); err != nil {
--- a/pkg/lease/options.go
+++ b/pkg/lease/options.go
@@ -7,9 +7,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Options are what a Manager runs with.
@@ -17,7 +17,7 @@
 	Host          ident.Host
 	Incarnation   ident.Incarnation
 	FailureDomain ident.FailureDomain
-	Store         platform.Store
+	Store         external.Store
 	// Clock runs through suspension: clock.Boot in production.
 	Clock clock.Clock
 	// Members gives the other candidates.
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -3,18 +3,18 @@
 import (
 	"encoding/json"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // KeyPrefix starts the keys of the duties.
-const KeyPrefix platform.Key = "duty/"
+const KeyPrefix external.Key = "duty/"
 
 // KeyOf returns the key that names a duty's holder. The key is bound to the
 // holder's lease, so it exists only while the duty is held. Its version is the
 // holder's fencing number: the store's versions of a key rise with every write
 // and go on rising after the key was deleted, so the number never falls.
-func KeyOf(duty ident.Duty) platform.Key { return KeyPrefix + platform.Key(duty) }
+func KeyOf(duty ident.Duty) external.Key { return KeyPrefix + external.Key(duty) }
 
 // Record is the value of a duty's key.
 type Record struct {
--- a/pkg/lease/session.go
+++ b/pkg/lease/session.go
@@ -5,14 +5,14 @@
 	"sync/atomic"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // session keeps the process's lease of the store. It exists only while the
 // process holds a duty, so that candidates cost the store no writes.
 type session struct {
-	store   platform.Store
+	store   external.Store
 	clock   clock.Clock
 	terms   Terms
 	metrics *metrics
@@ -37,7 +37,7 @@
 	select {
 	case s.opening <- struct{}{}:
 	case <-ctx.Done():
-		return nil, platform.ErrStoreUnavailable
+		return nil, external.ErrStoreUnavailable
 	}
 	defer func() { <-s.opening }()
 	if t := s.current.Load(); t != nil {
@@ -47,7 +47,7 @@
 			return t, nil
 		}
 		if left > 0 {
-			return nil, platform.ErrStoreUnavailable
+			return nil, external.ErrStoreUnavailable
 		}
 		s.drop(ctx, t)
 	}
--- a/pkg/lease/tenure.go
+++ b/pkg/lease/tenure.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // tenure is one lease of the store, from its grant to its end. All duties of
 // the process are bound to the same one. Once ended it never lives again.
 type tenure struct {
-	id    platform.LeaseID
+	id    external.LeaseID
 	clock clock.Clock
 
 	// deadline is when the tenure ends unless it is renewed, on clock. It
@@ -28,7 +28,7 @@
 }
 
 // newTenure returns a tenure that lives until the deadline.
-func newTenure(id platform.LeaseID, clk clock.Clock, deadline, nextRenewal time.Duration) *tenure {
+func newTenure(id external.LeaseID, clk clock.Clock, deadline, nextRenewal time.Duration) *tenure {
 	t := &tenure{id: id, clock: clk, ended: make(chan struct{}), nextRenewal: nextRenewal}
 	t.deadline.Store(int64(deadline))
 	return t
--- a/pkg/membership/loop.go
+++ b/pkg/membership/loop.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/peer"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // tick advances the table and sends what it has to say.
@@ -47,7 +47,7 @@
 }
 
 // takeHosts replaces the seeds by a fresh list; an empty one changes nothing.
-func (m *Manager) takeHosts(hosts []platform.HostRecord) {
+func (m *Manager) takeHosts(hosts []external.HostRecord) {
 	if len(hosts) == 0 {
 		return
 	}
--- a/pkg/membership/manager.go
+++ b/pkg/membership/manager.go
@@ -7,9 +7,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/peer"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Manager runs the membership over links. It implements View.
@@ -19,7 +19,7 @@
 	inbox   chan event
 	// table and seeds belong to the goroutine of Run.
 	table   *Table
-	seeds   map[ident.Host]platform.HostRecord
+	seeds   map[ident.Host]external.HostRecord
 	members atomic.Pointer[[]Member]
 	self    atomic.Pointer[Record]
 }
@@ -35,7 +35,7 @@
 	// ended is a host whose link has ended.
 	ended ident.Host
 	// hosts is a fresh host list.
-	hosts []platform.HostRecord
+	hosts []external.HostRecord
 	// leave is closed once the leave was sent.
 	leave chan struct{}
 }
@@ -45,7 +45,7 @@
 	opts.fill()
 	m := &Manager{
 		opts: opts, metrics: newMetrics(opts.Registerer), inbox: make(chan event, inboxLimit),
-		table: NewTable(opts.Self, opts.Timing, opts.Random), seeds: make(map[ident.Host]platform.HostRecord),
+		table: NewTable(opts.Self, opts.Timing, opts.Random), seeds: make(map[ident.Host]external.HostRecord),
 	}
 	m.takeHosts(opts.Seeds)
 	m.publish()
--- a/pkg/membership/options.go
+++ b/pkg/membership/options.go
@@ -7,9 +7,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/peer"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Links is what a Manager needs of the links; peer.Manager implements it.
@@ -28,8 +28,8 @@
 	Links Links
 	// Seeds are hosts known from the settings; Hosts is the platform's list,
 	// or nil.
-	Seeds []platform.HostRecord
-	Hosts platform.HostList
+	Seeds []external.HostRecord
+	Hosts external.HostList
 	// Loaded returns the control state that the daemon has loaded.
 	Loaded func() (revision, holds ident.Revision)
 	// Neighbours chooses the hosts to keep links to, or is nil for the ring of
--- /dev/null
+++ b/pkg/mirror/options.go
@@ -0,0 +1,26 @@
+package mirror
+
+import (
+	"log/slog"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/external"
+)
+
+// Options are what a Mirror works with.
+type Options struct {
+	Store external.Store
+	// Prefix is what is followed.
+	Prefix external.Key
+	// Pause is the time between two calls, which gathers changes.
+	Pause time.Duration
+	// Wait bounds one call. A connection that went silent costs as much.
+	Wait time.Duration
+	Log  *slog.Logger
+}
+
+const (
+	// firstRetry and longestRetry bound the pauses after failed calls.
+	firstRetry   = 100 * time.Millisecond
+	longestRetry = 800 * time.Millisecond
+)
--- a/pkg/operator/control.go
+++ b/pkg/operator/control.go
@@ -9,11 +9,11 @@
 	"github.com/go-kit/kit/endpoint"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/orders"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/usage"
 )
 
@@ -113,7 +113,7 @@
 
 // maxApplyBytes bounds the body of an apply call: a text of the store's largest
 // value, with room for its escapes in JSON.
-const maxApplyBytes = 4 * platform.MaxValueBytes
+const maxApplyBytes = 4 * external.MaxValueBytes
 
 // decodeApply reads an apply call.
 func decodeApply(_ context.Context, r *http.Request) (any, error) {
--- a/pkg/orders/engineclient.go
+++ b/pkg/orders/engineclient.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
@@ -13,7 +13,7 @@
 	// Send sends an order once and never repeats it by itself. It fails with
 	// kind Unknown where the order may have arrived; any other failure says
 	// that it did not and will not.
-	Send(ctx context.Context, engine platform.TargetRecord, order target.Order) error
+	Send(ctx context.Context, engine external.TargetRecord, order target.Order) error
 	// Report returns the engine's own report of itself.
-	Report(ctx context.Context, engine platform.TargetRecord) (fleet.LoadReport, error)
+	Report(ctx context.Context, engine external.TargetRecord) (fleet.LoadReport, error)
 }
--- a/pkg/orders/engineoptions.go
+++ b/pkg/orders/engineoptions.go
@@ -6,9 +6,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // EngineOptions are what an EngineManager runs with.
@@ -20,10 +20,10 @@
 	NewPlanner func(model ident.Model) EnginePlanner
 	View       fleet.View
 	Client     EngineClient
-	Store      platform.Store
+	Store      external.Store
 	Holds      HoldAcceptance
 	Fates      ProcessFate
-	Weights    platform.WeightStore
+	Weights    external.WeightStore
 	// Clock runs through suspension.
 	Clock clock.Clock
 	// NewID returns an id that no other order has.
--- a/pkg/orders/entrykey.go
+++ b/pkg/orders/entrykey.go
@@ -1,17 +1,17 @@
 package orders
 
 import (
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // KeyPrefix starts the keys of the journal.
-const KeyPrefix platform.Key = "orders/"
+const KeyPrefix external.Key = "orders/"
 
 // prefixOf starts the journal keys of one duty.
-func prefixOf(duty ident.Duty) platform.Key { return KeyPrefix + platform.Key(duty) + "/" }
+func prefixOf(duty ident.Duty) external.Key { return KeyPrefix + external.Key(duty) + "/" }
 
 // keyOf returns the journal key of one target.
-func keyOf(duty ident.Duty, target ident.Target) platform.Key {
-	return prefixOf(duty) + platform.Key(target)
+func keyOf(duty ident.Duty, target ident.Target) external.Key {
+	return prefixOf(duty) + external.Key(target)
 }
--- a/pkg/orders/execution.go
+++ b/pkg/orders/execution.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/lease"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // execution carries one target's order out under one authority. It belongs to
@@ -102,7 +102,7 @@
 }
 
 // take takes one step that has an effect.
-func (e *execution) take(ctx context.Context, engine platform.TargetRecord, decision Decision) error {
+func (e *execution) take(ctx context.Context, engine external.TargetRecord, decision Decision) error {
 	record := e.record
 	record.WrittenAt = time.Now()
 	switch decision.Step {
@@ -138,7 +138,7 @@
 }
 
 // send sends the order once, unless the authority has ended.
-func (e *execution) send(ctx context.Context, engine platform.TargetRecord) error {
+func (e *execution) send(ctx context.Context, engine external.TargetRecord) error {
 	order := e.record.Order
 	order.Fencing = orderNumber(e.record)
 	// A planned stop waits for the answer, so that the outcome is recorded.
--- a/pkg/orders/gate.go
+++ b/pkg/orders/gate.go
@@ -1,14 +1,14 @@
 package orders
 
 import (
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
 // gate says whether an order may begin beside those that are open. At most one
 // order that takes an engine away is open in each failure domain of a model,
 // also where it is an earlier holder's.
-func gate(open []Record, engine platform.TargetRecord, kind target.OrderKind) bool {
+func gate(open []Record, engine external.TargetRecord, kind target.OrderKind) bool {
 	if !NeedsQuiet(kind) {
 		return true
 	}
@@ -21,7 +21,7 @@
 }
 
 // newRecord returns the journal's next entry for a target, after its last one.
-func newRecord(last Record, engine platform.TargetRecord, order target.Order, id string) Record {
+func newRecord(last Record, engine external.TargetRecord, order target.Order, id string) Record {
 	order.OrderID, order.Fencing = id, 0
 	return Record{
 		Target: engine.Target, Number: last.Number + 1, Order: order, Phase: PhaseWanted,
--- a/pkg/orders/holdkeeper.go
+++ b/pkg/orders/holdkeeper.go
@@ -7,9 +7,9 @@
 	"sync"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // holdKeeper places and releases the holds of one duty.
@@ -20,7 +20,7 @@
 	mu sync.Mutex
 	// holds is the newest list that was read or written, at revision.
 	holds    config.Holds
-	revision platform.Version
+	revision external.Version
 }
 
 // load reads the holds that stand in the store.
@@ -30,7 +30,7 @@
 		return err
 	}
 	var holds config.Holds
-	if entry.Version != platform.NoVersion {
+	if entry.Version != external.NoVersion {
 		if err := json.Unmarshal(entry.Value, &holds); err != nil {
 			return err
 		}
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	swap := platform.Swap{Key: config.HoldsKey, Base: base, Value: value}
+	swap := external.Swap{Key: config.HoldsKey, Base: base, Value: value}
 	// Equal values mean the same holds, whoever wrote them.
 	version, err := k.scribe.write(ctx, k.authority, swap, func(found []byte) bool { return string(found) == string(value) })
 	if err != nil {
@@ -107,14 +107,14 @@
 }
 
 // present returns the newest list and its revision.
-func (k *holdKeeper) present() (config.Holds, platform.Version) {
+func (k *holdKeeper) present() (config.Holds, external.Version) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.holds, k.revision
 }
 
 // keep takes a newer list in.
-func (k *holdKeeper) keep(holds config.Holds, revision platform.Version) {
+func (k *holdKeeper) keep(holds config.Holds, revision external.Version) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if revision >= k.revision {
--- a/pkg/orders/journal.go
+++ b/pkg/orders/journal.go
@@ -4,10 +4,10 @@
 	"context"
 	"encoding/json"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // journal keeps the records of one duty under one authority.
@@ -40,7 +40,7 @@
 // reload returns one record as it stands in the store now.
 func (j *journal) reload(ctx context.Context, name ident.Target) (Record, error) {
 	entry, err := j.scribe.read(ctx, keyOf(j.authority.Duty(), name))
-	if err != nil || entry.Version == platform.NoVersion {
+	if err != nil || entry.Version == external.NoVersion {
 		return Record{Target: name, Phase: PhaseAbandoned}, err
 	}
 	return decode(entry)
@@ -75,7 +75,7 @@
 		return false
 	}
 	found, err := decode(entry)
-	if entry.Version == platform.NoVersion || err != nil {
+	if entry.Version == external.NoVersion || err != nil {
 		return true
 	}
 	if found.Sender != record.Sender || found.Phase != PhaseSent {
@@ -94,7 +94,7 @@
 	if err != nil {
 		return record, err
 	}
-	swap := platform.Swap{Key: keyOf(record.Duty, record.Target), Base: record.version, Value: value}
+	swap := external.Swap{Key: keyOf(record.Duty, record.Target), Base: record.version, Value: value}
 	version, err := j.scribe.write(ctx, j.authority, swap, func(found []byte) bool {
 		var other Record
 		return json.Unmarshal(found, &other) == nil && other.Writer == record.Writer
@@ -107,7 +107,7 @@
 }
 
 // decode reads a record from its entry.
-func decode(entry platform.Entry) (Record, error) {
+func decode(entry external.Entry) (Record, error) {
 	var record Record
 	err := json.Unmarshal(entry.Value, &record)
 	record.version = entry.Version
--- a/pkg/orders/observe.go
+++ b/pkg/orders/observe.go
@@ -3,19 +3,19 @@
 import (
 	"context"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
 // observe looks at the order and its target once.
-func (e *execution) observe(ctx context.Context) (platform.TargetRecord, Observation) {
+func (e *execution) observe(ctx context.Context) (external.TargetRecord, Observation) {
 	var seen Observation
 	state := e.opts.View.Snapshot().Target(e.record.Target)
 	if state == nil {
 		seen.Hold, seen.Send = e.holdState(), e.sendState()
-		return platform.TargetRecord{Target: e.record.Target}, seen
+		return external.TargetRecord{Target: e.record.Target}, seen
 	}
 	seen.Listed, seen.Leaving, seen.Checks = true, state.Record.Leaving, state.Record.ChecksFencing
 	seen.Superseded = e.record.Phase == PhaseWanted && e.superseded(e.record)
@@ -34,7 +34,7 @@
 }
 
 // look fetches the target's own report where the next step may turn on it.
-func (e *execution) look(ctx context.Context, engine platform.TargetRecord) {
+func (e *execution) look(ctx context.Context, engine external.TargetRecord) {
 	e.last = nil
 	e.noteEnd()
 	if e.record.Phase == PhaseWanted && !NeedsQuiet(e.record.Order.Kind) {
--- a/pkg/orders/planner.go
+++ b/pkg/orders/planner.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // EnginePlanner decides which orders engines should get. It is a pure function
@@ -18,5 +18,5 @@
 type SupplyPlanner interface {
 	// PlanSupply returns the whole wanted counts. The executor sets the
 	// orders' ids and fencing numbers.
-	PlanSupply(snapshot *fleet.Snapshot, now time.Time) []platform.TargetOrder
+	PlanSupply(snapshot *fleet.Snapshot, now time.Time) []external.TargetOrder
 }
--- a/pkg/orders/readjournal.go
+++ b/pkg/orders/readjournal.go
@@ -4,13 +4,13 @@
 	"context"
 
 	"amaranthplank.example/amaranthplank/pkg/duty"
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // ReadJournal returns the orders to engines as the journal has them, by key.
 // Any process may call it; only the holder knows what holds an order back.
-func ReadJournal(ctx context.Context, store platform.Store) ([]OrderStatus, error) {
-	entries, err := store.List(ctx, KeyPrefix+platform.Key(duty.Engines("")))
+func ReadJournal(ctx context.Context, store external.Store) ([]OrderStatus, error) {
+	entries, err := store.List(ctx, KeyPrefix+external.Key(duty.Engines("")))
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/orders/record.go
+++ b/pkg/orders/record.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
@@ -38,7 +38,7 @@
 	// WrittenAt is for operators to read.
 	WrittenAt time.Time `json:"writtenAt"`
 	// version is the entry's version in the store.
-	version platform.Version
+	version external.Version
 }
 
 // NeedsQuiet reports whether an order of this kind takes the engine away, so
--- a/pkg/orders/supplyjournal.go
+++ b/pkg/orders/supplyjournal.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/lease"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // supplyJournal keeps the records of target orders under one authority.
@@ -46,7 +46,7 @@
 		return record, err
 	}
 	key := groupOf(record.Order).key(record.Duty)
-	swap := platform.Swap{Key: key, Base: record.version, Value: value}
+	swap := external.Swap{Key: key, Base: record.version, Value: value}
 	version, err := j.scribe.write(ctx, j.authority, swap, func(found []byte) bool {
 		var other SupplyRecord
 		return json.Unmarshal(found, &other) == nil && other.Writer == record.Writer
--- a/pkg/orders/supplynext.go
+++ b/pkg/orders/supplynext.go
@@ -1,8 +1,8 @@
 package orders
 
 import (
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // SupplyStep is what to do next about a group.
@@ -24,7 +24,7 @@
 // SupplyNext returns what to do about a group: the journalled order is settled
 // under this holder's number before another one is begun. wanted is nil where
 // the planner says nothing of the group.
-func SupplyNext(record SupplyRecord, wanted *platform.TargetOrder, fencing ident.Fencing) SupplyStep {
+func SupplyNext(record SupplyRecord, wanted *external.TargetOrder, fencing ident.Fencing) SupplyStep {
 	known := record.Order.OrderID != ""
 	switch {
 	case known && record.Order.Fencing != fencing:
--- a/pkg/orders/supplyoptions.go
+++ b/pkg/orders/supplyoptions.go
@@ -3,9 +3,9 @@
 import (
 	"log/slog"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // SupplyOptions are what a SupplyManager runs with.
@@ -15,8 +15,8 @@
 	// NewPlanner returns a planner for one hold of the duty.
 	NewPlanner func() SupplyPlanner
 	View       fleet.View
-	Platform   platform.TargetOrderer
-	Store      platform.Store
+	Platform   external.TargetOrderer
+	Store      external.Store
 	// NewID returns an id that no other order has.
 	NewID func() string
 	Terms Terms
--- a/pkg/orders/supplyrecord.go
+++ b/pkg/orders/supplyrecord.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // SupplyRecord is the journal's entry for one group: its newest order to the
@@ -13,11 +13,11 @@
 // the same id, and no other is begun.
 type SupplyRecord struct {
 	// Order bears the fencing number of the holder that wrote last.
-	Order platform.TargetOrder `json:"order"`
+	Order external.TargetOrder `json:"order"`
 	// Open is set until the platform has answered.
 	Open      bool         `json:"open"`
 	Duty      ident.Duty   `json:"duty"`
 	Writer    lease.Writer `json:"writer"`
 	WrittenAt time.Time    `json:"writtenAt"`
-	version   platform.Version
+	version   external.Version
 }
--- a/pkg/orders/supplyshard.go
+++ b/pkg/orders/supplyshard.go
@@ -6,9 +6,9 @@
 
 	"golang.org/x/time/rate"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/lease"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // supplyShard is the work of the supply duty under one authority. It belongs to
@@ -71,7 +71,7 @@
 // round goes through all groups once.
 func (s *supplyShard) round(ctx context.Context) {
 	plan := s.planner.PlanSupply(s.manager.opts.View.Snapshot(), time.Now())
-	wanted := make(map[SupplyGroup]*platform.TargetOrder, len(plan))
+	wanted := make(map[SupplyGroup]*external.TargetOrder, len(plan))
 	for i := range plan {
 		wanted[groupOf(plan[i])] = &plan[i]
 	}
@@ -91,7 +91,7 @@
 }
 
 // settle takes a group's steps until it has nothing more to do or one fails.
-func (s *supplyShard) settle(ctx context.Context, group SupplyGroup, wanted *platform.TargetOrder) error {
+func (s *supplyShard) settle(ctx context.Context, group SupplyGroup, wanted *external.TargetOrder) error {
 	for {
 		if err := ctx.Err(); err != nil {
 			return err
@@ -152,7 +152,7 @@
 	if err != nil {
 		return
 	}
-	standing := make(map[SupplyGroup]platform.TargetOrder, len(list))
+	standing := make(map[SupplyGroup]external.TargetOrder, len(list))
 	for _, order := range list {
 		standing[groupOf(order)] = order
 	}
--- a/pkg/orders/supplystatus.go
+++ b/pkg/orders/supplystatus.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // SupplyStatus is one target order as operators see it.
 type SupplyStatus struct {
-	Order  platform.TargetOrder `json:"order"`
+	Order  external.TargetOrder `json:"order"`
 	Holder ident.Host           `json:"holder"`
 	Open   bool                 `json:"open"`
 	// Why says what holds an open order back.
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
@@ -20,6 +21,10 @@
 	id      ident.Attempt
 	target  ident.Target
 	address string
+	// record is the target as it was chosen.
+	record external.TargetRecord
+	// source is the KV cache that the answer goes on from, or empty.
+	source Source
 	// phase only rises.
 	phase retry.Phase
 	// last is the id of the last event that was taken.
@@ -48,7 +53,7 @@
 func newAttempt(c *call, state *fleet.TargetState) *attempt {
 	return &attempt{
 		call: c, id: ident.Attempt(uuid.NewString()), target: state.Record.Target,
-		address: state.Record.Address, pause: newPause(),
+		address: state.Record.Address, record: state.Record, pause: newPause(), last: c.last,
 	}
 }
 
@@ -78,8 +83,7 @@
 			continue
 		}
 		failure := failureOf(err)
-		decision := a.call.run.Failed(a.phase, failure, time.Now())
-		a.call.relay.metrics.failed(a.phase, failure, decision)
+		decision := a.call.failed(a, failure)
 		if decision != retry.Resume {
 			a.abandon(failure)
 			return decision, err
@@ -118,7 +122,7 @@
 
 // abandon has the engine told that nobody waits for the attempt any more.
 func (a *attempt) abandon(failure retry.Failure) {
-	if a.call.req.Model == "" || a.phase == retry.Unsent || failure == retry.Refused {
+	if a.call.relay.protocol.Keeper() == nil || a.call.req.Model == "" || a.phase == retry.Unsent || failure == retry.Refused {
 		return
 	}
 	a.call.relay.canceller.cancel(a.address, a.id)
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -30,19 +30,44 @@
 	knobs  *config.RetryKnobs
 	run    *retry.Run
 	// failed are the targets that attempts failed on.
-	failed []ident.Target
+	failedAt []ident.Target
+	// last is the last event that the caller has of the stream.
+	last   uint64
 	result Result
 }
 
 // newCall returns a call before its first attempt.
 func newCall(r *Relay, req *request.Request, w http.ResponseWriter) *call {
 	knobs := r.knobs(req)
-	allowed := retry.Allowed{Idempotent: req.Idempotent, Resumable: req.Stream && req.Model != ""}
+	allowed := retry.Allowed{
+		Idempotent: req.Idempotent || req.Resumable, Continuable: req.Resumable,
+		Resumable: r.protocol.Keeper() != nil && req.Stream && req.Model != "",
+	}
 	limits := retry.Limits{
-		MaxAttempts: int(knobs.MaxAttempts), MaxResumes: maxResumes, Deadline: req.Deadline, LeastTime: leastTime,
+		MaxAttempts: attemptsOf(req, knobs), MaxResumes: maxResumes, Deadline: req.Deadline, LeastTime: leastTime,
 	}
 	budget := r.budgets.Of(req.Route, knobs.BudgetRatio, knobs.BudgetBurst)
-	return &call{relay: r, req: req, writer: w, knobs: knobs, run: retry.NewRun(allowed, limits, budget)}
+	return &call{relay: r, req: req, writer: w, knobs: knobs, run: retry.NewRun(allowed, limits, budget), last: req.After}
+}
+
+// attemptsOf returns how many targets a request may be sent to.
+func attemptsOf(req *request.Request, knobs *config.RetryKnobs) int {
+	if req.MaxAttempts > 0 {
+		return int(req.MaxAttempts)
+	}
+	return int(knobs.MaxAttempts)
+}
+
+// failed returns what follows an attempt's failure. Once the caller has a part
+// of the answer, no later attempt is judged as if it had none.
+func (c *call) failed(a *attempt, failure retry.Failure) retry.Decision {
+	phase := a.phase
+	if c.result.Started {
+		phase = retry.Streaming
+	}
+	decision := c.run.Failed(phase, failure, time.Now())
+	c.relay.metrics.failed(phase, failure, decision)
+	return decision
 }
 
 // do makes attempts until one is answered or none may follow.
@@ -70,7 +95,7 @@
 		if decision != retry.Again {
 			return c.finish(a, decision, err)
 		}
-		c.failed = append(c.failed, a.target)
+		c.failedAt = append(c.failedAt, a.target)
 	}
 }
 
@@ -99,8 +124,8 @@
 		state, err := c.choose()
 		return routing.Placement{Target: state}, err
 	}
-	placement, err := placer.Place(c.req, c.failed)
-	if err != nil && len(c.failed) > 0 {
+	placement, err := placer.Place(c.req, c.failedAt)
+	if err != nil && len(c.failedAt) > 0 {
 		return placer.Place(c.req, nil)
 	}
 	return placement, err
@@ -109,8 +134,8 @@
 // choose returns a target that no attempt failed on, or, where there is none
 // other, any.
 func (c *call) choose() (*fleet.TargetState, error) {
-	state, err := c.relay.opts.Router.Choose(c.req, c.failed)
-	if err != nil && len(c.failed) > 0 {
+	state, err := c.relay.opts.Router.Choose(c.req, c.failedAt)
+	if err != nil && len(c.failedAt) > 0 {
 		return c.relay.opts.Router.Choose(c.req, nil)
 	}
 	return state, err
--- a/pkg/relay/canceller.go
+++ b/pkg/relay/canceller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -23,10 +22,10 @@
 
 // canceller tells engines of attempts that nobody waits for.
 type canceller struct {
-	client     *target.Client
-	credential string
-	metrics    *metrics
-	queue      chan cancelled
+	client  *target.Client
+	keeper  Keeper
+	metrics *metrics
+	queue   chan cancelled
 }
 
 // cancelled is one attempt that nobody waits for.
@@ -36,8 +35,8 @@
 }
 
 // newCanceller returns a canceller with an empty queue.
-func newCanceller(opts Options, m *metrics) *canceller {
-	return &canceller{client: opts.Client, credential: opts.Credential, metrics: m, queue: make(chan cancelled, cancelQueue)}
+func newCanceller(opts Options, keeper Keeper, m *metrics) *canceller {
+	return &canceller{client: opts.Client, keeper: keeper, metrics: m, queue: make(chan cancelled, cancelQueue)}
 }
 
 // cancel queues one attempt.
@@ -71,15 +70,11 @@
 func (c *canceller) send(ctx context.Context, next cancelled) {
 	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
 	defer stop()
-	url := "http://" + next.address + target.PathStreams + string(next.attempt)
-	outgoing, err := http.NewRequestWithContext(ctx, http.MethodDelete, url, nil)
+	outgoing, err := c.keeper.Cancel(ctx, next.address, next.attempt)
 	if err != nil {
+		c.metrics.cancels.WithLabelValues("failed").Inc()
 		return
 	}
-	outgoing.Header.Set(target.HeaderAttempt, string(next.attempt))
-	if c.credential != "" {
-		outgoing.Header.Set(target.HeaderCredential, c.credential)
-	}
 	response, _, err := c.client.Do(outgoing, target.ReuseNone)
 	if err != nil {
 		c.metrics.cancels.WithLabelValues("failed").Inc()
--- a/pkg/relay/errors.go
+++ b/pkg/relay/errors.go
@@ -18,6 +18,7 @@
 	retry.Silence:        "the target brought nothing for too long",
 	retry.Mismatch:       "the target's answer does not belong to the request",
 	retry.Refused:        "no target takes the request at present",
+	retry.Rejected:       "no target takes the request at present",
 	retry.StreamGone:     "the target lost the answer before it was whole",
 	retry.TooLarge:       "the target's answer exceeds its bound",
 	retry.DeadlinePassed: "the request's deadline passed",
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -2,31 +2,24 @@
 
 import (
 	"context"
-	"mime"
+	"io"
 	"net/http"
-	"strconv"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/retry"
+	"amaranthplank.example/amaranthplank/pkg/routing"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
-const (
-	// eventStream is the content type of streams.
-	eventStream = "text/event-stream"
-	// agent is what the system calls itself towards targets.
-	agent = "amaranthplank"
-)
-
-// forwarded lists the callers' headers that targets get. Whatever is not in the
-// list stays here, the caller's key with it.
-var forwarded = []string{"Accept", "Accept-Language", "Content-Type", "Idempotency-Key", "If-Match", "If-None-Match"}
+// rejectionBytes bounds what is read of a rejection's body.
+const rejectionBytes = 4 << 10
 
 // first sends the request.
 func (a *attempt) first(ctx context.Context) error {
 	w := a.watch(ctx)
 	defer w.stop()
-	outgoing, err := a.request(w.ctx)
+	outgoing, err := a.call.relay.protocol.Request(w.ctx, a.send())
 	if err != nil {
 		return &exchangeError{failure: retry.ConnectFailed, cause: err}
 	}
@@ -45,23 +38,29 @@
 	return a.take(w, response, trace)
 }
 
+// send returns what the protocol words.
+func (a *attempt) send() *Send {
+	return &Send{
+		Request: a.call.req, Attempt: a.id, Target: a.record, After: a.last,
+		Left: time.Until(a.call.req.Deadline), Source: a.source,
+	}
+}
+
 // resume asks for the rest of the stream on a new connection.
 func (a *attempt) resume(ctx context.Context) error {
 	w := a.watch(ctx)
 	defer w.stop()
-	url := "http://" + a.address + target.PathStreams + string(a.id)
-	outgoing, err := http.NewRequestWithContext(w.ctx, http.MethodGet, url, nil)
+	keeper := a.call.relay.protocol.Keeper()
+	outgoing, err := keeper.Resume(w.ctx, a.send())
 	if err != nil {
 		return &exchangeError{failure: retry.ConnectFailed, cause: err}
 	}
-	a.setOwn(outgoing.Header)
-	outgoing.Header.Set(target.HeaderAfter, strconv.FormatUint(a.last, 10))
 	response, trace, err := a.call.relay.opts.Client.Do(outgoing, target.ReuseNone)
 	if err != nil {
 		trace.Poison()
 		return a.call.classify(w.ctx, err)
 	}
-	if response.StatusCode == http.StatusNotFound || response.StatusCode == http.StatusGone {
+	if keeper.Lost(response) {
 		return discard(response, trace, retry.StreamGone, errStreamGone)
 	}
 	return a.take(w, response, trace)
@@ -69,18 +68,24 @@
 
 // take checks whose answer it is and carries it to the caller.
 func (a *attempt) take(w *watch, response *http.Response, trace *target.Trace) error {
-	if response.Header.Get(target.HeaderAttempt) != string(a.id) {
+	protocol, send := a.call.relay.protocol, a.send()
+	verdict := protocol.Judge(send, response)
+	if verdict == VerdictForeign {
 		return discard(response, trace, retry.Mismatch, errWrongAttempt)
 	}
+	if load, ok := protocol.Load(response); ok {
+		a.tellLoad(load)
+	}
 	var err error
-	kind, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	switch {
-	case a.call.req.Stream && response.StatusCode == http.StatusOK && kind == eventStream:
-		err = a.stream(w, response)
-	case a.quiet > 0 || a.last > 0:
+	case verdict == VerdictRejected:
+		return a.rejected(response)
+	case verdict == VerdictEvents:
+		err = a.stream(w, response, protocol.Events(send, response))
+	case a.quiet > 0 || a.call.result.Started:
 		return discard(response, trace, retry.Mismatch, errWrongEvent)
 	default:
-		err = a.whole(w, response)
+		err = a.whole(w, response, verdict)
 	}
 	_ = response.Body.Close()
 	if err != nil && failureOf(err) != retry.Refused {
@@ -89,38 +94,26 @@
 	return err
 }
 
+// tellLoad has a router that learns know a target's load.
+func (a *attempt) tellLoad(load fleet.LoadReport) {
+	if observer, ok := a.call.relay.opts.Router.(routing.LoadObserver); ok {
+		observer.Load(a.call.req, a.target, load)
+	}
+}
+
+// rejected ends an exchange whose target states that it did not run the
+// request. The connection stays in use.
+func (a *attempt) rejected(response *http.Response) error {
+	// What is left of so short a body is of no interest; reading it keeps the
+	// connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, rejectionBytes))
+	_ = response.Body.Close()
+	return &exchangeError{failure: retry.Rejected, cause: errRejected}
+}
+
 // discard ends the use of an answer's connection.
 func discard(response *http.Response, trace *target.Trace, failure retry.Failure, cause error) error {
 	trace.Poison()
 	_ = response.Body.Close()
 	return &exchangeError{failure: failure, cause: cause}
 }
-
-// request returns what goes to the target.
-func (a *attempt) request(ctx context.Context) (*http.Request, error) {
-	req := a.call.req
-	outgoing, err := http.NewRequestWithContext(ctx, req.Method, "http://"+a.address+req.Path, target.NewBody(req.Body))
-	if err != nil {
-		return nil, err
-	}
-	outgoing.ContentLength = int64(len(req.Body))
-	for _, name := range forwarded {
-		if value := req.Header.Get(name); value != "" {
-			outgoing.Header.Set(name, value)
-		}
-	}
-	a.setOwn(outgoing.Header)
-	return outgoing, nil
-}
-
-// setOwn sets the system's own headers.
-func (a *attempt) setOwn(header http.Header) {
-	left := time.Until(a.call.req.Deadline).Milliseconds()
-	header.Set("User-Agent", agent)
-	header.Set(target.HeaderAttempt, string(a.id))
-	header.Set(target.HeaderPriority, string(a.call.req.Class))
-	header.Set(target.HeaderDeadline, strconv.FormatInt(max(left, 1), 10))
-	if credential := a.call.relay.opts.Credential; credential != "" {
-		header.Set(target.HeaderCredential, credential)
-	}
-}
--- a/pkg/relay/failure.go
+++ b/pkg/relay/failure.go
@@ -33,6 +33,8 @@
 	errNoLength = errors.New("the answer states no length")
 	// errRefused says that the target takes no work.
 	errRefused = errors.New("the target takes no work at present")
+	// errRejected says that the target did not run the request.
+	errRejected = errors.New("the target states that it did not run the request")
 	// errStreamGone says that the target does not know the stream.
 	errStreamGone = errors.New("the target does not hold the stream")
 	// errTooLarge says that an answer exceeds its bound.
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -74,7 +74,7 @@
 // launchSecond makes the second attempt at another target and returns how many
 // it launched.
 func (c *call) launchSecond(ctx context.Context, first *fleet.TargetState, win func() bool, ends chan<- hedgeEnd) int {
-	second, err := c.relay.opts.Router.Choose(c.req, append(c.failed, first.Record.Target))
+	second, err := c.relay.opts.Router.Choose(c.req, append(c.failedAt, first.Record.Target))
 	if err != nil {
 		return 0
 	}
@@ -93,7 +93,7 @@
 	if end.err == nil {
 		return retry.HandOn, true
 	}
-	c.failed = append(c.failed, end.attempt.target)
+	c.failedAt = append(c.failedAt, end.attempt.target)
 	failure := failureOf(end.err)
 	decision := c.run.Failed(end.attempt.phase, failure, time.Now())
 	c.relay.metrics.failed(end.attempt.phase, failure, decision)
--- a/pkg/relay/move.go
+++ b/pkg/relay/move.go
@@ -6,9 +6,9 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/retry"
 )
 
@@ -19,7 +19,7 @@
 	Due(engine ident.Target, model ident.Model, end, now time.Time) bool
 	// Copy has the KV cache of an attempt copied from one engine to another,
 	// where the stream then goes on. The first engine keeps its own.
-	Copy(ctx context.Context, attempt ident.Attempt, from, to *platform.TargetRecord) error
+	Copy(ctx context.Context, attempt ident.Attempt, from, to *external.TargetRecord) error
 }
 
 const (
@@ -78,7 +78,7 @@
 	}
 	a.abandon(retry.Silence)
 	router.Done(a.call.req, a.target)
-	a.target, a.address = state.Record.Target, state.Record.Address
+	a.target, a.address, a.record = state.Record.Target, state.Record.Address, state.Record
 	a.call.relay.metrics.moves.Inc()
 }
 
@@ -89,12 +89,12 @@
 		a.decode = nil
 		return state, nil
 	}
-	failed := a.call.failed[:len(a.call.failed):len(a.call.failed)]
+	failed := a.call.failedAt[:len(a.call.failedAt):len(a.call.failedAt)]
 	return a.call.relay.opts.Router.Choose(a.call.req, append(failed, a.target))
 }
 
 // copyTo has the KV cache copied to another engine.
 func (a *attempt) copyTo(ctx context.Context, state *fleet.TargetState) error {
-	from := &platform.TargetRecord{Target: a.target, Address: a.address, Model: a.call.req.Model}
+	from := &external.TargetRecord{Target: a.target, Address: a.address, Model: a.call.req.Model}
 	return a.call.relay.opts.Moves.Copy(ctx, a.id, from, &state.Record)
 }
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -17,9 +18,12 @@
 	Config config.Source
 	// Moves has streams leave engines that are taken away. Nil leaves them.
 	Moves Moves
-	// Credential is the system's own towards targets. It may be empty.
-	Credential string
-	Log        *slog.Logger
+	// Protocol is the targets'; nil means Engines without a credential.
+	Protocol Protocol
+	// Mark marks an answer as whole before its header goes to the caller. It
+	// may be nil.
+	Mark func(w http.ResponseWriter)
+	Log  *slog.Logger
 	// Registerer takes the metrics; nil keeps them unregistered.
 	Registerer prometheus.Registerer
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -12,6 +12,7 @@
 // Relay sends requests to the targets that a router chooses.
 type Relay struct {
 	opts      Options
+	protocol  Protocol
 	budgets   *retry.Budgets
 	metrics   *metrics
 	canceller *canceller
@@ -20,7 +21,11 @@
 // New returns a relay.
 func New(opts Options) *Relay {
 	m := newMetrics(opts.Registerer)
-	return &Relay{opts: opts, budgets: retry.NewBudgets(), metrics: m, canceller: newCanceller(opts, m)}
+	protocol := opts.Protocol
+	if protocol == nil {
+		protocol = Engines{}
+	}
+	return &Relay{opts: opts, protocol: protocol, budgets: retry.NewBudgets(), metrics: m, canceller: newCanceller(opts, protocol.Keeper(), m)}
 }
 
 // Run cancels abandoned attempts at their engines until ctx ends.
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -1,48 +1,40 @@
 package relay
 
 import (
-	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"amaranthplank.example/amaranthplank/pkg/request"
 	"amaranthplank.example/amaranthplank/pkg/retry"
-	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
-// endTimeout is how long a connection may take to end after the end marker
+// endTimeout is how long a connection may take to end after the last event
 // before it is closed instead of kept.
 const endTimeout = 20 * time.Millisecond
 
-// stream hands a stream's events to the caller up to the end marker. Only the
-// last event before it is decoded.
-func (a *attempt) stream(w *watch, response *http.Response) error {
-	reader := target.NewFrameReader(response.Body)
+// stream hands a stream's events to the caller up to the last.
+func (a *attempt) stream(w *watch, response *http.Response, events EventReader) error {
 	controller := http.NewResponseController(a.call.writer)
 	for {
-		frame, err := reader.Next()
+		event, err := events.Next()
 		if err != nil {
 			return a.call.classify(w.ctx, err)
 		}
 		w.alive()
-		if frame.ID == 0 {
+		if event.ID == 0 && !event.Last {
 			continue
 		}
-		if frame.ID != a.last+1 {
+		if event.ID != 0 && !events.Follows(a.last, event.ID) {
 			return &exchangeError{failure: retry.Mismatch, cause: errWrongEvent}
 		}
-		last := string(frame.Data) == target.EndMarker
-		if err := a.event(frame, last); err != nil {
+		if err := a.event(response, event); err != nil {
 			return &exchangeError{failure: retry.CallerGone, cause: err}
 		}
-		if last {
+		if event.Last {
 			_ = controller.Flush()
-			return a.end(w, reader)
+			return a.end(w, events)
 		}
-		if reader.Ready() {
+		if events.Ready() {
 			continue
 		}
 		if err := controller.Flush(); err != nil {
@@ -55,37 +47,37 @@
 }
 
 // event hands one event to the caller.
-func (a *attempt) event(frame target.Frame, last bool) error {
-	if a.phase != retry.Streaming {
+func (a *attempt) event(response *http.Response, event Event) error {
+	if !a.call.result.Started {
 		header := a.call.writer.Header()
+		a.call.relay.protocol.Return(header, response.Header)
 		header.Set("Content-Type", eventStream)
 		header.Set("Cache-Control", "no-cache")
 		a.call.writer.WriteHeader(http.StatusOK)
-		a.reached(retry.Streaming)
 	}
+	a.reached(retry.Streaming)
 	a.call.handed()
-	if _, err := a.call.writer.Write(frame.Text); err != nil {
+	if _, err := a.call.writer.Write(event.Text); err != nil {
 		return err
 	}
-	a.last = frame.ID
+	if event.ID != 0 {
+		a.last, a.call.last = event.ID, event.ID
+	}
 	a.progress()
-	if !last {
+	if !event.Last {
 		a.call.result.Events++
 		a.call.relay.metrics.events.Inc()
-		a.lastData = append(a.lastData[:0], frame.Data...)
+		a.lastData = append(a.lastData[:0], event.Data...)
 	}
 	return nil
 }
 
 // end reads the usage and lets the connection end, so that it can be kept. The
 // caller has the whole answer whatever happens here.
-func (a *attempt) end(w *watch, reader *target.FrameReader) error {
-	var last target.Answer
-	if json.Unmarshal(a.lastData, &last) == nil && last.Usage != nil {
-		a.usage = request.Figures{PromptTokens: last.Usage.PromptTokens, OutputTokens: last.Usage.CompletionTokens}
-	}
+func (a *attempt) end(w *watch, events EventReader) error {
+	a.readUsage(a.lastData)
 	w.limit(endTimeout)
-	if _, err := reader.Next(); !errors.Is(err, io.EOF) {
+	if events.Drain() != nil {
 		w.cancel(nil)
 	}
 	return nil
--- a/pkg/relay/watch.go
+++ b/pkg/relay/watch.go
@@ -25,7 +25,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watch{ctx: ctx, cancel: cancel}
 	req := a.call.req
-	if (req.Stream && req.Model != "") || (req.Idempotent && req.Class == ident.ClassLookup) {
+	kept := a.call.relay.protocol.Keeper() != nil && req.Stream && req.Model != ""
+	if kept || req.Resumable || (req.Idempotent && req.Class == ident.ClassLookup) {
 		w.silence = a.call.knobs.SilenceTimeout.D() << a.quiet
 		w.timer = time.AfterFunc(w.silence, func() { cancel(errSilence) })
 	}
--- a/pkg/relay/whole.go
+++ b/pkg/relay/whole.go
@@ -3,13 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 
-	"amaranthplank.example/amaranthplank/pkg/request"
 	"amaranthplank.example/amaranthplank/pkg/retry"
-	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
 const (
@@ -24,12 +22,12 @@
 
 // whole hands an answer that is no stream to the caller, after it was read to
 // its end where it is small.
-func (a *attempt) whole(w *watch, response *http.Response) error {
+func (a *attempt) whole(w *watch, response *http.Response, verdict Verdict) error {
 	ctx := w.ctx
 	if a.call.req.Stream {
 		w.patient()
 	}
-	if !lengthKnown(response) {
+	if !lengthKnown(response) && !a.call.relay.protocol.EndsWithConnection() {
 		return &exchangeError{failure: retry.Mismatch, cause: errNoLength}
 	}
 	if response.ContentLength > maxAnswerBytes {
@@ -40,9 +38,9 @@
 	if err != nil {
 		return a.call.classify(ctx, err)
 	}
-	got := &answer{status: response.StatusCode, header: response.Header, body: body.Bytes()}
+	got := &answer{status: response.StatusCode, header: response.Header, body: body.Bytes(), length: response.ContentLength}
 	w.patient()
-	if refuses(response.StatusCode) && body.Len() <= bufferBytes {
+	if verdict == VerdictFailed && body.Len() <= bufferBytes {
 		a.refusal = got
 		return &exchangeError{failure: retry.Refused, cause: errRefused}
 	}
@@ -52,7 +50,7 @@
 	if body.Len() > bufferBytes {
 		return a.large(ctx, got, response.Body)
 	}
-	a.readUsage(got)
+	a.readUsage(got.body)
 	if err := got.writeTo(a.call); err != nil {
 		return &exchangeError{failure: retry.CallerGone, cause: err}
 	}
@@ -62,7 +60,10 @@
 // large hands on the part of an answer that was read, and copies the rest.
 func (a *attempt) large(ctx context.Context, begun *answer, rest io.Reader) error {
 	writer := a.call.writer
-	copyHeader(writer.Header(), begun.header)
+	a.call.relay.protocol.Return(writer.Header(), begun.header)
+	if begun.length > 0 {
+		writer.Header().Set("Content-Length", strconv.FormatInt(begun.length, 10))
+	}
 	writer.WriteHeader(begun.status)
 	a.reached(retry.Streaming)
 	piece, sent := begun.body, 0
@@ -87,13 +88,15 @@
 	}
 }
 
-// readUsage reads the usage that an engine's answer states.
-func (a *attempt) readUsage(got *answer) {
-	var stated target.Answer
-	if a.call.req.Model == "" || json.Unmarshal(got.body, &stated) != nil || stated.Usage == nil {
+// readUsage reads the usage that an answer or an event states.
+func (a *attempt) readUsage(data []byte) {
+	reader, ok := a.call.relay.protocol.(usageReader)
+	if !ok || a.call.req.Model == "" {
 		return
 	}
-	a.usage = request.Figures{PromptTokens: stated.Usage.PromptTokens, OutputTokens: stated.Usage.CompletionTokens}
+	if figures, ok := reader.Usage(data); ok {
+		a.usage = figures
+	}
 }
 
 // lengthKnown reports whether the end of an answer differs from a broken
@@ -101,8 +104,3 @@
 func lengthKnown(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.ProtoMajor > 1
 }
-
-// refuses reports whether a status says that the target takes no work.
-func refuses(status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusBadGateway
-}
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -36,6 +36,22 @@
 	// PrefixBlockTokens. Each hash covers all blocks up to its own.
 	Prefix []uint64
 	Method string
+	// Host is the host that the caller named.
+	Host string
+	// Resumable says that another target may go on with the stream, which is
+	// then run again after its last event. After is the last event that the
+	// caller had when it sent the request.
+	Resumable bool
+	After     uint64
+	// MaxAttempts bounds the targets that the request is sent to; zero takes
+	// the knobs'.
+	MaxAttempts int64
+	// Urgency ranks requests; 0 is the most urgent.
+	Urgency int
+	// FirstPart is the time to the first part of the answer that counts as
+	// timely, Gap the longest such pause between events. Zero leaves it open.
+	FirstPart time.Duration
+	Gap       time.Duration
 	// Path is the path at the target, with its query.
 	Path   string
 	Header http.Header
--- a/pkg/retry/failure.go
+++ b/pkg/retry/failure.go
@@ -17,6 +17,8 @@
 	Mismatch
 	// Refused means that the target's own answer says that it takes no work.
 	Refused
+	// Rejected means that the target states that it did not run the request.
+	Rejected
 	// StreamGone means that the target no longer holds the stream that was to
 	// be resumed.
 	StreamGone
@@ -34,7 +36,7 @@
 func (f Failure) String() string {
 	names := [failures]string{
 		"connect_failed", "connection_lost", "silence", "mismatch", "refused",
-		"stream_gone", "too_large", "deadline_passed", "caller_gone",
+		"rejected", "stream_gone", "too_large", "deadline_passed", "caller_gone",
 	}
 	return names[f]
 }
--- a/pkg/retry/run.go
+++ b/pkg/retry/run.go
@@ -49,13 +49,13 @@
 // Failed returns what to do after an attempt failed in a phase. Where the table
 // asks for more than the limits allow, the request ends.
 func (r *Run) Failed(phase Phase, failure Failure, now time.Time) Decision {
-	r.reached = r.reached || phase != Unsent
+	r.reached = r.reached || (phase != Unsent && failure != Rejected)
 	decision := Decide(r.allowed, phase, failure)
 	if decision == Resume && !r.mayResume(now) {
 		decision = Decide(r.allowed, phase, StreamGone)
 	}
 	if decision == Again && !r.mayRetry(phase, now) {
-		decision = r.exhausted(failure)
+		decision = r.exhausted(phase, failure)
 	}
 	if decision == EndNotRun && r.reached {
 		return EndUnknown
@@ -83,7 +83,10 @@
 }
 
 // exhausted is the end of a request whose retries are used up.
-func (r *Run) exhausted(failure Failure) Decision {
+func (r *Run) exhausted(phase Phase, failure Failure) Decision {
+	if phase == Streaming {
+		return EndUnknown
+	}
 	if failure == Refused {
 		return HandOn
 	}
--- a/pkg/retry/table.go
+++ b/pkg/retry/table.go
@@ -7,6 +7,9 @@
 	// Resumable says that the target holds the answer as a stream, which can
 	// be read again under the attempt's id.
 	Resumable bool
+	// Continuable says that another target can go on with the answer after
+	// the part that the caller has. It implies Idempotent.
+	Continuable bool
 }
 
 // cell holds the decisions of one phase and failure.
@@ -15,17 +18,21 @@
 	idempotent, once Decision
 	// resumable and onceResumable are the same where the target can resume.
 	resumable, onceResumable Decision
+	// continuable is for requests that another target can go on with.
+	continuable Decision
 }
 
 // Cells that several failures share.
 var (
-	unsentAgain  = cell{idempotent: Again, once: Again, resumable: Again, onceResumable: Again}
-	unsentEnd    = cell{idempotent: EndNotRun, once: EndNotRun, resumable: EndNotRun, onceResumable: EndNotRun}
+	unsentAgain  = cell{idempotent: Again, once: Again, resumable: Again, onceResumable: Again, continuable: Again}
+	unsentEnd    = cell{idempotent: EndNotRun, once: EndNotRun, resumable: EndNotRun, onceResumable: EndNotRun, continuable: EndNotRun}
 	end          = cell{idempotent: EndUnknown, once: EndUnknown, resumable: EndUnknown, onceResumable: EndUnknown}
-	againOrEnd   = cell{idempotent: Again, once: EndUnknown, resumable: Again, onceResumable: EndUnknown}
-	resumeOr     = cell{idempotent: Again, once: EndUnknown, resumable: Resume, onceResumable: Resume}
-	resumeOrEnd  = cell{idempotent: EndUnknown, once: EndUnknown, resumable: Resume, onceResumable: Resume}
-	againOrOwn   = cell{idempotent: Again, once: HandOn, resumable: Again, onceResumable: HandOn}
+	againOrEnd   = cell{idempotent: Again, once: EndUnknown, resumable: Again, onceResumable: EndUnknown, continuable: Again}
+	resumeOr     = cell{idempotent: Again, once: EndUnknown, resumable: Resume, onceResumable: Resume, continuable: Again}
+	resumeOrEnd  = cell{idempotent: EndUnknown, once: EndUnknown, resumable: Resume, onceResumable: Resume, continuable: Again}
+	againOrOwn   = cell{idempotent: Again, once: HandOn, resumable: Again, onceResumable: HandOn, continuable: Again}
+	continueOr   = cell{continuable: Again}
+	notRunAgain  = unsentAgain
 	cantHappen   = end
 	connectAgain = resumeOr
 )
@@ -38,6 +45,7 @@
 	Silence:        resumeOr,
 	Mismatch:       resumeOr,
 	Refused:        againOrOwn,
+	Rejected:       notRunAgain,
 	StreamGone:     againOrEnd,
 	TooLarge:       end,
 	DeadlinePassed: end,
@@ -53,6 +61,7 @@
 		Silence:        unsentAgain,
 		Mismatch:       cantHappen,
 		Refused:        cantHappen,
+		Rejected:       cantHappen,
 		StreamGone:     cantHappen,
 		TooLarge:       cantHappen,
 		DeadlinePassed: unsentEnd,
@@ -65,7 +74,8 @@
 		ConnectionLost: resumeOrEnd,
 		Silence:        resumeOrEnd,
 		Mismatch:       resumeOrEnd,
-		Refused:        end,
+		Refused:        continueOr,
+		Rejected:       continueOr,
 		StreamGone:     end,
 		TooLarge:       end,
 		DeadlinePassed: end,
@@ -77,6 +87,8 @@
 func Decide(allowed Allowed, phase Phase, failure Failure) Decision {
 	c := table[phase][failure]
 	switch {
+	case allowed.Continuable:
+		return c.continuable
 	case allowed.Idempotent && allowed.Resumable:
 		return c.resumable
 	case allowed.Idempotent:
--- a/pkg/routing/estimate.go
+++ b/pkg/routing/estimate.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 const (
@@ -40,16 +40,21 @@
 // reckoned at a number for each send of this daemon's own that rises with the
 // report's age: with a fresh report it would be noise.
 func estimateOf(state *fleet.TargetState, own *ledger, daemons int, knobs *config.RoutingKnobs, now time.Time) estimate {
-	load := &state.Load
+	load, loadAt := &state.Load, state.LoadAt
+	if own.loadAt.After(loadAt) {
+		told := own.load
+		told.PrefillRate, told.DecodeRate = load.PrefillRate, load.DecodeRate
+		load, loadAt = &told, own.loadAt
+	}
 	e := estimate{prefillRate: load.PrefillRate, decodeRate: load.DecodeRate, slots: float64(load.Slots)}
 	if load.Sequence == 0 || e.prefillRate <= 0 || e.decodeRate <= 0 || e.slots <= 0 {
 		e = estimate{prefillRate: defaultPrefillRate, decodeRate: defaultDecodeRate, slots: defaultSlots}
 	}
-	if load.Sequence == 0 || now.Sub(state.LoadAt) > knobs.ReportMaxAge.D() {
+	if load.Sequence == 0 || now.Sub(loadAt) > knobs.ReportMaxAge.D() {
 		e.occupied = float64(own.outstanding)
 		return e
 	}
-	at := takenAt(state)
+	at := takenAt(load, loadAt)
 	known := min(1, max(0, now.Sub(at).Seconds()/knobs.UnseenAge.D().Seconds()))
 	factor := 1 + float64(daemons-1)*known
 	e.occupied = max(0, float64(load.Running+load.Queued)+factor*float64(len(own.sends)-own.ended))
@@ -59,11 +64,11 @@
 
 // takenAt returns when a report's figures held. A target's clock that is ahead
 // of the report's arrival isn't believed.
-func takenAt(state *fleet.TargetState) time.Time {
-	if state.Load.TakenAt.IsZero() || state.Load.TakenAt.After(state.LoadAt) {
-		return state.LoadAt
+func takenAt(load *fleet.LoadReport, arrived time.Time) time.Time {
+	if load.TakenAt.IsZero() || load.TakenAt.After(arrived) {
+		return arrived
 	}
-	return state.Load.TakenAt
+	return load.TakenAt
 }
 
 // effectivePrefill is the prefill rate beside a number of decoding requests.
@@ -100,10 +105,10 @@
 	if state.Draining || state.Record.Leaving {
 		return false
 	}
-	return now.Sub(state.SeenAt) <= knobs.ViewMaxAge.D()
+	return state.SeenAt.IsZero() || now.Sub(state.SeenAt) <= knobs.ViewMaxAge.D()
 }
 
 // reclaimable reports whether the platform may take the target back.
 func reclaimable(state *fleet.TargetState) bool {
-	return state.Record.Kind == platform.Reclaimable
+	return state.Record.Kind == external.Reclaimable
 }
--- a/pkg/routing/ledger.go
+++ b/pkg/routing/ledger.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
@@ -22,6 +23,10 @@
 	// incarnation and sequence are those of the last report taken in.
 	incarnation ident.Incarnation
 	sequence    uint64
+	// load is what the target told with an answer, loadAt when; both are zero
+	// before the first.
+	load   fleet.LoadReport
+	loadAt time.Time
 	// failures counts failures in a row; ejectedUntil bars new work.
 	failures     int
 	ejectedUntil time.Time
@@ -53,6 +58,15 @@
 	l.ended++
 }
 
+// told takes in a load that came with an answer. The sends before it are known
+// to the target.
+func (l *ledger) told(load fleet.LoadReport, now time.Time) {
+	load.Sequence = l.load.Sequence + 1
+	l.load, l.loadAt = load, now
+	l.ended = 0
+	l.sends = l.sends[:0]
+}
+
 // reported drops what a report from the given time knows of.
 func (l *ledger) reported(incarnation ident.Incarnation, sequence uint64, at time.Time) {
 	if incarnation == l.incarnation && sequence == l.sequence {
--- /dev/null
+++ b/pkg/routing/loadobserver.go
@@ -0,0 +1,41 @@
+package routing
+
+import (
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/request"
+)
+
+// LoadObserver is what a router implements that learns targets' loads from
+// their answers.
+type LoadObserver interface {
+	// Load takes in the load that a target told with its answer just now.
+	Load(req *request.Request, target ident.Target, load fleet.LoadReport)
+}
+
+var _ LoadObserver = (*ByKind)(nil)
+
+// Load tells the router of the request's kind.
+func (b *ByKind) Load(req *request.Request, target ident.Target, load fleet.LoadReport) {
+	if req.Service != "" {
+		b.Services.Load(target, load)
+		return
+	}
+	b.Models.Load(target, load)
+}
+
+// Load takes in the load that a replica told.
+func (s *ServiceRouter) Load(target ident.Target, load fleet.LoadReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger(target).told(load, s.opts.Now())
+}
+
+// Load takes in the load that an engine told.
+func (r *ModelRouter) Load(target ident.Target, load fleet.LoadReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if own, ok := r.ledgers[target]; ok {
+		own.told(load, r.opts.Now())
+	}
+}
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -173,7 +173,7 @@
 	if load.CacheLimit > 0 && own.sequence == 0 {
 		r.index.SetLimit(name, load.CacheLimit)
 	}
-	own.reported(load.Incarnation, load.Sequence, takenAt(state))
+	own.reported(load.Incarnation, load.Sequence, takenAt(load, state.LoadAt))
 	return own
 }
 
--- a/pkg/routing/services.go
+++ b/pkg/routing/services.go
@@ -134,7 +134,11 @@
 // occupied returns the greater of a replica's reported load and the daemon's
 // own calls there.
 func (s *ServiceRouter) occupied(state *fleet.TargetState) int {
-	return max(state.Load.Running+state.Load.Queued, s.ledger(state.Record.Target).outstanding)
+	own, load := s.ledger(state.Record.Target), &state.Load
+	if own.loadAt.After(state.LoadAt) {
+		load = &own.load
+	}
+	return max(load.Running+load.Queued, own.outstanding)
 }
 
 // mayEject reports whether one more replica may be left out.
--- a/pkg/standin/faultstore/faults.go
+++ b/pkg/standin/faultstore/faults.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // Faults says what fails at present. The zero value lets everything through.
@@ -13,7 +13,7 @@
 	// Delay is added to every call.
 	Delay time.Duration
 	// LoseAnswer says of a write that took effect whether its answer is lost.
-	LoseAnswer func(key platform.Key) bool
+	LoseAnswer func(key external.Key) bool
 	// SilentWatches makes watches wait for ever instead of returning changes.
 	SilentWatches bool
 	// WatchDelay holds watches back before they look, so that they skip the
--- a/pkg/standin/faultstore/process.go
+++ b/pkg/standin/faultstore/process.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // Process stands for one process in tests of failures. Every call that leaves
@@ -100,7 +100,7 @@
 // where the call can't take effect.
 func (p *Process) Enter(side Side) error {
 	if !p.pass(side) {
-		return platform.ErrStoreUnavailable
+		return external.ErrStoreUnavailable
 	}
 	return nil
 }
@@ -109,7 +109,7 @@
 // the answer is lost.
 func (p *Process) Leave(side Side) error {
 	if !p.pass(side) {
-		return platform.ErrStoreUnknown
+		return external.ErrStoreUnknown
 	}
 	return nil
 }
--- a/pkg/standin/faultstore/processstore.go
+++ b/pkg/standin/faultstore/processstore.go
@@ -4,19 +4,19 @@
 	"context"
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // ProcessStore is the store as one process reaches it.
 type ProcessStore struct {
 	process *Process
-	inner   platform.Store
+	inner   external.Store
 }
 
-var _ platform.Store = (*ProcessStore)(nil)
+var _ external.Store = (*ProcessStore)(nil)
 
 // NewProcessStore returns the store as seen through a process's faults.
-func NewProcessStore(process *Process, inner platform.Store) *ProcessStore {
+func NewProcessStore(process *Process, inner external.Store) *ProcessStore {
 	return &ProcessStore{process: process, inner: inner}
 }
 
@@ -34,50 +34,50 @@
 }
 
 // Get passes a read on.
-func (s *ProcessStore) Get(ctx context.Context, key platform.Key) (platform.Entry, error) {
-	return through(s.process, SideStore, func() (platform.Entry, error) { return s.inner.Get(ctx, key) })
+func (s *ProcessStore) Get(ctx context.Context, key external.Key) (external.Entry, error) {
+	return through(s.process, SideStore, func() (external.Entry, error) { return s.inner.Get(ctx, key) })
 }
 
 // List passes a read on.
-func (s *ProcessStore) List(ctx context.Context, prefix platform.Key) ([]platform.Entry, error) {
-	return through(s.process, SideStore, func() ([]platform.Entry, error) { return s.inner.List(ctx, prefix) })
+func (s *ProcessStore) List(ctx context.Context, prefix external.Key) ([]external.Entry, error) {
+	return through(s.process, SideStore, func() ([]external.Entry, error) { return s.inner.List(ctx, prefix) })
 }
 
 // CompareAndSwap passes a write on.
-func (s *ProcessStore) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.Version, error) {
+func (s *ProcessStore) CompareAndSwap(ctx context.Context, swap external.Swap) (external.Version, error) {
 	// A write that was sent takes effect even where its sender gave up waiting.
 	ctx = context.WithoutCancel(ctx)
-	return through(s.process, SideStore, func() (platform.Version, error) { return s.inner.CompareAndSwap(ctx, swap) })
+	return through(s.process, SideStore, func() (external.Version, error) { return s.inner.CompareAndSwap(ctx, swap) })
 }
 
 // Delete passes a write on.
-func (s *ProcessStore) Delete(ctx context.Context, key platform.Key, version platform.Version) error {
+func (s *ProcessStore) Delete(ctx context.Context, key external.Key, version external.Version) error {
 	ctx = context.WithoutCancel(ctx)
 	_, err := through(s.process, SideStore, func() (struct{}, error) { return struct{}{}, s.inner.Delete(ctx, key, version) })
 	return err
 }
 
 // Grant passes a write on.
-func (s *ProcessStore) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s *ProcessStore) Grant(ctx context.Context, ttl time.Duration) (external.LeaseID, error) {
 	ctx = context.WithoutCancel(ctx)
-	return through(s.process, SideStore, func() (platform.LeaseID, error) { return s.inner.Grant(ctx, ttl) })
+	return through(s.process, SideStore, func() (external.LeaseID, error) { return s.inner.Grant(ctx, ttl) })
 }
 
 // KeepAlive passes a write on.
-func (s *ProcessStore) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+func (s *ProcessStore) KeepAlive(ctx context.Context, lease external.LeaseID) error {
 	ctx = context.WithoutCancel(ctx)
 	_, err := through(s.process, SideStore, func() (struct{}, error) { return struct{}{}, s.inner.KeepAlive(ctx, lease) })
 	return err
 }
 
 // Revoke passes a write on.
-func (s *ProcessStore) Revoke(ctx context.Context, lease platform.LeaseID) error {
+func (s *ProcessStore) Revoke(ctx context.Context, lease external.LeaseID) error {
 	ctx = context.WithoutCancel(ctx)
 	_, err := through(s.process, SideStore, func() (struct{}, error) { return struct{}{}, s.inner.Revoke(ctx, lease) })
 	return err
 }
 
 // Watch passes a watch on.
-func (s *ProcessStore) Watch(ctx context.Context, prefix platform.Key, after platform.Cursor) (platform.Changes, error) {
-	return through(s.process, SideStore, func() (platform.Changes, error) { return s.inner.Watch(ctx, prefix, after) })
+func (s *ProcessStore) Watch(ctx context.Context, prefix external.Key, after external.Cursor) (external.Changes, error) {
+	return through(s.process, SideStore, func() (external.Changes, error) { return s.inner.Watch(ctx, prefix, after) })
 }
--- a/pkg/standin/faultstore/store.go
+++ b/pkg/standin/faultstore/store.go
@@ -9,12 +9,12 @@
 
 	"golang.org/x/time/rate"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // Store passes calls on to another store, but for the faults that are set.
 type Store struct {
-	inner platform.Store
+	inner external.Store
 
 	mu     sync.Mutex
 	faults Faults
@@ -23,10 +23,10 @@
 	reads  *rate.Limiter
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ external.Store = (*Store)(nil)
 
 // New wraps a store without faults.
-func New(inner platform.Store) *Store {
+func New(inner external.Store) *Store {
 	s := &Store{inner: inner, counts: make(map[string]Counts)}
 	s.Set(Faults{})
 	return s
@@ -50,15 +50,15 @@
 }
 
 // Get passes a read on.
-func (s *Store) Get(ctx context.Context, key platform.Key) (platform.Entry, error) {
+func (s *Store) Get(ctx context.Context, key external.Key) (external.Entry, error) {
 	if err := s.read(ctx, key); err != nil {
-		return platform.Entry{}, err
+		return external.Entry{}, err
 	}
 	return s.inner.Get(ctx, key)
 }
 
 // List passes a read on.
-func (s *Store) List(ctx context.Context, prefix platform.Key) ([]platform.Entry, error) {
+func (s *Store) List(ctx context.Context, prefix external.Key) ([]external.Entry, error) {
 	if err := s.read(ctx, prefix); err != nil {
 		return nil, err
 	}
@@ -66,71 +66,71 @@
 }
 
 // CompareAndSwap passes a write on and may lose its answer.
-func (s *Store) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.Version, error) {
+func (s *Store) CompareAndSwap(ctx context.Context, swap external.Swap) (external.Version, error) {
 	if err := s.write(ctx, swap.Key); err != nil {
 		return 0, err
 	}
 	version, err := s.inner.CompareAndSwap(ctx, swap)
 	if err == nil && s.loses(swap.Key) {
-		return 0, platform.ErrStoreUnknown
+		return 0, external.ErrStoreUnknown
 	}
 	return version, err
 }
 
 // Delete passes a write on and may lose its answer.
-func (s *Store) Delete(ctx context.Context, key platform.Key, version platform.Version) error {
+func (s *Store) Delete(ctx context.Context, key external.Key, version external.Version) error {
 	if err := s.write(ctx, key); err != nil {
 		return err
 	}
 	err := s.inner.Delete(ctx, key, version)
 	if err == nil && s.loses(key) {
-		return platform.ErrStoreUnknown
+		return external.ErrStoreUnknown
 	}
 	return err
 }
 
 // Grant passes a write on and may lose its answer.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (external.LeaseID, error) {
 	if err := s.write(ctx, leaseKey); err != nil {
 		return 0, err
 	}
 	id, err := s.inner.Grant(ctx, ttl)
 	if err == nil && s.loses(leaseKey) {
-		return 0, platform.ErrStoreUnknown
+		return 0, external.ErrStoreUnknown
 	}
 	return id, err
 }
 
 // KeepAlive passes a write on and may lose its answer.
-func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+func (s *Store) KeepAlive(ctx context.Context, id external.LeaseID) error {
 	if err := s.write(ctx, leaseKey); err != nil {
 		return err
 	}
 	err := s.inner.KeepAlive(ctx, id)
 	if err == nil && s.loses(leaseKey) {
-		return platform.ErrStoreUnknown
+		return external.ErrStoreUnknown
 	}
 	return err
 }
 
 // Revoke passes a write on and may lose its answer.
-func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+func (s *Store) Revoke(ctx context.Context, id external.LeaseID) error {
 	if err := s.write(ctx, leaseKey); err != nil {
 		return err
 	}
 	err := s.inner.Revoke(ctx, id)
 	if err == nil && s.loses(leaseKey) {
-		return platform.ErrStoreUnknown
+		return external.ErrStoreUnknown
 	}
 	return err
 }
 
 // Watch passes a watch on, late where watches are held back, or waits for ever
 // where they are silent.
-func (s *Store) Watch(ctx context.Context, prefix platform.Key, after platform.Cursor) (platform.Changes, error) {
+func (s *Store) Watch(ctx context.Context, prefix external.Key, after external.Cursor) (external.Changes, error) {
 	s.count(prefix, func(c *Counts) { c.Watches++ })
 	if err := s.read(ctx, prefix); err != nil {
-		return platform.Changes{}, err
+		return external.Changes{}, err
 	}
 	if delay := s.snapshot().WatchDelay; delay > 0 {
 		select {
@@ -141,22 +141,22 @@
 	changes, err := s.inner.Watch(ctx, prefix, after)
 	if s.snapshot().SilentWatches {
 		<-ctx.Done()
-		return platform.Changes{Next: after}, nil
+		return external.Changes{Next: after}, nil
 	}
 	return changes, err
 }
 
 // leaseKey is what lease calls are counted under.
-const leaseKey platform.Key = "lease"
+const leaseKey external.Key = "lease"
 
 // read counts a read and fails where the store is down or out of rate.
-func (s *Store) read(ctx context.Context, key platform.Key) error {
+func (s *Store) read(ctx context.Context, key external.Key) error {
 	s.count(key, func(c *Counts) { c.Reads++ })
 	return s.pass(ctx, func(s *Store) *rate.Limiter { return s.reads })
 }
 
 // write counts a write and fails where the store is down or out of rate.
-func (s *Store) write(ctx context.Context, key platform.Key) error {
+func (s *Store) write(ctx context.Context, key external.Key) error {
 	s.count(key, func(c *Counts) { c.Writes++ })
 	return s.pass(ctx, func(s *Store) *rate.Limiter { return s.writes })
 }
@@ -167,21 +167,21 @@
 	if faults.Delay > 0 {
 		select {
 		case <-ctx.Done():
-			return platform.ErrStoreUnavailable
+			return external.ErrStoreUnavailable
 		case <-time.After(faults.Delay):
 		}
 	}
 	if faults.Down {
-		return platform.ErrStoreUnavailable
+		return external.ErrStoreUnavailable
 	}
 	if limiter != nil && !limiter.Allow() {
-		return platform.ErrStoreThrottled
+		return external.ErrStoreThrottled
 	}
 	return nil
 }
 
 // count changes the counts of a key's first part.
-func (s *Store) count(key platform.Key, change func(*Counts)) {
+func (s *Store) count(key external.Key, change func(*Counts)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	part, _, _ := strings.Cut(string(key), "/")
@@ -191,7 +191,7 @@
 }
 
 // loses reports whether the answer of a write is lost.
-func (s *Store) loses(key platform.Key) bool {
+func (s *Store) loses(key external.Key) bool {
 	faults := s.snapshot()
 	return faults.LoseAnswer != nil && faults.LoseAnswer(key)
 }
--- a/pkg/standin/hosts/hosts.go
+++ b/pkg/standin/hosts/hosts.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // List gives the hosts that its owner sets, after a lag.
@@ -15,21 +15,21 @@
 	lag time.Duration
 
 	mu      sync.Mutex
-	records []platform.HostRecord
-	next    []platform.HostRecord
+	records []external.HostRecord
+	next    []external.HostRecord
 	// nextAt is when next takes the place of records.
 	nextAt time.Time
 }
 
-var _ platform.HostList = (*List)(nil)
+var _ external.HostList = (*List)(nil)
 
 // New returns a list that shows changes after the lag.
-func New(lag time.Duration, records ...platform.HostRecord) *List {
+func New(lag time.Duration, records ...external.HostRecord) *List {
 	return &List{lag: lag, records: records, next: records}
 }
 
 // Set replaces the hosts; readers see it after the lag.
-func (l *List) Set(records []platform.HostRecord) {
+func (l *List) Set(records []external.HostRecord) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settle()
@@ -38,7 +38,7 @@
 }
 
 // Hosts returns the hosts as of the lag ago.
-func (l *List) Hosts(context.Context) ([]platform.HostRecord, error) {
+func (l *List) Hosts(context.Context) ([]external.HostRecord, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settle()
