--- a/pkg/standin/memstore/watch.go
+++ b/pkg/standin/memstore/watch.go
@@ -5,19 +5,19 @@
 	"strings"
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // waiter is one watch that waits. Only changes under its prefix wake it, and
 // the end of the lease that lapses next, so that many watches cost little.
 type waiter struct {
-	prefix platform.Key
+	prefix external.Key
 	// woken takes one token at the first change.
 	woken chan struct{}
 }
 
 // Watch waits for changes under prefix.
-func (s *Store) Watch(ctx context.Context, prefix platform.Key, after platform.Cursor) (platform.Changes, error) {
+func (s *Store) Watch(ctx context.Context, prefix external.Key, after external.Cursor) (external.Changes, error) {
 	w := &waiter{prefix: prefix, woken: make(chan struct{}, 1)}
 	s.enter(w)
 	defer s.leave(w)
@@ -30,7 +30,7 @@
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return platform.Changes{Next: after}, nil
+			return external.Changes{Next: after}, nil
 		case <-w.woken:
 		case <-timer.C:
 		}
@@ -50,11 +50,11 @@
 
 // changesAfter collects the changes under prefix and returns how long it is
 // until the next lease lapses.
-func (s *Store) changesAfter(prefix platform.Key, after platform.Cursor) (platform.Changes, time.Duration) {
+func (s *Store) changesAfter(prefix external.Key, after external.Cursor) (external.Changes, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	changes := platform.Changes{Next: s.cursor}
+	changes := external.Changes{Next: s.cursor}
 	for key, v := range s.values {
 		if v.changed > after && strings.HasPrefix(string(key), string(prefix)) {
 			changes.Entries = append(changes.Entries, v.copy())
@@ -83,7 +83,7 @@
 }
 
 // wake wakes the watches whose prefix a changed key has.
-func (s *Store) wake(key platform.Key) {
+func (s *Store) wake(key external.Key) {
 	for w := range s.waiters {
 		if !strings.HasPrefix(string(key), string(w.prefix)) {
 			continue
--- a/pkg/standin/memstore/watch_test.go
+++ b/pkg/standin/memstore/watch_test.go
@@ -11,7 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
 )
 
@@ -26,7 +26,7 @@
 		var group sync.WaitGroup
 		for range watchers {
 			group.Go(func() {
-				changes, err := store.Watch(ctx, "config/", platform.StartCursor)
+				changes, err := store.Watch(ctx, "config/", external.StartCursor)
 				if err == nil && len(changes.Entries) == 1 && changes.Entries[0].Key == "config/a" {
 					seen.Add(1)
 				}
@@ -34,11 +34,11 @@
 		}
 		synctest.Wait()
 		must.Eq(t, watchers, store.Watching())
-		_, err := store.CompareAndSwap(ctx, platform.Swap{Key: "usage/a"})
+		_, err := store.CompareAndSwap(ctx, external.Swap{Key: "usage/a"})
 		must.NoError(t, err)
 		synctest.Wait()
 		must.Eq(t, watchers, store.Watching())
-		_, err = store.CompareAndSwap(ctx, platform.Swap{Key: "config/a"})
+		_, err = store.CompareAndSwap(ctx, external.Swap{Key: "config/a"})
 		must.NoError(t, err)
 		group.Wait()
 		cancel()
@@ -53,16 +53,16 @@
 		ctx := context.Background()
 		lease, err := store.Grant(ctx, 9*time.Second)
 		must.NoError(t, err)
-		_, err = store.CompareAndSwap(ctx, platform.Swap{Key: "duty/a", Lease: lease})
+		_, err = store.CompareAndSwap(ctx, external.Swap{Key: "duty/a", Lease: lease})
 		must.NoError(t, err)
-		first, err := store.Watch(ctx, "duty/", platform.StartCursor)
+		first, err := store.Watch(ctx, "duty/", external.StartCursor)
 		must.NoError(t, err)
 		began := time.Now()
 		second, err := store.Watch(ctx, "duty/", first.Next)
 		must.NoError(t, err)
 		must.True(t, second.Entries[0].Deleted)
 		must.Eq(t, 9*time.Second, time.Since(began))
-		version, err := store.CompareAndSwap(ctx, platform.Swap{Key: "duty/a"})
+		version, err := store.CompareAndSwap(ctx, external.Swap{Key: "duty/a"})
 		must.NoError(t, err)
 		must.Greater(t, second.Entries[0].Version, version)
 	})
--- a/pkg/standin/platformserver/server.go
+++ b/pkg/standin/platformserver/server.go
@@ -7,9 +7,9 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/external/wire"
 	"amaranthplank.example/amaranthplank/pkg/fault"
-	"amaranthplank.example/amaranthplank/pkg/platform"
-	"amaranthplank.example/amaranthplank/pkg/platform/wire"
 	"amaranthplank.example/amaranthplank/pkg/standin/faultstore"
 )
 
@@ -17,10 +17,10 @@
 func New(systems Systems) http.Handler {
 	mux := http.NewServeMux()
 	addStore(mux, systems.Store)
-	handle(mux, wire.PathReport, func(ctx context.Context, report platform.UsageReport) (wire.Empty, error) {
+	handle(mux, wire.PathReport, func(ctx context.Context, report external.UsageReport) (wire.Empty, error) {
 		return wire.Empty{}, systems.Usage.Report(ctx, report)
 	})
-	handle(mux, wire.PathOrder, func(ctx context.Context, order platform.TargetOrder) (wire.Empty, error) {
+	handle(mux, wire.PathOrder, func(ctx context.Context, order external.TargetOrder) (wire.Empty, error) {
 		return wire.Empty{}, systems.Targets.Order(ctx, order)
 	})
 	handle(mux, wire.PathOrders, func(ctx context.Context, _ wire.Empty) (wire.OrderList, error) {
@@ -63,15 +63,15 @@
 }
 
 // addStore serves the store's calls.
-func addStore(mux *http.ServeMux, store platform.Store) {
-	handle(mux, wire.PathGet, func(ctx context.Context, message wire.KeyRequest) (platform.Entry, error) {
+func addStore(mux *http.ServeMux, store external.Store) {
+	handle(mux, wire.PathGet, func(ctx context.Context, message wire.KeyRequest) (external.Entry, error) {
 		return store.Get(ctx, message.Key)
 	})
 	handle(mux, wire.PathList, func(ctx context.Context, message wire.KeyRequest) (wire.EntryList, error) {
 		entries, err := store.List(ctx, message.Key)
 		return wire.EntryList{Entries: entries}, err
 	})
-	handle(mux, wire.PathSwap, func(ctx context.Context, swap platform.Swap) (wire.VersionAnswer, error) {
+	handle(mux, wire.PathSwap, func(ctx context.Context, swap external.Swap) (wire.VersionAnswer, error) {
 		version, err := store.CompareAndSwap(ctx, swap)
 		return wire.VersionAnswer{Version: version}, err
 	})
@@ -88,7 +88,7 @@
 	handle(mux, wire.PathRevoke, func(ctx context.Context, message wire.LeaseMessage) (wire.Empty, error) {
 		return wire.Empty{}, store.Revoke(ctx, message.Lease)
 	})
-	handle(mux, wire.PathWatch, func(ctx context.Context, message wire.WatchRequest) (platform.Changes, error) {
+	handle(mux, wire.PathWatch, func(ctx context.Context, message wire.WatchRequest) (external.Changes, error) {
 		ctx, cancel := context.WithTimeout(ctx, message.Wait)
 		defer cancel()
 		return store.Watch(ctx, message.Prefix, message.After)
--- a/pkg/standin/rig/options.go
+++ b/pkg/standin/rig/options.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
 )
@@ -24,7 +24,7 @@
 	Hedge     time.Duration
 	Admission admission.Controller
 	// Store holds the claims of idempotency keys; nil goes without.
-	Store platform.Store
+	Store external.Store
 	// Misdeclared declares every route idempotent, so that the checks can be
 	// seen to find what then runs twice.
 	Misdeclared bool
--- a/pkg/standin/rig/rig.go
+++ b/pkg/standin/rig/rig.go
@@ -14,9 +14,9 @@
 
 	"amaranthplank.example/amaranthplank/pkg/claims"
 	"amaranthplank.example/amaranthplank/pkg/entry"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
 	"amaranthplank.example/amaranthplank/pkg/standin/engine"
@@ -72,7 +72,8 @@
 	r.startTargets()
 	r.client = target.NewClientWith(r.Network.Dial)
 	relayOpts := relay.Options{
-		Router: r.router(), Client: r.client, Config: r.Config, Credential: "system", Log: r.opts.Log, Registerer: r.Registry,
+		Router: r.router(), Client: r.client, Config: r.Config, Log: r.opts.Log, Registerer: r.Registry,
+		Protocol: relay.Engines{Credential: "system"}, Mark: entry.MarkWhole,
 	}
 	if r.opts.Moves != nil {
 		relayOpts.Moves = r.opts.Moves(r)
@@ -112,19 +113,19 @@
 			Peers: r.Caller(),
 		})
 		r.Engines = append(r.Engines, e)
-		states = append(states, r.startTarget(platform.TargetRecord{Target: name, Model: Model}, e))
+		states = append(states, r.startTarget(external.TargetRecord{Target: name, Model: Model}, e))
 	}
 	for i := range r.opts.Ledgers {
 		name := ident.Target(fmt.Sprintf("ledger-%d", i+1))
 		l := ledger.New()
 		r.Ledgers = append(r.Ledgers, l)
-		states = append(states, r.startTarget(platform.TargetRecord{Target: name, Service: Service}, l))
+		states = append(states, r.startTarget(external.TargetRecord{Target: name, Service: Service}, l))
 	}
 	r.View.current.Store(fleet.NewSnapshot(states))
 }
 
 // startTarget serves one stand-in.
-func (r *Rig) startTarget(record platform.TargetRecord, handler http.Handler) fleet.TargetState {
+func (r *Rig) startTarget(record external.TargetRecord, handler http.Handler) fleet.TargetState {
 	record.Address = string(record.Target) + ":80"
 	faulty := faulttarget.New(handler, r.opts.Late)
 	r.Faults[record.Target] = faulty
--- a/pkg/standin/targets/arrivals.go
+++ b/pkg/standin/targets/arrivals.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Arrivals shape how ordered targets come.
@@ -13,12 +13,12 @@
 	Delay time.Duration
 	// Make returns the record of a new target of a group. It is called with a
 	// number that rises with each target.
-	Make func(order platform.TargetOrder, number int) platform.TargetRecord
+	Make func(order external.TargetOrder, number int) external.TargetRecord
 }
 
 // arrival is one target that is on its way.
 type arrival struct {
-	order platform.TargetOrder
+	order external.TargetOrder
 	at    time.Time
 }
 
@@ -45,7 +45,7 @@
 	o.advance()
 	for i := range o.records {
 		record := &o.records[i]
-		if record.FailureDomain == domain && record.Kind == platform.Reclaimable {
+		if record.FailureDomain == domain && record.Kind == external.Reclaimable {
 			record.Leaving, record.LeaveBy = true, time.Now().Add(notice)
 		}
 	}
@@ -74,13 +74,13 @@
 }
 
 // withheld reports whether an order's targets can't be had at present.
-func (o *Orderer) withheld(order platform.TargetOrder) bool {
-	return order.Kind == platform.Reclaimable && o.unavailable[order.FailureDomain]
+func (o *Orderer) withheld(order external.TargetOrder) bool {
+	return order.Kind == external.Reclaimable && o.unavailable[order.FailureDomain]
 }
 
 // supply begins what a group lacks of its wanted count, and gives back what it
 // has too much.
-func (o *Orderer) supply(order platform.TargetOrder) {
+func (o *Orderer) supply(order external.TargetOrder) {
 	if o.arrivals.Make == nil {
 		return
 	}
@@ -114,11 +114,11 @@
 }
 
 // groupOf returns what an order speaks of.
-func groupOf(order platform.TargetOrder) group {
+func groupOf(order external.TargetOrder) group {
 	return group{domain: order.FailureDomain, model: order.Model, kind: order.Kind}
 }
 
 // recordGroup returns the group that a target belongs to.
-func recordGroup(record *platform.TargetRecord) group {
+func recordGroup(record *external.TargetRecord) group {
 	return group{domain: record.FailureDomain, model: record.Model, kind: record.Kind}
 }
--- a/pkg/standin/targets/arrivals_test.go
+++ b/pkg/standin/targets/arrivals_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/standin/targets"
 )
 
@@ -19,15 +19,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx := context.Background()
 		orderer := targets.New()
-		orderer.SetArrivals(targets.Arrivals{Delay: time.Minute, Make: func(order platform.TargetOrder, n int) platform.TargetRecord {
-			return platform.TargetRecord{Target: ident.Target(fmt.Sprint(n)), FailureDomain: order.FailureDomain, Model: order.Model, Kind: order.Kind}
+		orderer.SetArrivals(targets.Arrivals{Delay: time.Minute, Make: func(order external.TargetOrder, n int) external.TargetRecord {
+			return external.TargetRecord{Target: ident.Target(fmt.Sprint(n)), FailureDomain: order.FailureDomain, Model: order.Model, Kind: order.Kind}
 		}})
 		count := func() int {
 			records, err := orderer.Targets(ctx)
 			must.NoError(t, err)
 			return len(records)
 		}
-		order := platform.TargetOrder{OrderID: "a", FailureDomain: "d", Model: "m", Kind: platform.Reclaimable, Wanted: 2, Fencing: 5}
+		order := external.TargetOrder{OrderID: "a", FailureDomain: "d", Model: "m", Kind: external.Reclaimable, Wanted: 2, Fencing: 5}
 		must.NoError(t, orderer.Order(ctx, order))
 		must.NoError(t, orderer.Order(ctx, order))
 		must.Eq(t, 0, count())
@@ -43,7 +43,7 @@
 		must.Eq(t, 0, count())
 		orderer.SetUnavailable("d", false)
 		must.Eq(t, 2, count())
-		old := platform.TargetOrder{OrderID: "b", FailureDomain: "e", Fencing: 4}
+		old := external.TargetOrder{OrderID: "b", FailureDomain: "e", Fencing: 4}
 		must.Eq(t, fault.Fenced, fault.KindOf(orderer.Order(ctx, old)))
 	})
 }
--- a/pkg/standin/targets/orderer.go
+++ b/pkg/standin/targets/orderer.go
@@ -6,16 +6,16 @@
 	"strings"
 	"sync"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Orderer keeps orders and a list of targets that its owner sets.
 type Orderer struct {
 	mu      sync.Mutex
-	records []platform.TargetRecord
-	orders  map[group]platform.TargetOrder
+	records []external.TargetRecord
+	orders  map[group]external.TargetOrder
 	// fencing is the highest number seen in any order.
 	fencing  ident.Fencing
 	arrivals Arrivals
@@ -25,25 +25,25 @@
 	unavailable map[ident.FailureDomain]bool
 }
 
-var _ platform.TargetOrderer = (*Orderer)(nil)
+var _ external.TargetOrderer = (*Orderer)(nil)
 
 // group is what one order speaks of.
 type group struct {
 	domain ident.FailureDomain
 	model  ident.Model
-	kind   platform.TargetKind
+	kind   external.TargetKind
 }
 
 // New returns an orderer that lists the given targets.
-func New(records ...platform.TargetRecord) *Orderer {
+func New(records ...external.TargetRecord) *Orderer {
 	return &Orderer{
-		records: records, orders: make(map[group]platform.TargetOrder),
+		records: records, orders: make(map[group]external.TargetOrder),
 		unavailable: make(map[ident.FailureDomain]bool),
 	}
 }
 
 // Order takes an order, or refuses an old holder's.
-func (o *Orderer) Order(_ context.Context, order platform.TargetOrder) error {
+func (o *Orderer) Order(_ context.Context, order external.TargetOrder) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if order.Fencing < o.fencing {
@@ -57,21 +57,21 @@
 }
 
 // Orders returns the newest order of each group.
-func (o *Orderer) Orders(_ context.Context) ([]platform.TargetOrder, error) {
+func (o *Orderer) Orders(_ context.Context) ([]external.TargetOrder, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	orders := make([]platform.TargetOrder, 0, len(o.orders))
+	orders := make([]external.TargetOrder, 0, len(o.orders))
 	for _, order := range o.orders {
 		orders = append(orders, order)
 	}
-	slices.SortFunc(orders, func(a, b platform.TargetOrder) int {
+	slices.SortFunc(orders, func(a, b external.TargetOrder) int {
 		return strings.Compare(a.OrderID, b.OrderID)
 	})
 	return orders, nil
 }
 
 // Targets returns the list of targets.
-func (o *Orderer) Targets(_ context.Context) ([]platform.TargetRecord, error) {
+func (o *Orderer) Targets(_ context.Context) ([]external.TargetRecord, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.advance()
@@ -79,7 +79,7 @@
 }
 
 // SetTargets replaces the list of targets.
-func (o *Orderer) SetTargets(records []platform.TargetRecord) {
+func (o *Orderer) SetTargets(records []external.TargetRecord) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.records = slices.Clone(records)
--- a/pkg/standin/usagesink/sink.go
+++ b/pkg/standin/usagesink/sink.go
@@ -7,25 +7,25 @@
 	"sync"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Sink keeps the reports that it was given.
 type Sink struct {
 	mu      sync.Mutex
-	reports []platform.UsageReport
+	reports []external.UsageReport
 	fencing map[ident.Duty]ident.Fencing
 }
 
-var _ platform.UsageSink = (*Sink)(nil)
+var _ external.UsageSink = (*Sink)(nil)
 
 // New returns an empty sink.
 func New() *Sink { return &Sink{fencing: make(map[ident.Duty]ident.Fencing)} }
 
 // Report takes one report, or refuses an old holder and other figures.
-func (s *Sink) Report(_ context.Context, report platform.UsageReport) error {
+func (s *Sink) Report(_ context.Context, report external.UsageReport) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if report.Fencing < s.fencing[report.Shard] {
@@ -44,14 +44,14 @@
 }
 
 // Reports returns the reports taken so far.
-func (s *Sink) Reports() []platform.UsageReport {
+func (s *Sink) Reports() []external.UsageReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Clone(s.reports)
 }
 
 // find returns the report of one window, or nil.
-func (s *Sink) find(shard ident.Duty, window time.Time) *platform.UsageReport {
+func (s *Sink) find(shard ident.Duty, window time.Time) *external.UsageReport {
 	for i := range s.reports {
 		if s.reports[i].Shard == shard && s.reports[i].Window.Equal(window) {
 			return &s.reports[i]
--- a/pkg/standin/weights/weights.go
+++ b/pkg/standin/weights/weights.go
@@ -8,8 +8,8 @@
 
 	"golang.org/x/time/rate"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Store lets one load start per interval.
@@ -18,7 +18,7 @@
 	limiter *rate.Limiter
 }
 
-var _ platform.WeightStore = (*Store)(nil)
+var _ external.WeightStore = (*Store)(nil)
 
 // New returns a store that lets a load start each interval.
 func New(interval time.Duration) *Store {
--- a/pkg/supply/planner.go
+++ b/pkg/supply/planner.go
@@ -6,10 +6,10 @@
 
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/demand"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/orders"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Planner wants counts of targets. It is not safe for concurrent use.
@@ -55,8 +55,8 @@
 
 // PlanSupply returns the wanted counts of every model with a known demand, for
 // each failure domain and kind.
-func (p *Planner) PlanSupply(snapshot *fleet.Snapshot, now time.Time) []platform.TargetOrder {
-	var list []platform.TargetOrder
+func (p *Planner) PlanSupply(snapshot *fleet.Snapshot, now time.Time) []external.TargetOrder {
+	var list []external.TargetOrder
 	for _, model := range snapshot.Models() {
 		knobs := p.opts.Knobs(model)
 		p.meter.Observe(snapshot, now, knobs.Smoothing.D())
@@ -68,7 +68,7 @@
 }
 
 // planModel returns one model's wanted counts.
-func (p *Planner) planModel(snapshot *fleet.Snapshot, model ident.Model, d demand.Demand, knobs *config.SupplyKnobs, now time.Time) []platform.TargetOrder {
+func (p *Planner) planModel(snapshot *fleet.Snapshot, model ident.Model, d demand.Demand, knobs *config.SupplyKnobs, now time.Time) []external.TargetOrder {
 	state, ok := p.models[model]
 	if !ok {
 		state = &plan{places: make([]place, len(p.opts.Domains))}
@@ -78,7 +78,7 @@
 	state.update(needOf(d.Interactive(), d.Total(), knobs), knobs, now)
 	usable := p.look(state, snapshot, model, knobs, now)
 	mix := Choose(state.need.atMost(len(snapshot.Model(model))+int(knobs.LoadsAtOnce)), len(usable), knobs)
-	var list []platform.TargetOrder
+	var list []external.TargetOrder
 	for i, domain := range p.opts.Domains {
 		reclaimable := 0
 		if at := slices.Index(usable, i); at >= 0 {
@@ -88,8 +88,8 @@
 		first := mix.Reclaimable % max(1, len(usable))
 		dependable := spread(mix.Dependable, len(p.opts.Domains), i, first)
 		list = append(list,
-			platform.TargetOrder{FailureDomain: domain, Model: model, Kind: platform.Dependable, Wanted: dependable},
-			platform.TargetOrder{FailureDomain: domain, Model: model, Kind: platform.Reclaimable, Wanted: reclaimable})
+			external.TargetOrder{FailureDomain: domain, Model: model, Kind: external.Dependable, Wanted: dependable},
+			external.TargetOrder{FailureDomain: domain, Model: model, Kind: external.Reclaimable, Wanted: reclaimable})
 	}
 	return list
 }
@@ -148,7 +148,7 @@
 func reclaimableIn(snapshot *fleet.Snapshot, model ident.Model, domain ident.FailureDomain) (here int, leaving bool) {
 	for _, i := range snapshot.Model(model) {
 		record := &snapshot.Targets[i].Record
-		if record.FailureDomain != domain || record.Kind != platform.Reclaimable {
+		if record.FailureDomain != domain || record.Kind != external.Reclaimable {
 			continue
 		}
 		if record.Leaving {
--- a/pkg/supply/supply_test.go
+++ b/pkg/supply/supply_test.go
@@ -10,9 +10,9 @@
 	"pgregory.net/rapid"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 	_ "amaranthplank.example/amaranthplank/pkg/testseed"
 )
 
@@ -64,26 +64,26 @@
 	b := &bed{now: time.Unix(1e9, 0)}
 	b.planner = NewPlanner(Options{Domains: domains, Knobs: func(ident.Model) *config.SupplyKnobs { return &knobs }})
 	for i := range engines {
-		kind := platform.Reclaimable
+		kind := external.Reclaimable
 		if i < 4 {
-			kind = platform.Dependable
+			kind = external.Dependable
 		}
 		b.add(domains[i%4], kind)
 	}
 	return b
 }
 
-func (b *bed) add(domain ident.FailureDomain, kind platform.TargetKind) {
+func (b *bed) add(domain ident.FailureDomain, kind external.TargetKind) {
 	b.made++
 	name := ident.Target(fmt.Sprintf("e%03d", b.made))
 	b.states = append(b.states, fleet.TargetState{
-		Record: platform.TargetRecord{Target: name, Model: "m", FailureDomain: domain, Kind: kind},
+		Record: external.TargetRecord{Target: name, Model: "m", FailureDomain: domain, Kind: kind},
 		Load:   fleet.LoadReport{Target: name, Incarnation: 1, Slots: 32, PrefillRate: 20000, DecodeRate: 30},
 	})
 }
 
 // take carries an order out at once.
-func (b *bed) take(order platform.TargetOrder) {
+func (b *bed) take(order external.TargetOrder) {
 	here := 0
 	b.states = slices.DeleteFunc(b.states, func(s fleet.TargetState) bool {
 		if s.Record.FailureDomain != order.FailureDomain || s.Record.Kind != order.Kind {
@@ -92,7 +92,7 @@
 		here++
 		return here > order.Wanted
 	})
-	for ; here < order.Wanted && (order.Kind == platform.Dependable || order.FailureDomain != b.refuses); here++ {
+	for ; here < order.Wanted && (order.Kind == external.Dependable || order.FailureDomain != b.refuses); here++ {
 		b.add(order.FailureDomain, order.Kind)
 	}
 }
@@ -134,7 +134,7 @@
 	before := b.run(900)
 	must.Positive(t, before["b/reclaimable"])
 	for i := range b.states {
-		if b.states[i].Record.FailureDomain == "b" && b.states[i].Record.Kind == platform.Reclaimable {
+		if b.states[i].Record.FailureDomain == "b" && b.states[i].Record.Kind == external.Reclaimable {
 			b.states[i].Record.Leaving = true
 		}
 	}
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -42,7 +42,7 @@
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // NewClient returns a client with pools of its own over TCP.
-func NewClient() *Client { return NewClientWith(newDialer().DialContext) }
+func NewClient() *Client { return NewClientWith(NewDialer().DialContext) }
 
 // NewClientWith returns a client that makes its connections with dial.
 func NewClientWith(dial Dial) *Client {
--- a/pkg/target/control.go
+++ b/pkg/target/control.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"strconv"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // maxControlBytes bounds the answer to a control call.
@@ -31,7 +31,7 @@
 // Send sends an order once. It fails with kind Unknown where the order may have
 // arrived, Fenced where the engine refused its fencing number, Unavailable where
 // it did not arrive, and Invalid where the engine refused it otherwise.
-func (c *Control) Send(ctx context.Context, engine platform.TargetRecord, order Order) error {
+func (c *Control) Send(ctx context.Context, engine external.TargetRecord, order Order) error {
 	body, err := json.Marshal(order)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "an order could not be encoded", "report the defect")
@@ -56,21 +56,21 @@
 }
 
 // Report returns a target's own report of itself.
-func (c *Control) Report(ctx context.Context, record platform.TargetRecord) (fleet.LoadReport, error) {
+func (c *Control) Report(ctx context.Context, record external.TargetRecord) (fleet.LoadReport, error) {
 	var report fleet.LoadReport
 	err := c.get(ctx, record, PathLoad, &report)
 	return report, err
 }
 
 // Events returns an engine's cache events after the given sequence number.
-func (c *Control) Events(ctx context.Context, record platform.TargetRecord, after uint64) ([]fleet.CacheEvent, error) {
+func (c *Control) Events(ctx context.Context, record external.TargetRecord, after uint64) ([]fleet.CacheEvent, error) {
 	var events []fleet.CacheEvent
 	err := c.get(ctx, record, PathEvents+"?after="+strconv.FormatUint(after, 10), &events)
 	return events, err
 }
 
 // get reads one answer in JSON. It fails with kind Unavailable.
-func (c *Control) get(ctx context.Context, record platform.TargetRecord, path string, answer any) error {
+func (c *Control) get(ctx context.Context, record external.TargetRecord, path string, answer any) error {
 	response, _, err := c.exchange(ctx, record, http.MethodGet, path, nil, ReuseAny)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "the target can't be reached", "look at the target")
@@ -86,7 +86,7 @@
 }
 
 // exchange makes one call.
-func (c *Control) exchange(ctx context.Context, record platform.TargetRecord, method, path string, body []byte, reuse Reuse) (*http.Response, *Trace, error) {
+func (c *Control) exchange(ctx context.Context, record external.TargetRecord, method, path string, body []byte, reuse Reuse) (*http.Response, *Trace, error) {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+record.Address+path, NewBody(body))
 	if err != nil {
 		return nil, nil, err
--- a/pkg/target/dialer.go
+++ b/pkg/target/dialer.go
@@ -21,9 +21,9 @@
 	probeCount    = 3
 )
 
-// newDialer returns a dialer whose connections end when the other side is silent
+// NewDialer returns a dialer whose connections end when the other side is silent
 // at the transport.
-func newDialer() *net.Dialer {
+func NewDialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
--- a/pkg/target/dialer_test.go
+++ b/pkg/target/dialer_test.go
@@ -14,7 +14,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	defer func() { must.NoError(t, listener.Close()) }()
-	c, err := newDialer().DialContext(t.Context(), "tcp", listener.Addr().String())
+	c, err := NewDialer().DialContext(t.Context(), "tcp", listener.Addr().String())
 	must.NoError(t, err)
 	defer func() { must.NoError(t, c.Close()) }()
 	tcp, ok := c.(*net.TCPConn)
--- a/pkg/target/framereader.go
+++ b/pkg/target/framereader.go
@@ -23,6 +23,8 @@
 	scanned int
 	// line is where the line at scanned begins.
 	line int
+	// anyField takes frames with fields of any name, and keeps their text whole.
+	anyField bool
 }
 
 // NewFrameReader returns a reader of source.
@@ -30,6 +32,14 @@
 	return &FrameReader{source: source, buffer: make([]byte, startBytes)}
 }
 
+// NewEventReader returns a reader of source that takes any server-sent event
+// with an id. The text of its frames is the whole event.
+func NewEventReader(source io.Reader) *FrameReader {
+	reader := NewFrameReader(source)
+	reader.anyField = true
+	return reader
+}
+
 // Next returns the next frame. It fails with io.EOF only between two frames and
 // with io.ErrUnexpectedEOF within one.
 func (f *FrameReader) Next() (Frame, error) {
@@ -38,6 +48,9 @@
 		if stop := f.findEnd(); stop > 0 {
 			text := f.buffer[f.start:stop]
 			f.start = stop
+			if f.anyField {
+				return parseEvent(text)
+			}
 			return parseFrame(text)
 		}
 		if err := f.fill(); err != nil {
@@ -103,6 +116,21 @@
 	return nil
 }
 
+// parseEvent reads the id of an event with fields of any name.
+func parseEvent(text []byte) (Frame, error) {
+	frame := Frame{Text: text}
+	for line := range bytes.Lines(text) {
+		line = trimReturn(bytes.TrimSuffix(line, []byte("\n")))
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			frame.ID = parseID(trimSpace(value))
+		}
+	}
+	if frame.ID == 0 && len(bytes.TrimSpace(text)) > 0 {
+		return Frame{}, ErrFrameMalformed
+	}
+	return frame, nil
+}
+
 // parseFrame reads the lines of one frame.
 func parseFrame(text []byte) (Frame, error) {
 	var frame Frame
--- a/pkg/targetwatch/merge.go
+++ b/pkg/targetwatch/merge.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/dissemination"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/peer"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // view is what is known of the targets at one moment.
@@ -55,8 +55,8 @@
 }
 
 // recordsOf returns the list as a daemon has read it.
-func (w *Watcher) recordsOf(lister dissemination.Life) map[ident.Target]platform.TargetRecord {
-	records := make(map[ident.Target]platform.TargetRecord)
+func (w *Watcher) recordsOf(lister dissemination.Life) map[ident.Target]external.TargetRecord {
+	records := make(map[ident.Target]external.TargetRecord)
 	for _, item := range w.items(dissemination.SectionTarget) {
 		if item.Life != lister {
 			continue
--- a/pkg/targetwatch/options.go
+++ b/pkg/targetwatch/options.go
@@ -7,10 +7,10 @@
 
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/dissemination"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Spread is what a Watcher needs of the dissemination;
@@ -33,7 +33,7 @@
 // Options shape a Watcher.
 type Options struct {
 	Self    ident.Host
-	Orderer platform.TargetOrderer
+	Orderer external.TargetOrderer
 	// Spread carries what was read between the daemons, or is nil for a
 	// daemon that reads everything itself. Members tells who shares the work.
 	Spread  Spread
--- a/pkg/targetwatch/poll.go
+++ b/pkg/targetwatch/poll.go
@@ -9,9 +9,9 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
@@ -19,7 +19,7 @@
 var errNoAnswer = fault.New(fault.Unavailable, "a target did not answer a question on its load", "see whether the target runs")
 
 // askLoad asks a target for its load.
-func (w *Watcher) askLoad(ctx context.Context, record platform.TargetRecord) (fleet.LoadReport, error) {
+func (w *Watcher) askLoad(ctx context.Context, record external.TargetRecord) (fleet.LoadReport, error) {
 	var report fleet.LoadReport
 	err := w.get(ctx, record, target.PathLoad, &report)
 	report.Target = record.Target
@@ -27,14 +27,14 @@
 }
 
 // askEvents asks a target for its cache events after a sequence.
-func (w *Watcher) askEvents(ctx context.Context, record platform.TargetRecord, after uint64) ([]fleet.CacheEvent, error) {
+func (w *Watcher) askEvents(ctx context.Context, record external.TargetRecord, after uint64) ([]fleet.CacheEvent, error) {
 	var events []fleet.CacheEvent
 	err := w.get(ctx, record, target.PathEvents+"?after="+strconv.FormatUint(after, 10), &events)
 	return events[max(len(events)-maxEvents, 0):], err
 }
 
 // get reads a JSON answer of a target.
-func (w *Watcher) get(ctx context.Context, record platform.TargetRecord, path string, value any) error {
+func (w *Watcher) get(ctx context.Context, record external.TargetRecord, path string, value any) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+record.Address+path, http.NoBody)
--- a/pkg/targetwatch/share.go
+++ b/pkg/targetwatch/share.go
@@ -8,10 +8,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"amaranthplank.example/amaranthplank/pkg/dissemination"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // due reports whether something falls to this daemon to be read: by its rank,
@@ -32,7 +32,7 @@
 		return
 	}
 	old := w.listed
-	w.listed = make(map[ident.Target]platform.TargetRecord, len(records))
+	w.listed = make(map[ident.Target]external.TargetRecord, len(records))
 	for _, record := range records {
 		w.listed[record.Target] = record
 		delete(old, record.Target)
@@ -78,7 +78,7 @@
 }
 
 // readLoad asks one target for its load and its cache events.
-func (w *Watcher) readLoad(ctx context.Context, record platform.TargetRecord, load ownLoad) (ownLoad, bool) {
+func (w *Watcher) readLoad(ctx context.Context, record external.TargetRecord, load ownLoad) (ownLoad, bool) {
 	report, err := w.askLoad(ctx, record)
 	if err != nil {
 		w.opts.Log.Debug("load not read", "target", record.Target, "error", err)
--- a/pkg/targetwatch/slope_test.go
+++ b/pkg/targetwatch/slope_test.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/dissemination"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // BenchmarkSlopeMerge shows what one merge of the view costs by the targets.
@@ -20,7 +20,7 @@
 			for i := range size {
 				name := ident.Target(fmt.Sprintf("engine-%d", i))
 				key := dissemination.Key{Section: dissemination.SectionTarget, Name: string(name)}
-				_ = reader.Publish(key, platform.TargetRecord{Target: name, Address: "10.0.0.1:80", Model: "m"}, false)
+				_ = reader.Publish(key, external.TargetRecord{Target: name, Address: "10.0.0.1:80", Model: "m"}, false)
 				key.Section = dissemination.SectionLoad
 				_ = reader.Publish(key, loadItem(fleet.LoadReport{Sequence: 1, Running: 7, Slots: 16}), false)
 			}
--- a/pkg/targetwatch/watcher.go
+++ b/pkg/targetwatch/watcher.go
@@ -6,9 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Watcher keeps the view of the targets. Each target's load, and the
@@ -20,14 +20,14 @@
 	current atomic.Pointer[fleet.Snapshot]
 
 	// The rest belongs to the goroutine of Run.
-	listed   map[ident.Target]platform.TargetRecord
+	listed   map[ident.Target]external.TargetRecord
 	listedAt time.Time
 	reads    uint64
 	loads    map[ident.Target]ownLoad
 	// heard is when each batch of events was last handed on, by target.
 	heard map[ident.Target]time.Time
 	// records and reports keep what others' items say.
-	records decoded[platform.TargetRecord]
+	records decoded[external.TargetRecord]
 	reports decoded[loadItem]
 }
 
@@ -44,7 +44,7 @@
 var _ fleet.View = (*Watcher)(nil)
 
 // New returns a watcher that reads the platform's list alone.
-func New(orderer platform.TargetOrderer, log *slog.Logger, every time.Duration) *Watcher {
+func New(orderer external.TargetOrderer, log *slog.Logger, every time.Duration) *Watcher {
 	return NewShared(Options{Orderer: orderer, Log: log, Every: every})
 }
 
@@ -53,7 +53,7 @@
 func NewShared(opts Options) *Watcher {
 	opts.fill()
 	w := &Watcher{
-		opts: opts, listed: make(map[ident.Target]platform.TargetRecord),
+		opts: opts, listed: make(map[ident.Target]external.TargetRecord),
 		loads: make(map[ident.Target]ownLoad), heard: make(map[ident.Target]time.Time),
 	}
 	w.current.Store(fleet.NewSnapshot(nil))
--- a/pkg/targetwatch/watcher_test.go
+++ b/pkg/targetwatch/watcher_test.go
@@ -14,11 +14,11 @@
 
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/dissemination"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/peer"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/standin/targets"
 )
 
@@ -74,7 +74,7 @@
 func (h *holds) CurrentHolds() *config.Holds { return (*config.Holds)(h) }
 
 // countingTarget is an engine that counts the questions on its load.
-func countingTarget(t *testing.T, asked *int) platform.TargetRecord {
+func countingTarget(t *testing.T, asked *int) external.TargetRecord {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/load" {
 			*asked++
@@ -84,7 +84,7 @@
 		must.NoError(t, json.NewEncoder(w).Encode([]fleet.CacheEvent{{Sequence: 1, Block: 9}}))
 	}))
 	t.Cleanup(server.Close)
-	return platform.TargetRecord{Target: "engine-1", Address: strings.TrimPrefix(server.URL, "http://"), Model: "m"}
+	return external.TargetRecord{Target: "engine-1", Address: strings.TrimPrefix(server.URL, "http://"), Model: "m"}
 }
 
 func TestOneDaemonReadsForAll(t *testing.T) {
--- a/pkg/usage/frozen.go
+++ b/pkg/usage/frozen.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Frozen is one closed window of one shard. It is written once and never
@@ -23,11 +23,11 @@
 }
 
 // FrozenPrefix starts the keys of the frozen windows.
-const FrozenPrefix platform.Key = "usage/frozen/"
+const FrozenPrefix external.Key = "usage/frozen/"
 
 // frozenKey returns where a window stands in the store.
-func frozenKey(shard int, sequence uint64) platform.Key {
-	return FrozenPrefix + platform.Key(fmt.Sprintf("%d/%012d", shard, sequence))
+func frozenKey(shard int, sequence uint64) external.Key {
+	return FrozenPrefix + external.Key(fmt.Sprintf("%d/%012d", shard, sequence))
 }
 
 // Duty returns the duty of reporting one shard.
@@ -92,9 +92,9 @@
 }
 
 // Report returns the window as the platform takes it.
-func (f *Frozen) Report(fencing ident.Fencing) platform.UsageReport {
-	report := platform.UsageReport{Window: f.Start.Time(), Shard: Duty(f.Shard), Fencing: fencing}
-	report.Lines = make([]platform.UsageLine, len(f.Lines))
+func (f *Frozen) Report(fencing ident.Fencing) external.UsageReport {
+	report := external.UsageReport{Window: f.Start.Time(), Shard: Duty(f.Shard), Fencing: fencing}
+	report.Lines = make([]external.UsageLine, len(f.Lines))
 	for i := range f.Lines {
 		report.Lines[i] = f.Lines[i].report()
 	}
--- a/pkg/usage/head.go
+++ b/pkg/usage/head.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // Head tells how far a shard is. It may be behind the frozen windows, never
@@ -20,10 +20,10 @@
 }
 
 // HeadPrefix starts the keys of the heads.
-const HeadPrefix platform.Key = "usage/head/"
+const HeadPrefix external.Key = "usage/head/"
 
 // headKey returns where a shard's head stands in the store.
-func headKey(shard int) platform.Key { return HeadPrefix + platform.Key(fmt.Sprint(shard)) }
+func headKey(shard int) external.Key { return HeadPrefix + external.Key(fmt.Sprint(shard)) }
 
 // reportedBy returns the last batch of a source that every shard has reported.
 // A shard without a head has reported nothing.
--- a/pkg/usage/janitor.go
+++ b/pkg/usage/janitor.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/lease"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 const (
@@ -29,18 +29,18 @@
 	reporter *Reporter
 	last     time.Time
 	// unchanged is since when each checkpoint stands at its version.
-	unchanged map[platform.Key]standing
+	unchanged map[external.Key]standing
 }
 
 // standing is a version with the time since which it is seen.
 type standing struct {
-	version platform.Version
+	version external.Version
 	since   time.Time
 }
 
 // newJanitor returns a janitor of a reporter's shard.
 func newJanitor(reporter *Reporter) *janitor {
-	return &janitor{reporter: reporter, unchanged: make(map[platform.Key]standing)}
+	return &janitor{reporter: reporter, unchanged: make(map[external.Key]standing)}
 }
 
 // step makes a round where one is due. What fails is tried in the next.
@@ -109,7 +109,7 @@
 }
 
 // sweepOne does what is due for one checkpoint.
-func (j *janitor) sweepOne(ctx context.Context, authority lease.Authority, entry *platform.Entry, checkpoint *Checkpoint, heads []Head) error {
+func (j *janitor) sweepOne(ctx context.Context, authority lease.Authority, entry *external.Entry, checkpoint *Checkpoint, heads []Head) error {
 	now := time.Now()
 	if err := authority.Check(); err != nil {
 		return err
@@ -123,7 +123,7 @@
 		if err != nil {
 			return err
 		}
-		_, err = j.reporter.Store.CompareAndSwap(ctx, platform.Swap{Key: entry.Key, Base: entry.Version, Value: value})
+		_, err = j.reporter.Store.CompareAndSwap(ctx, external.Swap{Key: entry.Key, Base: entry.Version, Value: value})
 		return err
 	case sweepDelete:
 		delete(j.unchanged, entry.Key)
@@ -134,7 +134,7 @@
 }
 
 // standingFor returns how long the janitor has seen a checkpoint unchanged.
-func (j *janitor) standingFor(entry *platform.Entry, now time.Time) time.Duration {
+func (j *janitor) standingFor(entry *external.Entry, now time.Time) time.Duration {
 	seen, ok := j.unchanged[entry.Key]
 	if !ok || seen.version != entry.Version {
 		j.unchanged[entry.Key] = standing{version: entry.Version, since: now}
--- a/pkg/usage/keeper.go
+++ b/pkg/usage/keeper.go
@@ -8,16 +8,16 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/peer"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // KeeperOptions are what a Keeper works on.
 type KeeperOptions struct {
 	Host  ident.Host
-	Store platform.Store
+	Store external.Store
 	Mesh  peer.Mesh
 	View  membership.View
 	Log   *slog.Logger
@@ -194,7 +194,7 @@
 // sealKey seals a source's checkpoint with a tail. A source that is alive after
 // all finds the seal and goes on under a new incarnation, so that sealing is
 // never wrong.
-func sealKey(ctx context.Context, store platform.Store, source SourceID, by ident.Host, tail []Chunk) error {
+func sealKey(ctx context.Context, store external.Store, source SourceID, by ident.Host, tail []Chunk) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	checkpoint := Checkpoint{Source: source}
@@ -204,7 +204,7 @@
 		if checkpoint, err = decodeCheckpoint(entry.Value); err != nil {
 			return err
 		}
-	case !errors.Is(err, platform.ErrKeyNotFound):
+	case !errors.Is(err, external.ErrKeyNotFound):
 		return err
 	case len(tail) == 0 || tail[0].From != 1:
 		return nil
@@ -217,6 +217,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = store.CompareAndSwap(ctx, platform.Swap{Key: source.key(), Base: entry.Version, Value: value})
+	_, err = store.CompareAndSwap(ctx, external.Swap{Key: source.key(), Base: entry.Version, Value: value})
 	return err
 }
--- a/pkg/usage/line.go
+++ b/pkg/usage/line.go
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // subject is what the figures are summed by.
@@ -72,8 +72,8 @@
 }
 
 // report returns the line as the platform takes it.
-func (l *Line) report() platform.UsageLine {
-	return platform.UsageLine{
+func (l *Line) report() external.UsageLine {
+	return external.UsageLine{
 		Workspace: l.Workspace, Model: l.Model, Service: l.Service, UsedIn: l.UsedIn.Time(),
 		Requests: l.Requests, PromptTokens: l.PromptTokens, OutputTokens: l.OutputTokens,
 	}
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -8,9 +8,9 @@
 	"github.com/go-faster/errors"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Reporter closes and reports the windows of one shard while it holds the
@@ -18,8 +18,8 @@
 type Reporter struct {
 	Host  ident.Host
 	Shard int
-	Store platform.Store
-	Sink  platform.UsageSink
+	Store external.Store
+	Sink  external.UsageSink
 	// Knobs returns the knobs in force.
 	Knobs func() config.UsageKnobs
 	Log   *slog.Logger
@@ -122,7 +122,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err = r.Store.CompareAndSwap(call, platform.Swap{Key: frozenKey(r.Shard, next.Sequence), Base: platform.NoVersion, Value: value})
+	_, err = r.Store.CompareAndSwap(call, external.Swap{Key: frozenKey(r.Shard, next.Sequence), Base: external.NoVersion, Value: value})
 	if err == nil {
 		return next, nil
 	}
--- a/pkg/usage/reporterstore.go
+++ b/pkg/usage/reporterstore.go
@@ -5,18 +5,18 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/lease"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // readHead returns the shard's head with its version. Before the first it is
 // empty.
-func (r *Reporter) readHead(ctx context.Context) (Head, platform.Version, error) {
+func (r *Reporter) readHead(ctx context.Context) (Head, external.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	entry, err := r.Store.Get(ctx, headKey(r.Shard))
-	if errors.Is(err, platform.ErrKeyNotFound) {
-		return Head{Shard: r.Shard}, platform.NoVersion, nil
+	if errors.Is(err, external.ErrKeyNotFound) {
+		return Head{Shard: r.Shard}, external.NoVersion, nil
 	}
 	if err != nil {
 		return Head{}, 0, err
@@ -28,7 +28,7 @@
 // writeHead notes what was reported. Where the answer is lost the next step
 // reads the head first, and at worst sends a window again with the same
 // figures.
-func (r *Reporter) writeHead(ctx context.Context, authority lease.Authority, head *Head, base platform.Version) (platform.Version, error) {
+func (r *Reporter) writeHead(ctx context.Context, authority lease.Authority, head *Head, base external.Version) (external.Version, error) {
 	value, err := encodeHead(head)
 	if err != nil {
 		return 0, err
@@ -38,7 +38,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return r.Store.CompareAndSwap(ctx, platform.Swap{Key: headKey(r.Shard), Base: base, Value: value})
+	return r.Store.CompareAndSwap(ctx, external.Swap{Key: headKey(r.Shard), Base: base, Value: value})
 }
 
 // readFrozen returns a frozen window, or nil where it does not exist.
@@ -46,7 +46,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	entry, err := r.Store.Get(ctx, frozenKey(r.Shard, sequence))
-	if errors.Is(err, platform.ErrKeyNotFound) {
+	if errors.Is(err, external.ErrKeyNotFound) {
 		return nil, nil
 	}
 	if err != nil {
@@ -76,4 +76,4 @@
 }
 
 // isNotFound reports whether the error says that a key does not exist.
-func isNotFound(err error) bool { return errors.Is(err, platform.ErrKeyNotFound) }
+func isNotFound(err error) bool { return errors.Is(err, external.ErrKeyNotFound) }
--- a/pkg/usage/shardstatus.go
+++ b/pkg/usage/shardstatus.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // ShardStatus is how far the reports of one shard are.
@@ -17,7 +17,7 @@
 }
 
 // Statuses reads how far each shard is.
-func Statuses(ctx context.Context, store platform.Store) ([]ShardStatus, error) {
+func Statuses(ctx context.Context, store external.Store) ([]ShardStatus, error) {
 	heads, err := readHeads(ctx, store)
 	if err != nil {
 		return nil, err
--- a/pkg/usage/source.go
+++ b/pkg/usage/source.go
@@ -10,10 +10,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/peer"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // SourceOptions are what a Source works on.
@@ -21,7 +21,7 @@
 	Host          ident.Host
 	FailureDomain ident.FailureDomain
 	Incarnation   ident.Incarnation
-	Store         platform.Store
+	Store         external.Store
 	// Mesh and View reach the peer that keeps the tail. Both are nil where
 	// there are no other daemons.
 	Mesh peer.Mesh
@@ -53,7 +53,7 @@
 	mu    sync.Mutex
 	state *state
 	// version is the checkpoint's version in the store.
-	version platform.Version
+	version external.Version
 	// acked is the last record that the peer keeps.
 	acked uint64
 	// keeper is the peer that keeps the tail.
@@ -180,7 +180,7 @@
 }
 
 // readHeads returns the heads of the shards.
-func readHeads(ctx context.Context, store platform.Store) ([]Head, error) {
+func readHeads(ctx context.Context, store external.Store) ([]Head, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	entries, err := store.List(ctx, HeadPrefix)
--- a/pkg/usage/sourcecheckpoint.go
+++ b/pkg/usage/sourcecheckpoint.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // Checkpoint writes the figures at present into the source's key.
@@ -15,7 +15,7 @@
 	s.mu.Lock()
 	s.state.roll(stampOf(time.Now()), s.length())
 	checkpoint, base := s.state.checkpoint(), s.version
-	nothing := checkpoint.Sequence == 0 && base == platform.NoVersion
+	nothing := checkpoint.Sequence == 0 && base == external.NoVersion
 	s.mu.Unlock()
 	if nothing {
 		return nil
@@ -28,7 +28,7 @@
 	s.mu.Lock()
 	checkpoint, base := s.state.checkpoint(), s.version
 	s.mu.Unlock()
-	if checkpoint.Sequence == 0 && base == platform.NoVersion {
+	if checkpoint.Sequence == 0 && base == external.NoVersion {
 		return nil
 	}
 	sealed, _ := Seal(checkpoint, s.opts.Host, stampOf(time.Now()), nil)
@@ -36,14 +36,14 @@
 }
 
 // write swaps a checkpoint in over the version that the source wrote last.
-func (s *Source) write(ctx context.Context, checkpoint *Checkpoint, base platform.Version) error {
+func (s *Source) write(ctx context.Context, checkpoint *Checkpoint, base external.Version) error {
 	value, err := encodeCheckpoint(checkpoint)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	version, err := s.opts.Store.CompareAndSwap(ctx, platform.Swap{Key: checkpoint.Source.key(), Base: base, Value: value})
+	version, err := s.opts.Store.CompareAndSwap(ctx, external.Swap{Key: checkpoint.Source.key(), Base: base, Value: value})
 	if err == nil {
 		s.stored(checkpoint, version)
 		s.metrics.checkpointBytes.Observe(float64(len(value)))
@@ -56,7 +56,7 @@
 }
 
 // stored notes what the store holds.
-func (s *Source) stored(checkpoint *Checkpoint, version platform.Version) {
+func (s *Source) stored(checkpoint *Checkpoint, version external.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state.id != checkpoint.Source {
@@ -71,7 +71,7 @@
 // key, so that a record which is not sealed is the source's own.
 func (s *Source) readBack(ctx context.Context, source SourceID) error {
 	entry, err := s.opts.Store.Get(ctx, source.key())
-	if errors.Is(err, platform.ErrKeyNotFound) {
+	if errors.Is(err, external.ErrKeyNotFound) {
 		return s.lostKey(source)
 	}
 	if err != nil {
@@ -95,7 +95,7 @@
 // again.
 func (s *Source) lostKey(source SourceID) error {
 	s.mu.Lock()
-	never, all := s.version == platform.NoVersion, s.state.sequence
+	never, all := s.version == external.NoVersion, s.state.sequence
 	s.mu.Unlock()
 	if never {
 		return nil
@@ -112,7 +112,7 @@
 		return
 	}
 	s.state = s.state.after(sealed.Sequence, s.state.id.Incarnation+1, stampOf(time.Now()), s.length())
-	s.version = platform.NoVersion
+	s.version = external.NoVersion
 	s.acked = 0
 	s.metrics.seals.Inc()
 	s.opts.Log.Warn("the usage checkpoint was sealed by another host; going on under a new incarnation", "by", sealed.SealedBy)
--- a/pkg/usage/sourceid.go
+++ b/pkg/usage/sourceid.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 )
 
 // SourceID names one source of figures: one life of one daemon. A daemon whose
@@ -15,9 +15,9 @@
 }
 
 // OpenPrefix starts the keys of the sources' checkpoints.
-const OpenPrefix platform.Key = "usage/open/"
+const OpenPrefix external.Key = "usage/open/"
 
 // key returns where the source's checkpoint stands in the store.
-func (s SourceID) key() platform.Key {
-	return OpenPrefix + platform.Key(fmt.Sprintf("%s/%d", s.Host, s.Incarnation))
+func (s SourceID) key() external.Key {
+	return OpenPrefix + external.Key(fmt.Sprintf("%s/%d", s.Host, s.Incarnation))
 }
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"amaranthplank.example/amaranthplank/pkg/platform"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/standin/faultstore"
 	_ "amaranthplank.example/amaranthplank/pkg/testseed"
 )
@@ -45,7 +45,7 @@
 	case "store back":
 		w.store.Set(faultstore.Faults{})
 	case "lose answers":
-		w.store.Set(faultstore.Faults{LoseAnswer: func(platform.Key) bool { return w.writes.Add(1)%2 == 0 }})
+		w.store.Set(faultstore.Faults{LoseAnswer: func(external.Key) bool { return w.writes.Add(1)%2 == 0 }})
 	case "lose reports":
 		w.setLoseReports(true)
 	case "keep reports":
@@ -84,7 +84,7 @@
 }
 
 // run plays a schedule and returns the world after it was judged.
-func run(t *testing.T, schedule []action, blind func(platform.Store) platform.Store) *world {
+func run(t *testing.T, schedule []action, blind func(external.Store) external.Store) *world {
 	var w *world
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -149,9 +149,9 @@
 }
 
 // overSeals writes checkpoints over whatever stands there.
-type overSeals struct{ platform.Store }
+type overSeals struct{ external.Store }
 
-func (s overSeals) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.Version, error) {
+func (s overSeals) CompareAndSwap(ctx context.Context, swap external.Swap) (external.Version, error) {
 	version, err := s.Store.CompareAndSwap(ctx, swap)
 	if err == nil || len(swap.Key) < len(OpenPrefix) || swap.Key[:len(OpenPrefix)] != OpenPrefix {
 		return version, err
@@ -165,15 +165,15 @@
 	caught := 0
 	for offset := time.Duration(0); offset < time.Second; offset += 200 * time.Millisecond {
 		must.SliceEmpty(t, run(t, sealing(offset), nil).faults)
-		caught += len(run(t, sealing(offset), func(s platform.Store) platform.Store { return overSeals{s} }).faults)
+		caught += len(run(t, sealing(offset), func(s external.Store) external.Store { return overSeals{s} }).faults)
 	}
 	must.Positive(t, caught)
 }
 
 // unfrozen forgets the frozen windows, as if each holder gathered anew.
-type unfrozen struct{ platform.Store }
+type unfrozen struct{ external.Store }
 
-func (s unfrozen) Get(ctx context.Context, key platform.Key) (platform.Entry, error) {
+func (s unfrozen) Get(ctx context.Context, key external.Key) (external.Entry, error) {
 	entry, err := s.Store.Get(ctx, key)
 	if err == nil && len(key) > len(FrozenPrefix) && key[:len(FrozenPrefix)] == FrozenPrefix {
 		if head, headErr := s.Store.Get(ctx, HeadPrefix+key[len(FrozenPrefix):len(FrozenPrefix)+1]); headErr == nil {
@@ -182,12 +182,12 @@
 				return entry, nil
 			}
 		}
-		return platform.Entry{}, platform.ErrKeyNotFound
+		return external.Entry{}, external.ErrKeyNotFound
 	}
 	return entry, err
 }
 
-func (s unfrozen) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.Version, error) {
+func (s unfrozen) CompareAndSwap(ctx context.Context, swap external.Swap) (external.Version, error) {
 	if len(swap.Key) > len(FrozenPrefix) && swap.Key[:len(FrozenPrefix)] == FrozenPrefix {
 		entry, _ := s.Store.Get(ctx, swap.Key)
 		swap.Base = entry.Version
@@ -209,7 +209,7 @@
 	caught := 0
 	for offset := time.Duration(0); offset < 5*time.Second; offset += time.Second {
 		must.SliceEmpty(t, run(t, relost(offset), nil).faults)
-		caught += len(run(t, relost(offset), func(s platform.Store) platform.Store { return unfrozen{s} }).faults)
+		caught += len(run(t, relost(offset), func(s external.Store) external.Store { return unfrozen{s} }).faults)
 	}
 	must.Positive(t, caught)
 }
--- a/pkg/usage/world_test.go
+++ b/pkg/usage/world_test.go
@@ -12,12 +12,12 @@
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
 	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/peer"
-	"amaranthplank.example/amaranthplank/pkg/platform"
 	"amaranthplank.example/amaranthplank/pkg/request"
 	"amaranthplank.example/amaranthplank/pkg/standin/faultstore"
 	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
@@ -38,7 +38,7 @@
 	random *rand.Rand
 	writes atomic.Int64
 	// blind wraps each process's store, to turn a mechanism off.
-	blind func(platform.Store) platform.Store
+	blind func(external.Store) external.Store
 
 	mu       sync.Mutex
 	nodes    []*node
@@ -68,7 +68,7 @@
 	process *faultstore.Process
 	source  *Source
 	keeper  *Keeper
-	store   platform.Store
+	store   external.Store
 	cancel  context.CancelFunc
 	done    chan struct{}
 
@@ -132,7 +132,7 @@
 	ctx, cancel := context.WithCancel(n.world.ctx)
 	log := slog.New(slog.DiscardHandler)
 	process := faultstore.NewProcess()
-	var store platform.Store = faultstore.NewProcessStore(process, n.world.store)
+	var store external.Store = faultstore.NewProcessStore(process, n.world.store)
 	if n.world.blind != nil {
 		store = n.world.blind(store)
 	}
@@ -192,7 +192,7 @@
 	process *faultstore.Process
 }
 
-func (s *processSink) Report(ctx context.Context, report platform.UsageReport) error {
+func (s *processSink) Report(ctx context.Context, report external.UsageReport) error {
 	if err := s.process.Enter(faultstore.SidePlatform); err != nil {
 		return err
 	}
@@ -208,7 +208,7 @@
 	s.world.mu.Lock()
 	defer s.world.mu.Unlock()
 	if s.world.loseReports {
-		return platform.ErrStoreUnknown
+		return external.ErrStoreUnknown
 	}
 	return err
 }
