Report usage windows and keep the share of prompt engines, each under a lease

Change: pkg/tally counts the requests that began to run by window of true time; the holder of the duty fixes the sums in one key before it reports them. pkg/rolekeeper orders engines to the wanted share of prompt engines, with the count of orders that the engine must have taken, so that a late order has no effect. Engines that fail are left out for a growing pause.

Ruled out: the window was not late but never due, as the first one moved on with the time while no key was written.

--- a/cmd/amaranthplank/hosted.go
+++ b/cmd/amaranthplank/hosted.go
@@ -16,8 +16,17 @@
 // adminPort is where operators read the metrics of a process on the platform.
 const adminPort = "9464"
 
+// hostedFlags are the command line's, for a process on the platform.
+type hostedFlags struct {
+	// policy is the file with the fleet's defaults and exceptions.
+	policy string
+	// check says that the settings and the policy are only checked.
+	check bool
+	level slog.Level
+}
+
 // runHosted runs a process on the platform until a planned stop is complete.
-func runHosted(ctx context.Context, stop <-chan struct{}, policyFile string, check bool) error {
+func runHosted(ctx context.Context, stop <-chan struct{}, flags hostedFlags) error {
 	path, err := platform.SettingsPath()
 	if err != nil {
 		return err
@@ -26,11 +35,11 @@
 	if err != nil {
 		return err
 	}
-	policy, err := readPolicy(policyFile)
-	if err != nil || check {
+	policy, err := readPolicy(flags.policy)
+	if err != nil || flags.check {
 		return err
 	}
-	log := slog.New(slog.NewTextHandler(os.Stdout, nil))
+	log := slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: flags.level}))
 	opts, err := hostedOptions(settings, policy, log)
 	if err != nil {
 		return err
@@ -64,6 +73,8 @@
 			Prefix: platform.EntryPrefix, Decode: platform.Entries{ChecksFencing: s.ChecksFencing}.Decode, Log: log,
 		},
 		Format: platform.Callers{}, Protocol: platform.Replicas{}, StopGrace: s.StopGrace,
+		Sink: platform.NewDuties(s.Host, s.Duties), UsageWindow: s.UsageWindow, UsageDue: s.UsageDue,
+		Orderer: platform.NewOrders(s.Host), LeaseTerm: s.LeaseTerm,
 	}
 	var err error
 	if opts.Listener, err = net.Listen("tcp", s.Callers); err != nil {
--- a/cmd/amaranthplank/main.go
+++ b/cmd/amaranthplank/main.go
@@ -34,6 +34,8 @@
 	file := flags.String("settings", "", "the `file` with this process's settings")
 	hosted := flags.Bool("platform", false, "run on the platform, with the settings file that the environment names")
 	policy := flags.String("policy", "deploy/policy.jsonc", "with -platform, the `file` with the fleet's defaults and exceptions")
+	level := slog.LevelInfo
+	flags.TextVar(&level, "log-level", level, "with -platform, the least level that is logged")
 	check := flags.Bool("check", false, "with -platform, check the settings and the policy and end")
 	dev := flags.Bool("dev", false, "run with stand-ins for the platform and the targets")
 	var opts devmode.Options
@@ -48,7 +50,7 @@
 	stop := watchSignals(cut)
 	switch {
 	case *hosted && *file == "" && !*dev:
-		return runHosted(ctx, stop, *policy, *check)
+		return runHosted(ctx, stop, hostedFlags{policy: *policy, check: *check, level: level})
 	case *dev && *file == "":
 		opts.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 		opts.Out = os.Stdout
--- a/pkg/config/knobs_roles.go
+++ b/pkg/config/knobs_roles.go
@@ -15,6 +15,9 @@
 	// MixedShare is the share of a model's engines that stay mixed; at one no
 	// role is ever changed.
 	MixedShare float64 `json:"mixedShare" default:"1" unit:"ratio" min:"0" max:"1"`
+	// PrefillShare is the share of a model's engines that compute prompts alone
+	// where engines are kept in fixed shares; negative leaves their roles.
+	PrefillShare float64 `json:"prefillShare" default:"-1" unit:"ratio" min:"-1" max:"1"`
 	// Interval is the least time between two changes of one engine.
 	Interval Duration `json:"interval" default:"60s" unit:"duration" min:"1s" max:"1h"`
 	// RolloutShare is the share of a model's engines that may be away at once
--- a/pkg/config/knobs_routing.go
+++ b/pkg/config/knobs_routing.go
@@ -15,6 +15,9 @@
 	// waiting, since it delays the requests behind it and drives other prompts out of
 	// the memory.
 	PrefillWeight float64 `json:"prefillWeight" default:"12" unit:"ratio" min:"0" max:"100"`
+	// InterferenceWeight is what a second of prefill counts for besides for each
+	// answer that the engine generates meanwhile.
+	InterferenceWeight float64 `json:"interferenceWeight" default:"0" unit:"ratio" min:"0" max:"10"`
 	// UnseenAge is the age of a report at which the other daemons' sends since
 	// are fully reckoned, as many for each as this daemon's own.
 	UnseenAge Duration `json:"unseenAge" default:"5s" unit:"duration" min:"1ms" max:"1h"`
@@ -29,6 +32,15 @@
 	// StaleCredit is the share of what the index tells of an engine that is
 	// counted on after a gap in its events.
 	StaleCredit float64 `json:"staleCredit" default:"0.9" unit:"ratio" min:"0" max:"1"`
+	// PrefillRate is how many prompt tokens an engine that tells no rate
+	// computes, MixedPrefillShare the part of it where it also generates
+	// answers, and DecodeRate how fast it generates one answer.
+	PrefillRate       float64 `json:"prefillRate" default:"8000" unit:"tokens/s" min:"1" max:"1000000000"`
+	MixedPrefillShare float64 `json:"mixedPrefillShare" default:"1" unit:"ratio" min:"0.01" max:"1"`
+	DecodeRate        float64 `json:"decodeRate" default:"30" unit:"tokens/s" min:"0.01" max:"1000000"`
+	// PromptMemory is how long an engine that tells nothing of its memory is
+	// taken to hold a prompt that it was sent; zero counts on nothing.
+	PromptMemory Duration `json:"promptMemory" default:"0s" unit:"duration" min:"0s" max:"1h"`
 	// DomainPenalty is what a target in another failure domain costs.
 	DomainPenalty Duration `json:"domainPenalty" default:"4ms" unit:"duration" min:"0s" max:"1s"`
 	// ReclaimablePenalty is what a reclaimable target costs an interactive
--- /dev/null
+++ b/pkg/gateway/duties.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/lease"
+	"amaranthplank.example/amaranthplank/pkg/rolekeeper"
+	"amaranthplank.example/amaranthplank/pkg/tally"
+)
+
+// Duties of which one daemon at a time carries each.
+const (
+	dutyUsage ident.Duty = "usage"
+	dutyRoles ident.Duty = "roles"
+)
+
+// duties are the shards of work that the process competes for.
+type duties struct {
+	leases *lease.Manager
+	works  map[ident.Duty]lease.Work
+	// stopping ends the competition; released is closed once every duty is.
+	stopping context.Context
+	stop     context.CancelFunc
+	released chan struct{}
+}
+
+// newDuties returns the process's duties.
+func (g *Gateway) newDuties() *duties {
+	d := &duties{released: make(chan struct{})}
+	d.stopping, d.stop = context.WithCancel(context.Background())
+	d.leases = lease.NewManager(lease.Options{
+		Host: g.opts.Host, Incarnation: g.incarnation, FailureDomain: g.opts.FailureDomain,
+		Store: g.opts.Store, Clock: clock.Boot{}, Members: g.presence, Random: newRandom(),
+		Ready: func() bool { return g.ready() == nil },
+		Terms: terms(g.opts.LeaseTerm), Log: g.opts.Log, Registerer: g.registry,
+	})
+	reporter := &tally.Reporter{
+		Store: g.opts.Store, Sink: g.opts.Sink, Time: g.time, Window: g.opts.UsageWindow, Due: g.opts.UsageDue, Log: g.opts.Log,
+	}
+	roles := rolekeeper.New(rolekeeper.Options{
+		View: g.targets, Orderer: g.opts.Orderer, Log: g.opts.Log,
+		Share: func(model ident.Model) float64 { return g.knobs(config.Selector{Model: model}).Roles.PrefillShare },
+	})
+	d.works = map[ident.Duty]lease.Work{dutyUsage: reporter.Work, dutyRoles: roles.Work}
+	return d
+}
+
+const (
+	// leaseParts is how many renewals fit into a lease's time.
+	leaseParts = 3
+	// leastTerm is the shortest lease.
+	leastTerm = 3 * time.Second
+	// dutyPoll is the time between a candidate's looks at a duty.
+	dutyPoll = time.Second
+	// rankWait is how much longer each further rank waits.
+	rankWait = 400 * time.Millisecond
+	// dutyCall bounds one call to the store.
+	dutyCall = 900 * time.Millisecond
+)
+
+// terms returns the times that the duties' leases run by.
+func terms(leaseTerm time.Duration) lease.Terms {
+	t := lease.DefaultTerms()
+	t.TTL = max(leastTerm, leaseTerm)
+	t.RenewEvery = t.TTL / leaseParts
+	t.PollEvery, t.RankWait, t.CallTimeout = dutyPoll, rankWait, dutyCall
+	return t
+}
+
+// run competes for the duties until ctx ends or they are handed over.
+func (d *duties) run(ctx context.Context) error {
+	defer close(d.released)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(d.stopping, cancel)()
+	group, ctx := errgroup.WithContext(ctx)
+	for name, work := range d.works {
+		group.Go(func() error { return d.leases.Run(ctx, name, work) })
+	}
+	return group.Wait()
+}
+
+// handOver releases the duties, so that other daemons take them at once.
+func (d *duties) handOver(ctx context.Context) error {
+	d.stop()
+	select {
+	case <-d.released:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -13,15 +13,18 @@
 	"golang.org/x/sync/errgroup"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/drain"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/mirror"
 	"amaranthplank.example/amaranthplank/pkg/operator"
 	"amaranthplank.example/amaranthplank/pkg/registry"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
+	"amaranthplank.example/amaranthplank/pkg/tally"
 	"amaranthplank.example/amaranthplank/pkg/target"
 	"amaranthplank.example/amaranthplank/pkg/usage"
 )
@@ -48,27 +51,44 @@
 	router   *routing.ByKind
 	relay    *relay.Relay
 	callers  *drain.Server
+	// incarnation rises with each start of the host's process.
+	incarnation ident.Incarnation
+	time        *tally.TrueTime
+	counter     *tally.Counter
+	presence    *tally.Presence
+	duties      *duties
 }
 
 // New returns a gateway that is ready to run.
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
 	g.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	g.incarnation = ident.Incarnation(time.Now().UnixNano())
+	g.time = tally.NewTrueTime(clock.Boot{})
+	g.presence = tally.NewPresence(opts.Host)
+	g.counter = tally.NewCounter(tally.CounterOptions{
+		Host: opts.Host, FailureDomain: opts.FailureDomain, Incarnation: g.incarnation, Store: opts.Store,
+		Time: g.time, Window: opts.UsageWindow, Log: opts.Log,
+	})
 	g.targets = registry.New(opts.Entries)
 	g.mirror = mirror.New(mirror.Options{
 		Store: opts.Store, Pause: mirrorPause, Wait: mirrorWait, Log: opts.Log,
-	}, opts.Feed, g.targets)
+	}, opts.Feed, g.targets, g.presence)
 	g.router = routing.New(routing.Options{
 		View: g.targets, Domain: opts.FailureDomain, Now: time.Now, Random: newRandom(),
-		Knobs: func() *config.RoutingKnobs { return &g.knobs(config.Selector{}).Routing },
+		Knobs:   func() *config.RoutingKnobs { return &g.knobs(config.Selector{}).Routing },
+		Daemons: g.presence.Daemons,
 	})
 	g.relay = relay.New(relay.Options{
 		Router: g.router, Client: target.NewClient(), Config: opts.Published, Protocol: opts.Protocol,
-		Log: opts.Log, Registerer: g.registry,
+		Log: opts.Log, Registerer: g.registry, Began: g.counter.Begun,
 	})
+	g.duties = g.newDuties()
 	g.callers = drain.New(drain.Options{
 		Server: entry.NewServer(g.newHandler()), Listener: opts.Listener, Log: opts.Log,
 		BalancerDelay: opts.StopGrace * balancerShare / graceParts, LatestClose: opts.StopGrace * closeShare / graceParts,
+		AtStart: []drain.Hook{{Name: "hand over the duties", Run: g.duties.handOver}},
+		AtEnd:   []drain.Hook{{Name: "write the last usage", Run: g.counter.Leave}},
 	})
 	return g
 }
@@ -138,7 +158,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run} {
+	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run, g.duties.run, g.counter.Run} {
 		group.Go(func() error { return run(ctx) })
 	}
 	group.Go(func() error { return serve(ctx, g.opts.ReadyHandler(g.ready), g.opts.ReadyListener) })
--- a/pkg/gateway/options.go
+++ b/pkg/gateway/options.go
@@ -13,6 +13,8 @@
 	"amaranthplank.example/amaranthplank/pkg/mirror"
 	"amaranthplank.example/amaranthplank/pkg/registry"
 	"amaranthplank.example/amaranthplank/pkg/relay"
+	"amaranthplank.example/amaranthplank/pkg/rolekeeper"
+	"amaranthplank.example/amaranthplank/pkg/tally"
 )
 
 // Options are what a Gateway runs with.
@@ -36,6 +38,15 @@
 	// Format is the callers', Protocol the targets'.
 	Format   entry.Format
 	Protocol relay.Protocol
+	// Sink takes the usage reports, whose windows have the length UsageWindow
+	// and are due UsageDue after their end.
+	Sink        tally.Sink
+	UsageWindow time.Duration
+	UsageDue    time.Duration
+	// Orderer orders engines' roles.
+	Orderer rolekeeper.Orderer
+	// LeaseTerm is the time in which holders of a duty must not take turns.
+	LeaseTerm time.Duration
 	// StopGrace is the time from the request to stop until the process is
 	// killed.
 	StopGrace time.Duration
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -25,6 +25,8 @@
 	record external.TargetRecord
 	// source is the KV cache that the answer goes on from, or empty.
 	source Source
+	// began is when the attempt was made.
+	began time.Time
 	// phase only rises.
 	phase retry.Phase
 	// last is the id of the last event that was taken.
@@ -53,7 +55,7 @@
 func newAttempt(c *call, state *fleet.TargetState) *attempt {
 	return &attempt{
 		call: c, id: ident.Attempt(uuid.NewString()), target: state.Record.Target,
-		address: state.Record.Address, record: state.Record, pause: newPause(), last: c.last,
+		address: state.Record.Address, record: state.Record, pause: newPause(), last: c.last, began: time.Now(),
 	}
 }
 
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -31,6 +31,7 @@
 	run    *retry.Run
 	// failed are the targets that attempts failed on.
 	failedAt []ident.Target
+	prompt   promptTrace
 	// last is the last event that the caller has of the stream.
 	last   uint64
 	result Result
@@ -82,10 +83,7 @@
 		if err != nil {
 			return c.noTarget(err)
 		}
-		c.run.Begin()
-		c.result.Attempts++
-		a := newAttempt(c, placement.Target)
-		a.decode = placement.Decode
+		a := c.begin(ctx, placement)
 		decision, err := a.make(ctx)
 		c.relay.opts.Router.Done(c.req, a.target)
 		if a.decode != nil {
@@ -99,6 +97,25 @@
 	}
 }
 
+// begin returns the next attempt, after the prompt was computed apart where the
+// protocol and the placement have it so.
+func (c *call) begin(ctx context.Context, placement routing.Placement) *attempt {
+	prefiller, ok := c.relay.protocol.(Prefiller)
+	if ok && placement.Decode != nil {
+		source := c.prefill(ctx, prefiller, placement.Target)
+		a := newAttempt(c, placement.Decode)
+		a.source = source
+		c.run.Begin()
+		c.result.Attempts++
+		return a
+	}
+	a := newAttempt(c, placement.Target)
+	a.decode = placement.Decode
+	c.run.Begin()
+	c.result.Attempts++
+	return a
+}
+
 // tell has a router that learns know how an attempt went, unless the caller
 // brought its end about.
 func (c *call) tell(name ident.Target, err error) {
@@ -120,7 +137,8 @@
 // engine, so all else gets one target.
 func (c *call) place() (routing.Placement, error) {
 	placer, ok := c.relay.opts.Router.(routing.Placer)
-	if !ok || c.relay.opts.Moves == nil || !c.req.Stream || c.req.Model == "" {
+	_, apart := c.relay.protocol.(Prefiller)
+	if !ok || (c.relay.opts.Moves == nil && !apart) || !c.req.Stream || c.req.Model == "" {
 		state, err := c.choose()
 		return routing.Placement{Target: state}, err
 	}
@@ -157,6 +175,8 @@
 	switch {
 	case err == nil:
 		c.result.Outcome = request.Answered
+		c.relay.opts.Log.Debug("request answered", "request", c.req.ID, "route", c.req.Route, "target", a.target, "prompt", c.prompt.target,
+			"tokens", c.req.PromptTokens, "uncached", c.prompt.tokens, "promptTook", c.prompt.took, "answerTook", time.Since(a.began), "events", c.result.Events, "firstAfter", c.result.FirstAt.Sub(a.began))
 		c.result.Figures = a.figures()
 	case decision == retry.HandOn:
 		return c.handOn(a)
@@ -184,6 +204,17 @@
 	return c.result
 }
 
+// ran notes the first sign that a target runs the request.
+func (c *call) ran() {
+	if c.result.Ran {
+		return
+	}
+	c.result.Ran = true
+	if began := c.relay.opts.Began; began != nil && c.req.Workspace != "" {
+		began(c.req.Workspace)
+	}
+}
+
 // handed notes that a part of the answer was handed to the caller.
 func (c *call) handed() {
 	c.result.LastAt = time.Now()
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -85,6 +85,7 @@
 	case a.quiet > 0 || a.call.result.Started:
 		return discard(response, trace, retry.Mismatch, errWrongEvent)
 	default:
+		a.call.ran()
 		err = a.whole(w, response, verdict)
 	}
 	_ = response.Body.Close()
@@ -101,6 +102,13 @@
 	}
 }
 
+// tellTime has a router that learns know how long a prompt took.
+func (a *attempt) tellTime(took time.Duration) {
+	if observer, ok := a.call.relay.opts.Router.(routing.TimeObserver); ok {
+		observer.PromptTime(a.call.req, a.target, took)
+	}
+}
+
 // rejected ends an exchange whose target states that it did not run the
 // request. The connection stays in use.
 func (a *attempt) rejected(response *http.Response) error {
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/routing"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
@@ -23,7 +24,10 @@
 	// Mark marks an answer as whole before its header goes to the caller. It
 	// may be nil.
 	Mark func(w http.ResponseWriter)
-	Log  *slog.Logger
+	// Began is told of each request at the first sign that a target runs it. It
+	// may be nil.
+	Began func(workspace ident.Workspace)
+	Log   *slog.Logger
 	// Registerer takes the metrics; nil keeps them unregistered.
 	Registerer prometheus.Registerer
 }
--- /dev/null
+++ b/pkg/relay/prefill.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/retry"
+	"amaranthplank.example/amaranthplank/pkg/target"
+)
+
+// Prefiller is the part of a Protocol for engines that compute a prompt whose
+// answer another engine generates.
+type Prefiller interface {
+	// Prefill returns the request that has the prompt computed.
+	Prefill(ctx context.Context, send *Send) (*http.Request, error)
+	// Prefilled reads the KV cache's name from the answer.
+	Prefilled(send *Send, response *http.Response) (Source, error)
+}
+
+// prefillPatience is how many silence timeouts a prompt may take.
+const prefillPatience = 2
+
+// prefill has the prompt computed at one engine. The request does not run
+// there, so that a failure leaves every way open: the answer's engine can
+// compute the prompt itself.
+func (c *call) prefill(ctx context.Context, prefiller Prefiller, state *fleet.TargetState) Source {
+	ctx, cancel := context.WithTimeout(ctx, prefillPatience*c.knobs.SilenceTimeout.D())
+	defer cancel()
+	a := newAttempt(c, state)
+	defer func() { c.prompt = promptTrace{target: a.target, took: time.Since(a.began)} }()
+	source, err := a.computePrompt(ctx, prefiller)
+	c.relay.opts.Router.Done(c.req, a.target)
+	c.tell(a.target, err)
+	if err != nil {
+		failure := failureOf(err)
+		c.relay.metrics.failed(retry.Unsent, failure, retry.Again)
+		c.relay.opts.Log.Info("prompt not computed apart", "request", c.req.ID, "target", a.target, "failure", failure, "error", err)
+	}
+	return source
+}
+
+// computePrompt makes the exchange.
+func (a *attempt) computePrompt(ctx context.Context, prefiller Prefiller) (Source, error) {
+	protocol, send := a.call.relay.protocol, a.send()
+	send.Prompt = true
+	outgoing, err := prefiller.Prefill(ctx, send)
+	if err != nil {
+		return Source{}, &exchangeError{failure: retry.ConnectFailed, cause: err}
+	}
+	began := time.Now()
+	response, trace, err := a.call.relay.opts.Client.Do(outgoing, target.ReuseAny)
+	if err != nil {
+		trace.Poison()
+		return Source{}, a.call.classify(ctx, err)
+	}
+	verdict := protocol.Judge(send, response)
+	if verdict == VerdictForeign {
+		return Source{}, discard(response, trace, retry.Mismatch, errWrongAttempt)
+	}
+	if load, ok := protocol.Load(response); ok {
+		a.tellLoad(load)
+	}
+	if verdict == VerdictRejected || verdict == VerdictFailed {
+		return Source{}, a.rejected(response)
+	}
+	source, err := prefiller.Prefilled(send, response)
+	_ = response.Body.Close()
+	if err != nil {
+		trace.Poison()
+		return Source{}, a.call.classify(ctx, err)
+	}
+	a.tellTime(time.Since(began))
+	return source, nil
+}
+
+// promptTrace is how the prompt of a request was computed apart, for the log.
+type promptTrace struct {
+	target ident.Target
+	took   time.Duration
+	tokens int
+}
--- a/pkg/relay/protocol.go
+++ b/pkg/relay/protocol.go
@@ -55,6 +55,8 @@
 	Left time.Duration
 	// Source names the KV cache that the answer goes on from, or nothing.
 	Source Source
+	// Prompt says that the prompt alone is to be computed.
+	Prompt bool
 }
 
 // Source names the KV cache of a prompt at the engine that computed it.
--- a/pkg/relay/result.go
+++ b/pkg/relay/result.go
@@ -17,6 +17,8 @@
 	Started bool
 	// CallerGone says that the caller left before the end.
 	CallerGone bool
+	// Ran says that some target showed that it began to run the request.
+	Ran bool
 	// Attempts counts the sends.
 	Attempts int
 	// Events counts the stream events that were handed to the caller.
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -21,6 +21,7 @@
 			return a.call.classify(w.ctx, err)
 		}
 		w.alive()
+		a.call.ran()
 		if event.ID == 0 && !event.Last {
 			continue
 		}
--- /dev/null
+++ b/pkg/rolekeeper/orderer.go
@@ -0,0 +1,30 @@
+package rolekeeper
+
+import (
+	"context"
+
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// Order asks one engine to change its role.
+type Order struct {
+	Target  external.TargetRecord
+	Role    fleet.Role
+	Fencing ident.Fencing
+	// After is how many orders the engine must have taken before. An order
+	// that arrives late finds another number and has no effect.
+	After uint64
+}
+
+// Orderer sends orders to engines.
+type Orderer interface {
+	// Order sends one order. It fails with kind Conflict where the engine has
+	// taken another number of orders or carries one out, Fenced where it has
+	// seen a higher fencing number, and Unknown where the order may have
+	// arrived.
+	Order(ctx context.Context, order Order) error
+	// Taken returns how many orders an engine has taken.
+	Taken(ctx context.Context, target external.TargetRecord) (uint64, error)
+}
--- a/pkg/routing/estimate.go
+++ b/pkg/routing/estimate.go
@@ -9,12 +9,8 @@
 )
 
 const (
-	// defaultPrefillRate is taken for an engine without a report, in tokens
-	// per second.
-	defaultPrefillRate = 8000
-	// defaultDecodeRate is likewise in tokens per second for one request.
-	defaultDecodeRate = 30
-	// defaultSlots is the count of slots that is taken likewise.
+	// defaultSlots is the count of slots that is taken for an engine that
+	// tells none.
 	defaultSlots = 16
 	// decodeInterference is the part of an engine that a full batch of
 	// decoding takes from prefill, and prefill from decoding.
@@ -29,37 +25,66 @@
 	// occupied counts requests that run or wait, by the last report and the
 	// daemon's own sends and ends since.
 	occupied float64
+	// decoding counts the answers that are generated beside prompts.
+	decoding float64
 	// backlog is the prompt tokens that are still to be computed.
 	backlog float64
 }
 
-// estimateOf reckons an engine's state at now from its last report and the
-// daemon's own sends since.
+// estimateOf reckons an engine's state at now from its last report, or from what
+// it told with its answers, and the daemon's own sends since.
 //
 // The sends of the other daemons since the report can't be seen. They are
 // reckoned at a number for each send of this daemon's own that rises with the
 // report's age: with a fresh report it would be noise.
 func estimateOf(state *fleet.TargetState, own *ledger, daemons int, knobs *config.RoutingKnobs, now time.Time) estimate {
-	load, loadAt := &state.Load, state.LoadAt
-	if own.loadAt.After(loadAt) {
-		told := own.load
-		told.PrefillRate, told.DecodeRate = load.PrefillRate, load.DecodeRate
-		load, loadAt = &told, own.loadAt
-	}
+	load := &state.Load
 	e := estimate{prefillRate: load.PrefillRate, decodeRate: load.DecodeRate, slots: float64(load.Slots)}
 	if load.Sequence == 0 || e.prefillRate <= 0 || e.decodeRate <= 0 || e.slots <= 0 {
-		e = estimate{prefillRate: defaultPrefillRate, decodeRate: defaultDecodeRate, slots: defaultSlots}
+		e = estimate{prefillRate: knobs.PrefillRate, decodeRate: knobs.DecodeRate, slots: max(float64(load.Slots), defaultSlots)}
+		if load.Role != fleet.Prefill {
+			e.prefillRate *= knobs.MixedPrefillShare
+		}
+		e.prefillRate /= max(own.slowness, leastSlowness)
 	}
-	if load.Sequence == 0 || now.Sub(loadAt) > knobs.ReportMaxAge.D() {
+	switch {
+	case own.loadAt.After(state.LoadAt):
+		e.byAnswers(load.Role, own, now)
+	case load.Sequence == 0 || now.Sub(state.LoadAt) > knobs.ReportMaxAge.D():
 		e.occupied = float64(own.outstanding)
-		return e
+		e.backlog = own.backlog(0, e.prefillRate, 1, now, now)
+	default:
+		e.byReport(state, own, daemons, knobs, now)
+	}
+	if load.Role != fleet.Prefill {
+		e.decoding = e.occupied
+	}
+	return e
+}
+
+// byAnswers takes the load from what the engine told with its answers. Engines
+// that compute prompts alone hold nothing but prompts.
+func (e *estimate) byAnswers(role fleet.Role, own *ledger, now time.Time) {
+	e.occupied = own.present(now)
+	if role == fleet.Prefill {
+		e.backlog = e.occupied * own.meanPrompt
+		return
+	}
+	waiting := max(0, e.occupied-e.slots)
+	e.backlog = waiting * own.meanPrompt
+	for i := range own.sends {
+		e.backlog += own.sends[i].prefill
 	}
-	at := takenAt(load, loadAt)
+}
+
+// byReport takes the load from the engine's last report.
+func (e *estimate) byReport(state *fleet.TargetState, own *ledger, daemons int, knobs *config.RoutingKnobs, now time.Time) {
+	load := &state.Load
+	at := takenAt(load, state.LoadAt)
 	known := min(1, max(0, now.Sub(at).Seconds()/knobs.UnseenAge.D().Seconds()))
 	factor := 1 + float64(daemons-1)*known
 	e.occupied = max(0, float64(load.Running+load.Queued)+factor*float64(len(own.sends)-own.ended))
 	e.backlog = own.backlog(float64(load.PrefillTokens), e.effectivePrefill(float64(load.Running)), 1, at, now)
-	return e
 }
 
 // takenAt returns when a report's figures held. A target's clock that is ahead
@@ -79,7 +104,7 @@
 // prefill returns the seconds until a prompt of so many uncached tokens is
 // computed: the part spent waiting and the part spent on the prompt itself.
 func (e *estimate) prefill(uncached float64) (wait, own float64) {
-	rate := e.effectivePrefill(e.occupied)
+	rate := e.effectivePrefill(e.decoding)
 	return e.backlog / rate, uncached / rate
 }
 
--- a/pkg/routing/ledger.go
+++ b/pkg/routing/ledger.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -27,6 +28,17 @@
 	// before the first.
 	load   fleet.LoadReport
 	loadAt time.Time
+	// meanLoad is the mean of what ran and waited by those answers, meanPrompt
+	// that of the uncached prompt tokens of the daemon's own sends.
+	meanLoad   float64
+	meanPrompt float64
+	// slowness is how many times longer the target takes for prompts than
+	// reckoned; zero before the first.
+	slowness float64
+	// pending holds the reckoned times of prompts that are computed.
+	pending map[ident.Request]float64
+	// prompts remembers what the target was sent.
+	prompts recent
 	// failures counts failures in a row; ejectedUntil bars new work.
 	failures     int
 	ejectedUntil time.Time
@@ -38,17 +50,62 @@
 	at      time.Time
 	// prefill is the expected count of uncached prompt tokens.
 	prefill float64
+	// reckoned is the expected time of the prompt, in seconds.
+	reckoned float64
 }
 
+const (
+	// meanLoadWeight and meanPromptWeight are the parts of the newest value in
+	// the means.
+	meanLoadWeight   = 0.1
+	meanPromptWeight = 0.05
+	// slownessWeight is the part of the newest prompt in the slowness, which
+	// stays within leastSlowness and mostSlowness.
+	slownessWeight = 0.2
+	leastSlowness  = 0.5
+	mostSlowness   = 16
+	// loadMemory is the time in which what a target told fades into the mean,
+	// since other daemons send to it too.
+	loadMemory = 250 * time.Millisecond
+)
+
+// present returns how many requests the target is expected to hold now: what it
+// told, faded into the mean, and the daemon's own sends since.
+func (l *ledger) present(now time.Time) float64 {
+	told := float64(l.load.Running + l.load.Queued)
+	faded := math.Exp(-now.Sub(l.loadAt).Seconds() / loadMemory.Seconds())
+	return max(0, l.meanLoad+(told-l.meanLoad)*faded+float64(len(l.sends)-l.ended))
+}
+
+// took takes in how long a prompt took beside what was reckoned.
+func (l *ledger) took(actual, reckoned float64) {
+	ratio := min(mostSlowness, max(leastSlowness, actual/max(reckoned, minReckoned)))
+	if l.slowness == 0 {
+		l.slowness = 1
+	}
+	l.slowness += (ratio - l.slowness) * slownessWeight
+}
+
+// minReckoned is the least reckoned time that a ratio is taken with, in seconds.
+const minReckoned = 0.01
+
 // sent notes a request.
 func (l *ledger) sent(s send) {
 	l.outstanding++
+	l.meanPrompt += (s.prefill - l.meanPrompt) * meanPromptWeight
 	l.sends = append(l.sends, s)
+	if s.reckoned > 0 {
+		if l.pending == nil {
+			l.pending = make(map[ident.Request]float64)
+		}
+		l.pending[s.request] = s.reckoned
+	}
 }
 
 // done notes a request's end.
 func (l *ledger) done(id ident.Request) {
 	l.outstanding = max(0, l.outstanding-1)
+	delete(l.pending, id)
 	for i := range l.sends {
 		if l.sends[i].request == id {
 			l.sends = slices.Delete(l.sends, i, i+1)
@@ -61,6 +118,11 @@
 // told takes in a load that came with an answer. The sends before it are known
 // to the target.
 func (l *ledger) told(load fleet.LoadReport, now time.Time) {
+	present := float64(load.Running + load.Queued)
+	if l.loadAt.IsZero() {
+		l.meanLoad = present
+	}
+	l.meanLoad += (present - l.meanLoad) * meanLoadWeight
 	load.Sequence = l.load.Sequence + 1
 	l.load, l.loadAt = load, now
 	l.ended = 0
--- a/pkg/routing/loadobserver.go
+++ b/pkg/routing/loadobserver.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"time"
+
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
@@ -39,3 +41,18 @@
 		own.told(load, r.opts.Now())
 	}
 }
+
+// TimeObserver is what a router implements that learns how fast targets are.
+type TimeObserver interface {
+	// PromptTime takes in how long a target took for a request's prompt.
+	PromptTime(req *request.Request, target ident.Target, took time.Duration)
+}
+
+var _ TimeObserver = (*ByKind)(nil)
+
+// PromptTime tells the router of engines.
+func (b *ByKind) PromptTime(req *request.Request, target ident.Target, took time.Duration) {
+	if req.Service == "" {
+		b.Models.PromptTime(req, target, took)
+	}
+}
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// PromptTime takes in how long an engine took for a prompt. It is told before
+// Done.
+func (r *ModelRouter) PromptTime(req *request.Request, target ident.Target, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own, ok := r.ledgers[target]
+	if !ok {
+		return
+	}
+	if reckoned, ok := own.pending[req.ID]; ok {
+		own.took(took.Seconds(), reckoned)
+	}
+}
+
 // CacheEvent takes in an event of an engine's prefix memory.
 func (r *ModelRouter) CacheEvent(target ident.Target, event fleet.CacheEvent) {
 	r.mu.Lock()
@@ -105,7 +119,7 @@
 			continue
 		}
 		e := estimateOf(state, r.own(i), r.daemons, knobs, now)
-		run := r.uncached(i, false, true, req, knobs)/e.prefillRate + output/e.decodeRate
+		run := r.uncached(i, false, true, req, knobs, now)/e.prefillRate + output/e.decodeRate
 		if least < 0 || run < least {
 			least = run
 		}
@@ -127,12 +141,17 @@
 	s := &r.scores[prefill]
 	placement := Placement{Target: &snapshot.Targets[s.target]}
 	now := r.opts.Now()
-	r.refs[s.target].sent(send{request: req.ID, at: now, prefill: s.uncached})
-	r.index.Expect(placement.Target.Record.Target, req.Prefix)
+	keep := r.opts.Knobs().PromptMemory.D()
+	r.refs[s.target].sent(send{request: req.ID, at: now, prefill: s.uncached, reckoned: s.wait + s.own})
+	r.refs[s.target].prompts.add(req.Prefix, now, keep)
+	if keep == 0 {
+		r.index.Expect(placement.Target.Record.Target, req.Prefix)
+	}
 	if decode >= 0 && decode != prefill {
 		d := r.scores[decode].target
 		placement.Decode = &snapshot.Targets[d]
 		r.refs[d].sent(send{request: req.ID, at: now})
+		r.refs[d].prompts.add(req.Prefix, now, keep)
 	}
 	return placement, nil
 }
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
@@ -21,6 +22,8 @@
 	// prefill is the cost of the prompt there, decode that of the answer.
 	prefill float64
 	decode  float64
+	// own is the time of the prompt itself, beside the wait.
+	own float64
 	// wait is the time before the prompt is looked at, slotWait that before
 	// the answer gets its slot.
 	wait     float64
@@ -29,6 +32,8 @@
 	occupied float64
 	// uncached is the expected count of prompt tokens to compute.
 	uncached float64
+	// ejected says that the engine failed lately.
+	ejected bool
 }
 
 // score fills the scores of the engines that may take the request.
@@ -46,11 +51,10 @@
 		e := estimateOf(state, r.own(i), r.daemons, knobs, now)
 		s := score{
 			target: i, role: state.Load.Role, slots: e.slots, occupied: e.occupied,
-			uncached: r.uncached(i, i == home, known, req, knobs),
+			uncached: r.uncached(i, i == home, known, req, knobs, now),
 		}
-		var own float64
-		s.wait, own = e.prefill(s.uncached)
-		s.prefill = own*knobs.PrefillWeight + r.penalty(state, req, knobs)
+		s.wait, s.own = e.prefill(s.uncached)
+		s.prefill = s.own*(knobs.PrefillWeight+knobs.InterferenceWeight*e.decoding) + r.penalty(state, req, knobs)
 		s.slotWait, s.decode = e.decode(float64(req.MaxOutputTokens))
 		s.decode *= 1 + knobs.CrowdWeight*e.crowd()
 		if req.Class == ident.ClassLookup {
@@ -59,8 +63,22 @@
 		}
 		s.prefill += s.wait
 		s.decode += s.slotWait
+		s.ejected = r.refs[i].ejectedUntil.After(now)
 		r.scores = append(r.scores, s)
 	}
+	r.dropEjected()
+}
+
+// dropEjected leaves out the engines that failed lately, as long as others of
+// the same role are there.
+func (r *ModelRouter) dropEjected() {
+	sound := make(map[fleet.Role]bool)
+	for i := range r.scores {
+		if !r.scores[i].ejected {
+			sound[r.scores[i].role] = true
+		}
+	}
+	r.scores = slices.DeleteFunc(r.scores, func(s score) bool { return s.ejected && sound[s.role] })
 }
 
 // findDepths looks the prompt up in the index and reports whether any engine
@@ -75,17 +93,22 @@
 }
 
 // home returns the index of the engine that rendezvous hashing names for the
-// prompt, or a negative number.
+// prompt, or a negative number. Where engines compute prompts alone, homes are
+// among those.
 func (r *ModelRouter) home(snapshot *fleet.Snapshot, engines []int, req *request.Request, knobs *config.RoutingKnobs) int {
 	key, ok := affinityKey(req.Prefix, knobs.AffinityBlocks)
 	if !ok || r.opts.Off.Affinity {
 		return -1
 	}
-	best, home := uint64(0), -1
+	best, home, prefill := uint64(0), -1, false
 	for _, i := range engines {
-		if snapshot.Targets[i].Load.Role == fleet.Decode {
+		role := snapshot.Targets[i].Load.Role
+		if role == fleet.Decode || (prefill && role != fleet.Prefill) || !takesNew(&snapshot.Targets[i], knobs, r.opts.Now()) {
 			continue
 		}
+		if role == fleet.Prefill && !prefill {
+			best, home, prefill = 0, -1, true
+		}
 		if weight := mix(key, r.refs[i].hash); weight >= best {
 			best, home = weight, i
 		}
@@ -94,7 +117,7 @@
 }
 
 // uncached returns how many prompt tokens the engine is expected to compute.
-func (r *ModelRouter) uncached(i int, home, known bool, req *request.Request, knobs *config.RoutingKnobs) float64 {
+func (r *ModelRouter) uncached(i int, home, known bool, req *request.Request, knobs *config.RoutingKnobs, now time.Time) float64 {
 	own := r.refs[i]
 	cached := 0.0
 	if own.slot >= 0 {
@@ -103,7 +126,8 @@
 			cached *= knobs.StaleCredit
 		}
 	}
-	if home && !known {
+	cached = max(cached, float64(own.prompts.depth(req.Prefix, now, knobs.PromptMemory.D())))
+	if home && !known && cached == 0 {
 		cached = knobs.AffinityCredit * float64(len(req.Prefix))
 	}
 	return max(0, float64(req.PromptTokens)-cached*request.PrefixBlockTokens)
--- /dev/null
+++ b/pkg/tally/window.go
@@ -0,0 +1,47 @@
+package tally
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// Window numbers the windows from the start of 1970.
+type Window int64
+
+// Counts are requests by workspace.
+type Counts map[ident.Workspace]uint64
+
+// add adds other counts.
+func (c Counts) add(other Counts) {
+	for workspace, n := range other {
+		c[workspace] += n
+	}
+}
+
+// TrueTime tells the time of day by a clock that never steps, from the time of
+// day at its start.
+type TrueTime struct {
+	clock clock.Clock
+	// offset is the time of day at the clock's zero.
+	offset time.Time
+}
+
+// NewTrueTime returns a clock that starts from the present time of day.
+func NewTrueTime(c clock.Clock) *TrueTime {
+	return &TrueTime{clock: c, offset: time.Now().Add(-c.Now())}
+}
+
+// Now returns the time of day.
+func (t *TrueTime) Now() time.Time { return t.offset.Add(t.clock.Now()) }
+
+// windowOf returns the window that a time falls into.
+func windowOf(at time.Time, length time.Duration) Window {
+	return Window(at.UnixNano() / int64(length))
+}
+
+// end returns the end of a window.
+func (w Window) end(length time.Duration) time.Time {
+	return time.Unix(0, int64(w+1)*int64(length))
+}
