Bound the waits at engines and keep long prompts off those that generate

Cause: prompts of up to 50,000 tokens were computed beside answers at half rate, and every engine was filled with work that came late.

Change: a request is placed only where its wait, with what must be read again, keeps within a share of its time to the first part; else it is refused at once with the time to return. Engines that generate take short prompts alone while others compute prompts. Slowness is learnt from long prompts.

--- a/pkg/config/knobs_routing.go
+++ b/pkg/config/knobs_routing.go
@@ -18,6 +18,14 @@
 	// InterferenceWeight is what a second of prefill counts for besides for each
 	// answer that the engine generates meanwhile.
 	InterferenceWeight float64 `json:"interferenceWeight" default:"0" unit:"ratio" min:"0" max:"10"`
+	// Patience is the share of a route's time to the first part that a request
+	// may wait at an engine; one that would wait longer is refused at once.
+	// Zero lets it wait.
+	Patience float64 `json:"patience" default:"0" unit:"ratio" min:"0" max:"100"`
+	// MixedPromptLimit is the longest prompt, without what the engine holds,
+	// that an engine computes beside its answers while others compute prompts
+	// alone.
+	MixedPromptLimit int64 `json:"mixedPromptLimit" default:"1000000" unit:"tokens" min:"0" max:"1000000"`
 	// UnseenAge is the age of a report at which the other daemons' sends since
 	// are fully reckoned, as many for each as this daemon's own.
 	UnseenAge Duration `json:"unseenAge" default:"5s" unit:"duration" min:"1ms" max:"1h"`
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -79,11 +79,10 @@
 		}
 	}
 	for {
-		placement, err := c.place()
+		a, err := c.begin(ctx)
 		if err != nil {
 			return c.noTarget(err)
 		}
-		a := c.begin(ctx, placement)
 		decision, err := a.make(ctx)
 		c.relay.opts.Router.Done(c.req, a.target)
 		if a.decode != nil {
@@ -97,20 +96,36 @@
 	}
 }
 
-// begin returns the next attempt, after the prompt was computed apart where the
-// protocol and the placement have it so.
-func (c *call) begin(ctx context.Context, placement routing.Placement) *attempt {
-	prefiller, ok := c.relay.protocol.(Prefiller)
-	if ok && placement.Decode != nil {
-		source := c.prefill(ctx, prefiller, placement.Target)
-		a := newAttempt(c, placement.Decode)
-		a.source = source
-		c.run.Begin()
-		c.result.Attempts++
-		return a
-	}
-	a := newAttempt(c, placement.Target)
-	a.decode = placement.Decode
+// begin places the next attempt and has its prompt computed apart where the
+// protocol and the placement have it so. A prompt that could not be computed is
+// tried once more elsewhere, which the retries' budget pays for.
+func (c *call) begin(ctx context.Context) (*attempt, error) {
+	prefiller, apart := c.relay.protocol.(Prefiller)
+	for {
+		placement, err := c.place()
+		if err != nil {
+			return nil, err
+		}
+		if !apart || placement.Decode == nil {
+			return c.launched(placement.Target, placement.Decode, Source{}), nil
+		}
+		source, err := c.prefill(ctx, prefiller, placement)
+		if err == nil {
+			return c.launched(placement.Decode, nil, source), nil
+		}
+		c.relay.opts.Router.Done(c.req, placement.Decode.Record.Target)
+		c.failedAt = append(c.failedAt, placement.Target.Record.Target)
+		failure := failureOf(err)
+		if failure == retry.CallerGone || failure == retry.DeadlinePassed || !c.run.Prompt(time.Now()) {
+			return nil, notRunError(failure, err)
+		}
+	}
+}
+
+// launched returns the attempt at a target and counts it.
+func (c *call) launched(target, decode *fleet.TargetState, source Source) *attempt {
+	a := newAttempt(c, target)
+	a.decode, a.source = decode, source
 	c.run.Begin()
 	c.result.Attempts++
 	return a
@@ -176,7 +191,7 @@
 	case err == nil:
 		c.result.Outcome = request.Answered
 		c.relay.opts.Log.Debug("request answered", "request", c.req.ID, "route", c.req.Route, "target", a.target, "prompt", c.prompt.target,
-			"tokens", c.req.PromptTokens, "uncached", c.prompt.tokens, "promptTook", c.prompt.took, "answerTook", time.Since(a.began), "events", c.result.Events, "firstAfter", c.result.FirstAt.Sub(a.began))
+			"tokens", c.req.PromptTokens, "expected", c.prompt.expected, "promptTook", c.prompt.took, "answerTook", time.Since(a.began), "events", c.result.Events, "firstAfter", c.result.FirstAt.Sub(a.began))
 		c.result.Figures = a.figures()
 	case decision == retry.HandOn:
 		return c.handOn(a)
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -27,7 +27,8 @@
 	// Began is told of each request at the first sign that a target runs it. It
 	// may be nil.
 	Began func(workspace ident.Workspace)
-	Log   *slog.Logger
+	// Log may be nil.
+	Log *slog.Logger
 	// Registerer takes the metrics; nil keeps them unregistered.
 	Registerer prometheus.Registerer
 }
--- a/pkg/relay/prefill.go
+++ b/pkg/relay/prefill.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/retry"
+	"amaranthplank.example/amaranthplank/pkg/routing"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
@@ -24,13 +24,14 @@
 const prefillPatience = 2
 
 // prefill has the prompt computed at one engine. The request does not run
-// there, so that a failure leaves every way open: the answer's engine can
-// compute the prompt itself.
-func (c *call) prefill(ctx context.Context, prefiller Prefiller, state *fleet.TargetState) Source {
+// there, so that a failure leaves every way open.
+func (c *call) prefill(ctx context.Context, prefiller Prefiller, placement routing.Placement) (Source, error) {
 	ctx, cancel := context.WithTimeout(ctx, prefillPatience*c.knobs.SilenceTimeout.D())
 	defer cancel()
-	a := newAttempt(c, state)
-	defer func() { c.prompt = promptTrace{target: a.target, took: time.Since(a.began)} }()
+	a := newAttempt(c, placement.Target)
+	defer func() {
+		c.prompt = promptTrace{target: a.target, took: time.Since(a.began), expected: placement.Expected}
+	}()
 	source, err := a.computePrompt(ctx, prefiller)
 	c.relay.opts.Router.Done(c.req, a.target)
 	c.tell(a.target, err)
@@ -39,7 +40,7 @@
 		c.relay.metrics.failed(retry.Unsent, failure, retry.Again)
 		c.relay.opts.Log.Info("prompt not computed apart", "request", c.req.ID, "target", a.target, "failure", failure, "error", err)
 	}
-	return source
+	return source, err
 }
 
 // computePrompt makes the exchange.
@@ -78,7 +79,7 @@
 
 // promptTrace is how the prompt of a request was computed apart, for the log.
 type promptTrace struct {
-	target ident.Target
-	took   time.Duration
-	tokens int
+	target   ident.Target
+	took     time.Duration
+	expected routing.Expected
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
@@ -21,6 +22,9 @@
 // New returns a relay.
 func New(opts Options) *Relay {
 	m := newMetrics(opts.Registerer)
+	if opts.Log == nil {
+		opts.Log = slog.New(slog.DiscardHandler)
+	}
 	protocol := opts.Protocol
 	if protocol == nil {
 		protocol = Engines{}
--- a/pkg/retry/run.go
+++ b/pkg/retry/run.go
@@ -10,6 +10,8 @@
 	budget  *Budget
 	// attempts counts the attempts that were begun.
 	attempts int
+	// prompts counts the tries at a prompt that failed.
+	prompts int
 	// resumes counts the resumes since the last event.
 	resumes int
 	// reached says that a byte of some attempt may have reached a target. It
@@ -40,6 +42,19 @@
 	return true
 }
 
+// Prompt reports whether a prompt that failed to be computed apart may be tried
+// at one more target, and takes the try from the budget.
+func (r *Run) Prompt(now time.Time) bool {
+	r.prompts++
+	if r.prompts >= maxPrompts || now.Add(r.limits.LeastTime).After(r.limits.Deadline) {
+		return false
+	}
+	return r.budget.Withdraw()
+}
+
+// maxPrompts bounds the targets that one request's prompt is tried at.
+const maxPrompts = 2
+
 // Progress tells that the attempt has brought something new.
 func (r *Run) Progress() { r.resumes = 0 }
 
--- a/pkg/routing/best.go
+++ b/pkg/routing/best.go
@@ -1,23 +1,54 @@
 package routing
 
 import (
+	"math"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/request"
 )
 
+// task is the part of a request that an engine is wanted for.
+type task int
+
+// The tasks.
+const (
+	// taskWhole is both parts, at an engine that does both.
+	taskWhole task = iota
+	// taskPrompt is the prompt, at an engine that does prompts alone.
+	taskPrompt
+	// taskAnswer is the answer to a prompt that was computed elsewhere.
+	taskAnswer
+	// taskAny is both parts at any engine, whatever its role.
+	taskAny
+)
+
+// bounds bar engines from a task.
+type bounds struct {
+	// wait is the longest time until the prompt is computed, in seconds.
+	wait float64
+	// prompt is the longest prompt that is computed beside answers, in tokens.
+	prompt float64
+}
+
 // best returns the scores' indexes of the engine for the prompt and of that
 // for the answer, which are the same where one does both. Both are negative
-// where no engine may take the request.
+// where no engine may take the request in time.
 func (r *ModelRouter) best(req *request.Request, apart bool) (prefill, decode int) {
-	whole := r.least(wholeCost)
-	if !apart {
-		if whole < 0 {
-			whole = r.least(anyCost)
-		}
-		return whole, whole
+	limits := bounds{wait: r.patience(req) + r.leastOwn(), prompt: math.Inf(1)}
+	p, d := -1, -1
+	if apart {
+		p, d = r.least(taskPrompt, limits), r.least(taskAnswer, limits)
+	}
+	if apart && r.has(fleet.Prefill) {
+		limits.prompt = float64(r.opts.Knobs().MixedPromptLimit)
 	}
-	p, d := r.least(prefillCost), r.least(decodeCost)
+	whole := r.least(taskWhole, limits)
 	if p < 0 || d < 0 {
+		if whole < 0 && !r.has(fleet.Mixed) {
+			whole = r.least(taskAny, limits)
+		}
 		return whole, whole
 	}
 	move := float64(req.PromptTokens) / r.opts.Knobs().MoveRate
@@ -28,12 +59,71 @@
 	return whole, whole
 }
 
+// patience returns the longest wait, in seconds, at which a request is still
+// placed.
+func (r *ModelRouter) patience(req *request.Request) float64 {
+	share := r.opts.Knobs().Patience
+	if share <= 0 || req.FirstPart <= 0 {
+		return math.Inf(1)
+	}
+	return share * req.FirstPart.Seconds()
+}
+
+// leastOwn returns the time of the prompt at the engine that holds the most of
+// it, in seconds.
+func (r *ModelRouter) leastOwn() float64 {
+	least := math.Inf(1)
+	for i := range r.scores {
+		least = min(least, r.scores[i].own)
+	}
+	return least
+}
+
+// cost returns what the engine costs for a task, or false where it may not do
+// it. An engine that must compute more of the prompt than the best may make the
+// request wait the less.
+func (s *score) cost(t task, limits bounds) (float64, bool) {
+	inTime := s.wait+s.slotWait+s.own <= limits.wait
+	switch t {
+	case taskPrompt:
+		return s.prefill, s.role == fleet.Prefill && inTime
+	case taskAnswer:
+		return s.decode, s.role != fleet.Prefill
+	case taskWhole:
+		return s.prefill + s.decode, s.role != fleet.Prefill && s.role != fleet.Decode && s.uncached <= limits.prompt && inTime
+	}
+	return s.prefill + s.decode, inTime
+}
+
+// refusal returns why no engine takes the request: there is none, or the
+// shortest wait is too long.
+func (r *ModelRouter) refusal(req *request.Request) error {
+	shortest := math.Inf(1)
+	for i := range r.scores {
+		shortest = min(shortest, r.scores[i].wait+r.scores[i].slotWait+r.scores[i].own)
+	}
+	if math.IsInf(shortest, 1) {
+		return fault.New(fault.Unavailable, "no engine takes new work for the model",
+			"try again after the time in Retry-After").After(retryAfter)
+	}
+	over := duration(shortest - r.patience(req) - r.leastOwn())
+	return fault.New(fault.Unavailable, "the request would wait too long at every engine",
+		"try again after the time in Retry-After").After(min(longestReturn, max(shortestReturn, over)))
+}
+
+const (
+	// shortestReturn and longestReturn bound the time after which a request
+	// that would wait too long may come back.
+	shortestReturn = 150 * time.Millisecond
+	longestReturn  = time.Second
+)
+
 // least returns the index of a score whose cost is the least, drawn among near
 // equals, or a negative number where none counts.
-func (r *ModelRouter) least(cost func(*score) (float64, bool)) int {
+func (r *ModelRouter) least(t task, limits bounds) int {
 	best, found := 0.0, -1
 	for i := range r.scores {
-		c, ok := cost(&r.scores[i])
+		c, ok := r.scores[i].cost(t, limits)
 		if ok && (found < 0 || c < best) {
 			best, found = c, i
 		}
@@ -41,11 +131,11 @@
 	if found < 0 || r.opts.Off.Random {
 		return found
 	}
-	limit := best + r.opts.Knobs().NearEqual.D().Seconds()
+	near := best + r.opts.Knobs().NearEqual.D().Seconds()
 	equals := 0
 	for i := range r.scores {
-		c, ok := cost(&r.scores[i])
-		if !ok || c > limit {
+		c, ok := r.scores[i].cost(t, limits)
+		if !ok || c > near {
 			continue
 		}
 		equals++
@@ -56,17 +146,12 @@
 	return found
 }
 
-// wholeCost is the cost of an engine that does both parts.
-func wholeCost(s *score) (float64, bool) {
-	return s.prefill + s.decode, s.role != fleet.Prefill && s.role != fleet.Decode
+// has reports whether an engine has the role. Engines without one are mixed.
+func (r *ModelRouter) has(role fleet.Role) bool {
+	for i := range r.scores {
+		if r.scores[i].role == role || (role == fleet.Mixed && r.scores[i].role == "") {
+			return true
+		}
+	}
+	return false
 }
-
-// prefillCost is the cost of an engine that does prompts alone.
-func prefillCost(s *score) (float64, bool) { return s.prefill, s.role == fleet.Prefill }
-
-// decodeCost is the cost of an engine that may take answers over.
-func decodeCost(s *score) (float64, bool) { return s.decode, s.role != fleet.Prefill }
-
-// anyCost is the cost of any engine; engines do whole requests whatever their
-// role where no other is left.
-func anyCost(s *score) (float64, bool) { return s.prefill + s.decode, true }
--- a/pkg/routing/ledger.go
+++ b/pkg/routing/ledger.go
@@ -77,17 +77,21 @@
 	return max(0, l.meanLoad+(told-l.meanLoad)*faded+float64(len(l.sends)-l.ended))
 }
 
-// took takes in how long a prompt took beside what was reckoned.
+// took takes in how long a prompt took beside what was reckoned. Short prompts
+// tell little, since their time is spent on other things.
 func (l *ledger) took(actual, reckoned float64) {
-	ratio := min(mostSlowness, max(leastSlowness, actual/max(reckoned, minReckoned)))
+	if reckoned < leastReckoned {
+		return
+	}
+	ratio := min(mostSlowness, max(leastSlowness, actual/reckoned))
 	if l.slowness == 0 {
 		l.slowness = 1
 	}
 	l.slowness += (ratio - l.slowness) * slownessWeight
 }
 
-// minReckoned is the least reckoned time that a ratio is taken with, in seconds.
-const minReckoned = 0.01
+// leastReckoned is the shortest prompt that slowness is learnt from, in seconds.
+const leastReckoned = 0.05
 
 // sent notes a request.
 func (l *ledger) sent(s send) {
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/prefix"
@@ -135,11 +134,13 @@
 	r.score(snapshot, req, exclude)
 	prefill, decode := r.best(req, apart)
 	if prefill < 0 {
-		return Placement{}, fault.New(fault.Unavailable, "no engine takes new work for the model",
-			"try again after the time in Retry-After").After(retryAfter)
+		return Placement{}, r.refusal(req)
 	}
 	s := &r.scores[prefill]
-	placement := Placement{Target: &snapshot.Targets[s.target]}
+	placement := Placement{Target: &snapshot.Targets[s.target], Expected: Expected{
+		Wait: duration(s.wait), Own: duration(s.own), Uncached: int(s.uncached), Present: s.occupied,
+		Slowness: r.refs[s.target].slowness,
+	}}
 	now := r.opts.Now()
 	keep := r.opts.Knobs().PromptMemory.D()
 	r.refs[s.target].sent(send{request: req.ID, at: now, prefill: s.uncached, reckoned: s.wait + s.own})
@@ -156,6 +157,9 @@
 	return placement, nil
 }
 
+// duration returns a number of seconds as a duration.
+func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
 // refresh takes a new snapshot in and returns it.
 func (r *ModelRouter) refresh() *fleet.Snapshot {
 	snapshot := r.opts.View.Snapshot()
