Tell the other daemons which prompts engines owe

Cause: engines that compute prompts tell no load with their answers, so each daemon saw an eighth of the work before them and sent on to full ones.

Change: pkg/backlog sends each daemon's outstanding prompt tokens by engine over the links between daemons, whose secret lies in the store; waits are reckoned from all daemons' prompts, urgent ones apart.

Ruled out: polling the engines' reports, which is priced as a health check and some hundred ms old.

--- a/cmd/amaranthplank/hosted.go
+++ b/cmd/amaranthplank/hosted.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"strconv"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/fault"
@@ -83,6 +84,10 @@
 	if opts.ReadyListener, err = net.Listen("tcp", s.Readiness); err != nil {
 		return opts, listenError(err, s.Readiness)
 	}
+	peers := net.JoinHostPort(s.Address, strconv.Itoa(s.PeerPort))
+	if opts.PeerListener, err = net.Listen("tcp", peers); err != nil {
+		return opts, listenError(err, peers)
+	}
 	admin := net.JoinHostPort(s.Address, adminPort)
 	if opts.AdminListener, err = net.Listen("tcp", admin); err != nil {
 		return opts, listenError(err, admin)
--- /dev/null
+++ b/pkg/backlog/exchange.go
@@ -0,0 +1,150 @@
+package backlog
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/peer"
+)
+
+const (
+	// sendEvery is the least time between two messages.
+	sendEvery = 40 * time.Millisecond
+	// repeatEvery is the greatest while something is outstanding.
+	repeatEvery = 400 * time.Millisecond
+	// silentAfter is how long a daemon's sums count without being repeated.
+	silentAfter = 1500 * time.Millisecond
+	// messageVersion is the format of the messages.
+	messageVersion = 1
+)
+
+// Links sends messages to the daemons that this one is linked to.
+type Links interface {
+	peer.Mesh
+	// Linked returns the hosts with an open link.
+	Linked() []ident.Host
+}
+
+// Options are what an Exchange works with.
+type Options struct {
+	// Own returns the daemon's own sums, without empty ones.
+	Own func() []Outstanding
+	// Daemons counts the daemons of the fleet, this one included. Where not all
+	// are linked, what the linked ones tell stands for the others too.
+	Daemons func() int
+	Log     *slog.Logger
+}
+
+// Exchange tells other daemons this one's sums, and adds up theirs.
+type Exchange struct {
+	opts Options
+
+	mu     sync.RWMutex
+	links  Links
+	others map[ident.Host]told
+}
+
+// told is what one daemon said last.
+type told struct {
+	at   time.Time
+	sums map[ident.Target]Outstanding
+}
+
+// New returns an exchange without links.
+func New(opts Options) *Exchange {
+	return &Exchange{opts: opts, others: make(map[ident.Host]told)}
+}
+
+// Attach sets the links, before they run.
+func (x *Exchange) Attach(links Links) {
+	links.Handle(peer.KindBacklog, x.receive)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.links = links
+}
+
+// receive takes in what a daemon says.
+func (x *Exchange) receive(from ident.Host, message peer.Message) {
+	var list []Outstanding
+	if message.Version > messageVersion {
+		return
+	}
+	if err := peer.Decode(message.Payload, &list); err != nil {
+		x.opts.Log.Debug("backlog message skipped", "peer", from, "error", err)
+		return
+	}
+	sums := make(map[ident.Target]Outstanding, len(list))
+	for _, sum := range list {
+		sums[sum.Target] = sum
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.others[from] = told{at: time.Now(), sums: sums}
+}
+
+// Elsewhere returns what the other daemons have outstanding at an engine.
+func (x *Exchange) Elsewhere(target ident.Target) Outstanding {
+	total, heard := Outstanding{Target: target}, 0
+	now := time.Now()
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	for _, other := range x.others {
+		if now.Sub(other.at) > silentAfter {
+			continue
+		}
+		heard++
+		sum := other.sums[target]
+		total.Urgent += sum.Urgent
+		total.Other += sum.Other
+	}
+	if heard > 0 {
+		factor := max(1, float64(x.opts.Daemons()-1)/float64(heard))
+		total.Urgent *= factor
+		total.Other *= factor
+	}
+	return total
+}
+
+// Run sends the daemon's sums until ctx ends.
+func (x *Exchange) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sendEvery)
+	defer ticker.Stop()
+	var last []Outstanding
+	var sentAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			own := x.opts.Own()
+			if slices.Equal(own, last) && (len(own) == 0 || now.Sub(sentAt) < repeatEvery) {
+				continue
+			}
+			x.send(own)
+			last, sentAt = own, now
+		}
+	}
+}
+
+// send tells every linked daemon.
+func (x *Exchange) send(own []Outstanding) {
+	x.mu.RLock()
+	links := x.links
+	x.mu.RUnlock()
+	if links == nil {
+		return
+	}
+	payload, err := peer.EncodeCompact(own)
+	if err != nil {
+		x.opts.Log.Error("backlog not encoded", "error", err)
+		return
+	}
+	for _, host := range links.Linked() {
+		// A link that is gone needs nothing: its daemon leaves this one out.
+		_ = links.Send(host, peer.Message{Kind: peer.KindBacklog, Version: messageVersion, Payload: payload})
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
+	"amaranthplank.example/amaranthplank/pkg/backlog"
 	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/drain"
@@ -57,6 +58,7 @@
 	counter     *tally.Counter
 	presence    *tally.Presence
 	duties      *duties
+	backlog     *backlog.Exchange
 }
 
 // New returns a gateway that is ready to run.
@@ -68,16 +70,20 @@
 	g.presence = tally.NewPresence(opts.Host)
 	g.counter = tally.NewCounter(tally.CounterOptions{
 		Host: opts.Host, FailureDomain: opts.FailureDomain, Incarnation: g.incarnation, Store: opts.Store,
-		Time: g.time, Window: opts.UsageWindow, Log: opts.Log,
+		Address: opts.PeerListener.Addr().String(),
+		Time:    g.time, Window: opts.UsageWindow, Log: opts.Log,
 	})
 	g.targets = registry.New(opts.Entries)
 	g.mirror = mirror.New(mirror.Options{
 		Store: opts.Store, Pause: mirrorPause, Wait: mirrorWait, Log: opts.Log,
 	}, opts.Feed, g.targets, g.presence)
+	g.backlog = backlog.New(backlog.Options{
+		Own: func() []backlog.Outstanding { return g.router.Models.Outstanding() }, Daemons: g.presence.Daemons, Log: opts.Log,
+	})
 	g.router = routing.New(routing.Options{
 		View: g.targets, Domain: opts.FailureDomain, Now: time.Now, Random: newRandom(),
 		Knobs:   func() *config.RoutingKnobs { return &g.knobs(config.Selector{}).Routing },
-		Daemons: g.presence.Daemons,
+		Daemons: g.presence.Daemons, Elsewhere: g.backlog.Elsewhere,
 	})
 	g.relay = relay.New(relay.Options{
 		Router: g.router, Client: target.NewClient(), Config: opts.Published, Protocol: opts.Protocol,
@@ -158,7 +164,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run, g.duties.run, g.counter.Run} {
+	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run, g.duties.run, g.counter.Run, g.backlog.Run, g.runLinks} {
 		group.Go(func() error { return run(ctx) })
 	}
 	group.Go(func() error { return serve(ctx, g.opts.ReadyHandler(g.ready), g.opts.ReadyListener) })
--- /dev/null
+++ b/pkg/gateway/links.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/membership"
+	"amaranthplank.example/amaranthplank/pkg/peer"
+)
+
+const (
+	// secretKey holds the secret that links between the daemons are proved by.
+	secretKey external.Key = "peers/secret"
+	// secretRetry is the pause between tries to read it.
+	secretRetry = 500 * time.Millisecond
+	// linksEvery is the time between looks at which daemons there are.
+	linksEvery = time.Second
+	// neighbours is how many daemons on either side, in the order of their
+	// names, a daemon is linked to.
+	neighbours = 8
+)
+
+// runLinks keeps the links to other daemons until ctx ends. Without them the
+// daemon serves on, with less knowledge of the engines' load.
+func (g *Gateway) runLinks(ctx context.Context) error {
+	secret := g.secret(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	links, err := peer.New(peer.Options{
+		Host: g.opts.Host, Incarnation: g.incarnation, Listener: g.opts.PeerListener, Secret: secret,
+		Log: g.opts.Log, Registerer: g.registry,
+	})
+	if err != nil {
+		return err
+	}
+	g.backlog.Attach(links)
+	go g.keepPeers(ctx, links)
+	return links.Run(ctx)
+}
+
+// keepPeers tells the links which daemons there are until ctx ends.
+func (g *Gateway) keepPeers(ctx context.Context, links *peer.Manager) {
+	ticker := time.NewTicker(linksEvery)
+	defer ticker.Stop()
+	for {
+		links.SetPeers(neighboursOf(g.opts.Host, g.presence.Members()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// neighboursOf returns the daemons that one is linked to: those next to it in
+// the order of names, which close to a ring. Being a neighbour is mutual.
+func neighboursOf(self ident.Host, members []membership.Member) []peer.Address {
+	members = slices.DeleteFunc(members, func(m membership.Member) bool { return m.Address == "" })
+	slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(a.Host, b.Host) })
+	after, _ := slices.BinarySearchFunc(members, self, func(m membership.Member, host ident.Host) int {
+		return cmp.Compare(m.Host, host)
+	})
+	var peers []peer.Address
+	for i := range members {
+		ahead := (i - after + len(members)) % len(members)
+		if ahead < neighbours || len(members)-1-ahead < neighbours {
+			peers = append(peers, peer.Address{Host: members[i].Host, Address: members[i].Address})
+		}
+	}
+	return peers
+}
+
+// secret returns the fleet's secret, which the first daemon that finds none
+// makes up. It returns nil once ctx ends.
+func (g *Gateway) secret(ctx context.Context) []byte {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, mirrorWait)
+		entry, err := g.opts.Store.Get(call, secretKey)
+		if errors.Is(err, external.ErrKeyNotFound) {
+			// Whoever is first wins; the next read finds it.
+			_, err = g.opts.Store.CompareAndSwap(call, external.Swap{Key: secretKey, Value: []byte(rand.Text())})
+		}
+		cancel()
+		if err == nil && len(entry.Value) > 0 {
+			return entry.Value
+		}
+		if err != nil && !errors.Is(err, external.ErrVersionConflict) {
+			g.opts.Log.Info("secret of the links not read", "error", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(secretRetry):
+		}
+	}
+	return nil
+}
--- a/pkg/gateway/options.go
+++ b/pkg/gateway/options.go
@@ -27,6 +27,8 @@
 	Listener      net.Listener
 	ReadyListener net.Listener
 	AdminListener net.Listener
+	// PeerListener takes links from other daemons.
+	PeerListener net.Listener
 	// ReadyHandler answers the balancer by what ready tells.
 	ReadyHandler func(ready func() error) http.Handler
 	Store        external.Store
--- a/pkg/membership/member.go
+++ b/pkg/membership/member.go
@@ -13,6 +13,8 @@
 	Region        ident.Region
 	Incarnation   ident.Incarnation
 	Status        Status
+	// Address is where the daemon takes links, or empty where it isn't known.
+	Address string
 	// HeardAt is when the member last gave a sign of life, directly or
 	// through others, on this daemon's clock.
 	HeardAt time.Time
--- a/pkg/peer/kind.go
+++ b/pkg/peer/kind.go
@@ -20,4 +20,6 @@
 	KindConfig Kind = 6
 	// KindBurn carries service-level counts.
 	KindBurn Kind = 7
+	// KindBacklog carries what a daemon has outstanding at engines.
+	KindBacklog Kind = 8
 )
--- a/pkg/peer/outbox.go
+++ b/pkg/peer/outbox.go
@@ -15,10 +15,10 @@
 }
 
 // kinds is one more than the highest kind.
-const kinds = int(KindBurn) + 1
+const kinds = int(KindBacklog) + 1
 
 // sendOrder is the order in which kinds are sent.
-var sendOrder = [...]Kind{KindMembership, KindConfig, KindUsageAck, KindState, KindUsageTail, KindBurn}
+var sendOrder = [...]Kind{KindBacklog, KindMembership, KindConfig, KindUsageAck, KindState, KindUsageTail, KindBurn}
 
 // newOutbox returns an empty outbox with room for limit messages of each kind.
 func newOutbox(limit int) *outbox {
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -56,6 +56,9 @@
 		header.Set("Cache-Control", "no-cache")
 		a.call.writer.WriteHeader(http.StatusOK)
 	}
+	if a.phase != retry.Streaming && a.source == (Source{}) {
+		a.tellTime(time.Since(a.began))
+	}
 	a.reached(retry.Streaming)
 	a.call.handed()
 	if _, err := a.call.writer.Write(event.Text); err != nil {
--- a/pkg/routing/estimate.go
+++ b/pkg/routing/estimate.go
@@ -49,7 +49,7 @@
 	}
 	switch {
 	case own.loadAt.After(state.LoadAt):
-		e.byAnswers(load.Role, own, now)
+		e.byAnswers(own, now)
 	case load.Sequence == 0 || now.Sub(state.LoadAt) > knobs.ReportMaxAge.D():
 		e.occupied = float64(own.outstanding)
 		e.backlog = own.backlog(0, e.prefillRate, 1, now, now)
@@ -62,19 +62,10 @@
 	return e
 }
 
-// byAnswers takes the load from what the engine told with its answers. Engines
-// that compute prompts alone hold nothing but prompts.
-func (e *estimate) byAnswers(role fleet.Role, own *ledger, now time.Time) {
+// byAnswers takes the load from what the engine told with its answers.
+func (e *estimate) byAnswers(own *ledger, now time.Time) {
 	e.occupied = own.present(now)
-	if role == fleet.Prefill {
-		e.backlog = e.occupied * own.meanPrompt
-		return
-	}
-	waiting := max(0, e.occupied-e.slots)
-	e.backlog = waiting * own.meanPrompt
-	for i := range own.sends {
-		e.backlog += own.sends[i].prefill
-	}
+	e.backlog = own.urgent + own.other
 }
 
 // byReport takes the load from the engine's last report.
--- a/pkg/routing/ledger.go
+++ b/pkg/routing/ledger.go
@@ -28,15 +28,16 @@
 	// before the first.
 	load   fleet.LoadReport
 	loadAt time.Time
-	// meanLoad is the mean of what ran and waited by those answers, meanPrompt
-	// that of the uncached prompt tokens of the daemon's own sends.
-	meanLoad   float64
-	meanPrompt float64
+	// meanLoad is the mean of what ran and waited by those answers.
+	meanLoad float64
 	// slowness is how many times longer the target takes for prompts than
 	// reckoned; zero before the first.
 	slowness float64
-	// pending holds the reckoned times of prompts that are computed.
-	pending map[ident.Request]float64
+	// pending holds the prompts that were sent and not seen computed.
+	pending map[ident.Request]send
+	// urgent and other are the tokens of the pending prompts of the most urgent
+	// rank and of the others.
+	urgent, other float64
 	// prompts remembers what the target was sent.
 	prompts recent
 	// failures counts failures in a row; ejectedUntil bars new work.
@@ -52,13 +53,13 @@
 	prefill float64
 	// reckoned is the expected time of the prompt, in seconds.
 	reckoned float64
+	// urgent says that the request is of the most urgent rank.
+	urgent bool
 }
 
 const (
-	// meanLoadWeight and meanPromptWeight are the parts of the newest value in
-	// the means.
-	meanLoadWeight   = 0.1
-	meanPromptWeight = 0.05
+	// meanLoadWeight is the part of the newest value in the mean.
+	meanLoadWeight = 0.1
 	// slownessWeight is the part of the newest prompt in the slowness, which
 	// stays within leastSlowness and mostSlowness.
 	slownessWeight = 0.2
@@ -96,20 +97,20 @@
 // sent notes a request.
 func (l *ledger) sent(s send) {
 	l.outstanding++
-	l.meanPrompt += (s.prefill - l.meanPrompt) * meanPromptWeight
 	l.sends = append(l.sends, s)
-	if s.reckoned > 0 {
+	if s.prefill > 0 {
 		if l.pending == nil {
-			l.pending = make(map[ident.Request]float64)
+			l.pending = make(map[ident.Request]send)
 		}
-		l.pending[s.request] = s.reckoned
+		l.pending[s.request] = s
+		l.add(&s, 1)
 	}
 }
 
 // done notes a request's end.
 func (l *ledger) done(id ident.Request) {
 	l.outstanding = max(0, l.outstanding-1)
-	delete(l.pending, id)
+	l.computed(id)
 	for i := range l.sends {
 		if l.sends[i].request == id {
 			l.sends = slices.Delete(l.sends, i, i+1)
@@ -119,6 +120,25 @@
 	l.ended++
 }
 
+// add adds a prompt to the sums, or takes it off.
+func (l *ledger) add(s *send, sign float64) {
+	if s.urgent {
+		l.urgent = max(0, l.urgent+sign*s.prefill)
+		return
+	}
+	l.other = max(0, l.other+sign*s.prefill)
+}
+
+// computed takes a prompt off the sums, and returns it.
+func (l *ledger) computed(id ident.Request) (send, bool) {
+	s, ok := l.pending[id]
+	if ok {
+		delete(l.pending, id)
+		l.add(&s, -1)
+	}
+	return s, ok
+}
+
 // told takes in a load that came with an answer. The sends before it are known
 // to the target.
 func (l *ledger) told(load fleet.LoadReport, now time.Time) {
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -1,11 +1,14 @@
 package routing
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"amaranthplank.example/amaranthplank/pkg/backlog"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/prefix"
@@ -71,8 +74,8 @@
 	if !ok {
 		return
 	}
-	if reckoned, ok := own.pending[req.ID]; ok {
-		own.took(took.Seconds(), reckoned)
+	if s, ok := own.computed(req.ID); ok {
+		own.took(took.Seconds(), s.reckoned)
 	}
 }
 
@@ -143,7 +146,7 @@
 	}}
 	now := r.opts.Now()
 	keep := r.opts.Knobs().PromptMemory.D()
-	r.refs[s.target].sent(send{request: req.ID, at: now, prefill: s.uncached, reckoned: s.wait + s.own})
+	r.refs[s.target].sent(send{request: req.ID, at: now, prefill: s.uncached, reckoned: s.wait + s.own, urgent: urgent(req)})
 	r.refs[s.target].prompts.add(req.Prefix, now, keep)
 	if keep == 0 {
 		r.index.Expect(placement.Target.Record.Target, req.Prefix)
@@ -160,6 +163,25 @@
 // duration returns a number of seconds as a duration.
 func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
 
+// Outstanding returns the daemon's own prompts that were sent to engines and not
+// seen computed, by engine.
+func (r *ModelRouter) Outstanding() []backlog.Outstanding {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var sums []backlog.Outstanding
+	for name, own := range r.ledgers {
+		if len(own.pending) > 0 {
+			sums = append(sums, backlog.Outstanding{Target: name, Urgent: own.urgent, Other: own.other})
+		}
+	}
+	slices.SortFunc(sums, func(a, b backlog.Outstanding) int { return cmp.Compare(a.Target, b.Target) })
+	return sums
+}
+
+// urgent reports whether a request is of the most urgent rank, which engines
+// serve before others.
+func urgent(req *request.Request) bool { return req.Host != "" && req.Urgency == 0 }
+
 // refresh takes a new snapshot in and returns it.
 func (r *ModelRouter) refresh() *fleet.Snapshot {
 	snapshot := r.opts.View.Snapshot()
--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/backlog"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -19,6 +20,9 @@
 	Now   func() time.Time
 	// Daemons returns how many daemons serve, this one included.
 	Daemons func() int
+	// Elsewhere returns what other daemons have outstanding at an engine. Nil
+	// means that it is not known.
+	Elsewhere func(target ident.Target) backlog.Outstanding
 	// Random draws among near equals; the router locks it.
 	Random *rand.Rand
 	// Off switches parts off; it is for measures alone.
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -49,6 +49,7 @@
 			continue
 		}
 		e := estimateOf(state, r.own(i), r.daemons, knobs, now)
+		e.elsewhere(r, state, r.own(i), urgent(req))
 		s := score{
 			target: i, role: state.Load.Role, slots: e.slots, occupied: e.occupied,
 			uncached: r.uncached(i, i == home, known, req, knobs, now),
--- a/pkg/tally/checkpoint.go
+++ b/pkg/tally/checkpoint.go
@@ -18,6 +18,8 @@
 	Host          ident.Host          `json:"host"`
 	FailureDomain ident.FailureDomain `json:"failureDomain"`
 	Incarnation   ident.Incarnation   `json:"incarnation"`
+	// Address is where the daemon takes links from others.
+	Address string `json:"address,omitempty"`
 	// Through is the true time up to which the counts are complete.
 	Through time.Time `json:"through"`
 	// Left says that the daemon has stopped and counts nothing more.
--- a/pkg/tally/counter.go
+++ b/pkg/tally/counter.go
@@ -30,8 +30,10 @@
 	Host          ident.Host
 	FailureDomain ident.FailureDomain
 	Incarnation   ident.Incarnation
-	Store         external.Store
-	Time          *TrueTime
+	// Address is where the daemon takes links from others.
+	Address string
+	Store   external.Store
+	Time    *TrueTime
 	// Window is the length of a window.
 	Window time.Duration
 	Log    *slog.Logger
@@ -133,7 +135,7 @@
 		}
 	}
 	checkpoint := Checkpoint{
-		Host: c.opts.Host, FailureDomain: c.opts.FailureDomain, Incarnation: c.opts.Incarnation,
+		Host: c.opts.Host, FailureDomain: c.opts.FailureDomain, Incarnation: c.opts.Incarnation, Address: c.opts.Address,
 		Through: now, Left: left, Windows: c.windows,
 	}
 	value, err := json.Marshal(&checkpoint)
--- a/pkg/tally/presence.go
+++ b/pkg/tally/presence.go
@@ -58,7 +58,7 @@
 		}
 		p.hosts[entries[i].Key] = membership.Member{
 			Host: checkpoint.Host, FailureDomain: checkpoint.FailureDomain, Incarnation: checkpoint.Incarnation,
-			Status: membership.Alive, HeardAt: now,
+			Status: membership.Alive, HeardAt: now, Address: checkpoint.Address,
 		}
 	}
 }
