Keep cheap engines in each failure domain under the duty's lease

Change: pkg/supplykeeper orders a fixed number of each kind in each failure domain; dependable engines are given back once the cheap ones are there. Roles wait until the ordered engines have come.

--- a/cmd/amaranthplank/hosted.go
+++ b/cmd/amaranthplank/hosted.go
@@ -66,6 +66,7 @@
 // hostedOptions returns the options of a process on the platform.
 func hostedOptions(s *platform.Settings, policy *config.Document, log *slog.Logger) (gateway.Options, error) {
 	published := config.NewPublished(policy, log)
+	duties := platform.NewDuties(s.Host, s.Duties)
 	opts := gateway.Options{
 		Host: s.Host, FailureDomain: s.FailureDomain, Log: log, ReadyHandler: platform.Readiness,
 		Store: platform.NewStore(s.Store), Published: published,
@@ -74,7 +75,7 @@
 			Prefix: platform.EntryPrefix, Decode: platform.Entries{ChecksFencing: s.ChecksFencing}.Decode, Log: log,
 		},
 		Format: platform.Callers{}, Protocol: platform.Replicas{}, StopGrace: s.StopGrace,
-		Sink: platform.NewDuties(s.Host, s.Duties), UsageWindow: s.UsageWindow, UsageDue: s.UsageDue,
+		Sink: duties, Supplier: duties, UsageWindow: s.UsageWindow, UsageDue: s.UsageDue,
 		Orderer: platform.NewOrders(s.Host), LeaseTerm: s.LeaseTerm,
 	}
 	var err error
--- a/pkg/config/knobs_supply.go
+++ b/pkg/config/knobs_supply.go
@@ -26,6 +26,12 @@
 	// MoveNotice is the least time before a target is gone at which running
 	// work that would not end in time is moved off.
 	MoveNotice Duration `json:"moveNotice" default:"2s" unit:"duration" min:"0s" max:"10m"`
+	// DependablePerDomain is how many dependable targets of a model are kept in
+	// each failure domain where counts are fixed; negative orders nothing.
+	DependablePerDomain int64 `json:"dependablePerDomain" default:"-1" unit:"targets" min:"-1" max:"10000"`
+	// ReclaimableShare is the share of the greatest count in a failure domain
+	// that is kept as reclaimable targets then.
+	ReclaimableShare float64 `json:"reclaimableShare" default:"0" unit:"ratio" min:"0" max:"1"`
 	// LoadsAtOnce bounds the targets that read weights at the same time.
 	LoadsAtOnce int64 `json:"loadsAtOnce" default:"4" unit:"targets" min:"1" max:"1000"`
 }
--- a/pkg/config/model.go
+++ b/pkg/config/model.go
@@ -7,4 +7,7 @@
 	Name ident.Model `json:"name"`
 	// Version is the weights' version that engines are to load.
 	Version string `json:"version"`
+	// Scaling bounds what may be ordered of the model's engines; nil orders
+	// nothing.
+	Scaling *Scaling `json:"scaling,omitempty"`
 }
--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -11,13 +11,14 @@
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
 	"amaranthplank.example/amaranthplank/pkg/rolekeeper"
+	"amaranthplank.example/amaranthplank/pkg/supplykeeper"
 	"amaranthplank.example/amaranthplank/pkg/tally"
 )
 
 // Duties of which one daemon at a time carries each.
 const (
-	dutyUsage ident.Duty = "usage"
-	dutyRoles ident.Duty = "roles"
+	dutyUsage   ident.Duty = "usage"
+	dutyEngines ident.Duty = "engines"
 )
 
 // duties are the shards of work that the process competes for.
@@ -43,11 +44,14 @@
 	reporter := &tally.Reporter{
 		Store: g.opts.Store, Sink: g.opts.Sink, Time: g.time, Window: g.opts.UsageWindow, Due: g.opts.UsageDue, Log: g.opts.Log,
 	}
+	supply := supplykeeper.New(supplykeeper.Options{
+		View: g.targets, Orderer: g.opts.Supplier, Config: g.opts.Published, Log: g.opts.Log,
+	})
 	roles := rolekeeper.New(rolekeeper.Options{
-		View: g.targets, Orderer: g.opts.Orderer, Log: g.opts.Log,
+		View: g.targets, Orderer: g.opts.Orderer, Log: g.opts.Log, Settled: supply.Settled,
 		Share: func(model ident.Model) float64 { return g.knobs(config.Selector{Model: model}).Roles.PrefillShare },
 	})
-	d.works = map[ident.Duty]lease.Work{dutyUsage: reporter.Work, dutyRoles: roles.Work}
+	d.works = map[ident.Duty]lease.Work{dutyUsage: reporter.Work, dutyEngines: together(supply.Work, roles.Work)}
 	return d
 }
 
@@ -73,6 +77,17 @@
 	return t
 }
 
+// together returns the work that does several works under one authority.
+func together(works ...lease.Work) lease.Work {
+	return func(ctx context.Context, authority lease.Authority) error {
+		group, ctx := errgroup.WithContext(ctx)
+		for _, work := range works {
+			group.Go(func() error { return work(ctx, authority) })
+		}
+		return group.Wait()
+	}
+}
+
 // run competes for the duties until ctx ends or they are handed over.
 func (d *duties) run(ctx context.Context) error {
 	defer close(d.released)
--- a/pkg/gateway/options.go
+++ b/pkg/gateway/options.go
@@ -14,6 +14,7 @@
 	"amaranthplank.example/amaranthplank/pkg/registry"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/rolekeeper"
+	"amaranthplank.example/amaranthplank/pkg/supplykeeper"
 	"amaranthplank.example/amaranthplank/pkg/tally"
 )
 
@@ -47,6 +48,8 @@
 	UsageDue    time.Duration
 	// Orderer orders engines' roles.
 	Orderer rolekeeper.Orderer
+	// Supplier orders engines from the platform.
+	Supplier supplykeeper.Orderer
 	// LeaseTerm is the time in which holders of a duty must not take turns.
 	LeaseTerm time.Duration
 	// StopGrace is the time from the request to stop until the process is
--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -17,6 +17,9 @@
 	lookEvery = 500 * time.Millisecond
 	// settle is how long a need must stand before it is acted on.
 	settle = 1500 * time.Millisecond
+	// supplyPatience is how long after the duty was taken ordered engines are
+	// waited for.
+	supplyPatience = 7 * time.Second
 	// pendingFor is how long an ordered change is taken to be on its way. It is
 	// longer than a change takes and than an order may be late.
 	pendingFor = 14 * time.Second
@@ -33,7 +36,10 @@
 	// Share returns the share of a model's engines that compute prompts alone;
 	// negative leaves the roles as they are.
 	Share func(model ident.Model) float64
-	Log   *slog.Logger
+	// Settled reports whether no engines are on their way that were ordered;
+	// until then no role is changed, for a while.
+	Settled func() bool
+	Log     *slog.Logger
 }
 
 // Keeper orders the changes of role. It belongs to the goroutine of Work.
@@ -71,8 +77,12 @@
 func (k *Keeper) Work(ctx context.Context, authority lease.Authority) error {
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
+	began := time.Now()
 	for {
 		snapshot := k.opts.View.Snapshot()
+		if !k.opts.Settled() && time.Since(began) < supplyPatience {
+			snapshot = fleet.NewSnapshot(nil)
+		}
 		for _, model := range snapshot.Models() {
 			if err := k.keep(ctx, authority, snapshot, model); fault.KindOf(err) == fault.Fenced {
 				return err
