Give engines that stay back as the platform's bound allows

Cause: the bound counts both kinds, so the wanted cheap engines never all came and no dependable one was given back.

Change: cheap engines are ordered up to the bound, dependable ones given back then, and the rest ordered after; an order is repeated by kind and place.

--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -36,8 +36,8 @@
 	// Share returns the share of a model's engines that compute prompts alone;
 	// negative leaves the roles as they are.
 	Share func(model ident.Model) float64
-	// Settled reports whether no engines are on their way that were ordered;
-	// until then no role is changed, for a while.
+	// Settled reports whether the engines are those that are to stay; until
+	// then no role is changed, for a while.
 	Settled func() bool
 	Log     *slog.Logger
 }
--- a/pkg/supplykeeper/keeper.go
+++ b/pkg/supplykeeper/keeper.go
@@ -45,10 +45,11 @@
 	settled atomic.Bool
 }
 
-// place is one model in one failure domain.
+// place is one kind of a model's engines in one failure domain.
 type place struct {
 	model  ident.Model
 	domain ident.FailureDomain
+	kind   external.TargetKind
 }
 
 // New returns a keeper that has ordered nothing.
@@ -56,7 +57,7 @@
 	return &Keeper{opts: opts, waiting: make(map[place]time.Time)}
 }
 
-// Settled reports whether no ordered engines are on their way.
+// Settled reports whether the engines are those that are to stay.
 func (k *Keeper) Settled() bool { return k.settled.Load() }
 
 // Work keeps the counts while the duty is held. It is a lease.Work.
@@ -100,26 +101,20 @@
 	return nil
 }
 
-// keep orders what is due at one place, and reports whether nothing is on its
-// way there.
+// keep orders what is due at one place, and reports whether the engines there
+// are those that are to stay.
 func (k *Keeper) keep(ctx context.Context, authority lease.Authority, model *config.Model, domain ident.FailureDomain, want Counts) (bool, error) {
 	have := k.count(model.Name, domain)
-	reclaimable, due := Next(have, want)
-	at := place{model: model.Name, domain: domain}
+	kind, count, due := Next(have, want, model.Scaling.Maximum)
+	at := place{model: model.Name, domain: domain, kind: kind}
 	now := time.Now()
-	if !due {
-		delete(k.waiting, at)
-		return true, nil
-	}
-	if now.Before(k.waiting[at]) {
-		return false, nil
-	}
-	order := Order{Model: model.Name, Domain: domain, Kind: external.Dependable, Count: want.Dependable, Fencing: authority.Fencing()}
-	if reclaimable {
-		order.Kind, order.Count = external.Reclaimable, want.Reclaimable
+	settled := have.Dependable <= want.Dependable && have.Reclaimable > 0 || want.Reclaimable == 0
+	if !due || now.Before(k.waiting[at]) {
+		return settled, nil
 	}
+	order := Order{Model: model.Name, Domain: domain, Kind: kind, Count: count, Fencing: authority.Fencing()}
 	if err := authority.Check(); err != nil {
-		return false, err
+		return settled, err
 	}
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -130,7 +125,7 @@
 	if fault.KindOf(err) == fault.Conflict || fault.KindOf(err) == fault.Unavailable || fault.KindOf(err) == fault.Limited {
 		k.waiting[at] = now.Add(barred)
 	}
-	return false, nil
+	return settled, nil
 }
 
 // count returns the engines that are there and not leaving.
--- a/pkg/supplykeeper/want.go
+++ b/pkg/supplykeeper/want.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 // Counts are engines of one model in one failure domain.
@@ -26,14 +27,17 @@
 	return Counts{Dependable: dependable, Reclaimable: min(reclaimable, scaling.Maximum-dependable)}, true
 }
 
-// Next returns the kind whose count is to be ordered next, or false. Engines
-// that stay are given back only once the cheap ones are there.
-func Next(have, want Counts) (reclaimable, due bool) {
+// Next returns the count that is to be ordered next, or false. Engines that stay
+// are given back only once the cheap ones that fit beside them are there.
+func Next(have, want Counts, maximum int) (kind external.TargetKind, count int, due bool) {
+	fitting := min(want.Reclaimable, max(0, maximum-have.Dependable))
 	switch {
-	case have.Reclaimable != want.Reclaimable:
-		return true, true
+	case have.Reclaimable < fitting:
+		return external.Reclaimable, fitting, true
 	case have.Dependable != want.Dependable:
-		return false, true
+		return external.Dependable, want.Dependable, true
+	case have.Reclaimable != want.Reclaimable:
+		return external.Reclaimable, want.Reclaimable, true
 	}
-	return false, false
+	return "", 0, false
 }
--- a/pkg/supplykeeper/want_test.go
+++ b/pkg/supplykeeper/want_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	_ "amaranthplank.example/amaranthplank/pkg/testseed"
 )
 
@@ -32,14 +33,29 @@
 	})
 }
 
-func TestNothingIsGivenBackBeforeTheCheapOnesAreThere(t *testing.T) {
-	want := Counts{Dependable: 1, Reclaimable: 4}
-	reclaimable, due := Next(Counts{Dependable: 3, Reclaimable: 3}, want)
-	must.True(t, due)
-	must.True(t, reclaimable)
-	reclaimable, due = Next(Counts{Dependable: 3, Reclaimable: 4}, want)
-	must.True(t, due)
-	must.False(t, reclaimable)
-	_, due = Next(want, want)
-	must.False(t, due)
+// TestOrdersReachTheWantedCounts carries the orders out one after the other, and
+// sees that the platform's bound is kept, that engines which stay are given back
+// only for cheap ones that are there, and that the orders come to an end.
+func TestOrdersReachTheWantedCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		maximum := rapid.IntRange(1, 8).Draw(t, "maximum")
+		want := Counts{Dependable: rapid.IntRange(0, maximum).Draw(t, "dependable")}
+		want.Reclaimable = rapid.IntRange(0, maximum-want.Dependable).Draw(t, "reclaimable")
+		have := Counts{Dependable: rapid.IntRange(0, maximum).Draw(t, "present")}
+		for step := 0; ; step++ {
+			must.Less(t, 5, step)
+			kind, count, due := Next(have, want, maximum)
+			if !due {
+				break
+			}
+			if kind == external.Reclaimable {
+				have.Reclaimable = count
+			} else {
+				must.GreaterEq(t, min(want.Reclaimable, maximum-have.Dependable), have.Reclaimable)
+				have.Dependable = count
+			}
+			must.LessEq(t, maximum, have.Dependable+have.Reclaimable)
+		}
+		must.Eq(t, want, have)
+	})
 }
