--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -92,7 +92,7 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	if errors.Is(err, external.ErrHistoryGone) {
+	if errors.Is(err, external.ErrHistoryGone) && m.cursor != external.StartCursor {
 		m.opts.Log.Info("store history lost", "after", m.cursor)
 		m.cursor = external.StartCursor
 		return 0
--- /dev/null
+++ b/pkg/mirror/mirror_test.go
@@ -0,0 +1,160 @@
+package mirror
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
+)
+
+// recorder keeps a copy of the keys that it is told of.
+type recorder struct {
+	prefix  string
+	values  map[external.Key]string
+	outages int
+	wholes  int
+}
+
+func (r *recorder) Follows(key external.Key) bool {
+	return len(key) >= len(r.prefix) && string(key[:len(r.prefix)]) == r.prefix
+}
+
+func (r *recorder) Outage(_, ended time.Time) {
+	if ended.IsZero() {
+		r.outages++
+	}
+}
+
+func (r *recorder) Apply(entries []external.Entry, whole bool, _ time.Time) {
+	if whole {
+		r.wholes++
+		clear(r.values)
+	}
+	for _, entry := range entries {
+		if entry.Deleted {
+			delete(r.values, entry.Key)
+			continue
+		}
+		r.values[entry.Key] = string(entry.Value)
+	}
+}
+
+// trouble fails the store's watches while it is set.
+type trouble struct {
+	external.Store
+	err   error
+	// times is how many watches fail; zero fails all.
+	times int
+	calls int
+}
+
+func (s *trouble) Watch(ctx context.Context, prefix external.Key, after external.Cursor) (external.Changes, error) {
+	s.calls++
+	if s.err != nil {
+		err := s.err
+		if s.times--; s.times == 0 {
+			s.err = nil
+		}
+		return external.Changes{}, err
+	}
+	return s.Store.Watch(ctx, prefix, after)
+}
+
+// follow runs a mirror over a store until the body returns.
+func follow(t *testing.T, body func(t *testing.T, store *memstore.Store, front *trouble, m *Mirror, r *recorder)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(clock.NewRuntime())
+		front := &trouble{Store: store}
+		r := &recorder{prefix: "a/", values: make(map[external.Key]string)}
+		m := New(Options{Store: front, Pause: 500 * time.Millisecond, Wait: 1200 * time.Millisecond, Log: slog.New(slog.DiscardHandler)}, r)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- m.Run(ctx) }()
+		body(t, store, front, m, r)
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
+
+// put writes a key.
+func put(t *testing.T, store *memstore.Store, key external.Key, value string, base external.Version) external.Version {
+	version, err := store.CompareAndSwap(t.Context(), external.Swap{Key: key, Value: []byte(value), Base: base})
+	must.NoError(t, err)
+	return version
+}
+
+func TestChangesReachTheirListeners(t *testing.T) {
+	follow(t, func(t *testing.T, store *memstore.Store, _ *trouble, m *Mirror, r *recorder) {
+		version := put(t, store, "a/1", "x", 0)
+		put(t, store, "b/1", "other", 0)
+		time.Sleep(2 * time.Second)
+		must.Eq(t, map[external.Key]string{"a/1": "x"}, r.values)
+		version = put(t, store, "a/1", "y", version)
+		time.Sleep(time.Second)
+		must.Eq(t, "y", r.values["a/1"])
+		must.NoError(t, store.Delete(t.Context(), "a/1", version))
+		time.Sleep(time.Second)
+		must.MapEmpty(t, r.values)
+		age, ok := m.Age()
+		must.True(t, ok)
+		must.LessEq(t, 2*time.Second, age)
+	})
+}
+
+// TestBusyKeysCostFewCalls writes thirteen keys a second, as a fleet's
+// heartbeats do, and counts the calls.
+func TestBusyKeysCostFewCalls(t *testing.T) {
+	follow(t, func(t *testing.T, store *memstore.Store, front *trouble, _ *Mirror, _ *recorder) {
+		version := external.Version(0)
+		for range 130 {
+			version = put(t, store, "a/beat", "x", version)
+			time.Sleep(77 * time.Millisecond)
+		}
+		must.LessEq(t, 22, front.calls)
+	})
+}
+
+func TestOutageIsToldOnceAndOvercome(t *testing.T) {
+	follow(t, func(t *testing.T, store *memstore.Store, front *trouble, _ *Mirror, r *recorder) {
+		time.Sleep(time.Second)
+		front.err = external.ErrStoreUnavailable
+		time.Sleep(5 * time.Second)
+		put(t, store, "a/1", "x", 0)
+		must.Eq(t, 1, r.outages)
+		front.err = nil
+		time.Sleep(3 * time.Second)
+		must.Eq(t, "x", r.values["a/1"])
+		must.Eq(t, 1, r.outages)
+	})
+}
+
+func TestLostHistoryIsReadAnewAtOnce(t *testing.T) {
+	follow(t, func(t *testing.T, store *memstore.Store, front *trouble, _ *Mirror, r *recorder) {
+		put(t, store, "a/1", "x", 0)
+		time.Sleep(2 * time.Second)
+		before := r.wholes
+		front.err, front.times = external.ErrHistoryGone, 1
+		time.Sleep(1700 * time.Millisecond)
+		must.Eq(t, 0, r.outages, must.Sprint("a lost history is no outage"))
+		time.Sleep(time.Second)
+		must.Greater(t, before, r.wholes)
+		must.Eq(t, "x", r.values["a/1"])
+	})
+}
+
+// TestAStoreThatKeepsNoHistoryIsNotAskedWithoutPause has every call answered
+// alike, the one from the start too.
+func TestAStoreThatKeepsNoHistoryIsNotAskedWithoutPause(t *testing.T) {
+	follow(t, func(t *testing.T, _ *memstore.Store, front *trouble, _ *Mirror, _ *recorder) {
+		front.err = external.ErrHistoryGone
+		time.Sleep(10 * time.Second)
+		must.LessEq(t, 40, front.calls)
+	})
+}
--- a/pkg/standin/memstore/watch.go
+++ b/pkg/standin/memstore/watch.go
@@ -54,7 +54,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	changes := external.Changes{Next: s.cursor}
+	changes := external.Changes{Next: s.cursor, Whole: after == external.StartCursor}
 	for key, v := range s.values {
 		if v.changed > after && strings.HasPrefix(string(key), string(prefix)) {
 			changes.Entries = append(changes.Entries, v.copy())
--- a/pkg/tally/checkpoint.go
+++ b/pkg/tally/checkpoint.go
@@ -43,6 +43,9 @@
 	return checkpoint, err
 }
 
+// encode returns the checkpoint as the store keeps it.
+func encode(checkpoint *Checkpoint) ([]byte, error) { return json.Marshal(checkpoint) }
+
 // Sum adds up a window's counts over all checkpoints. Complete says that every
 // daemon that may still be alive has counted the whole window.
 func Sum(checkpoints []Checkpoint, window Window, end time.Time) (sum Counts, complete bool) {
--- a/pkg/tally/counter.go
+++ b/pkg/tally/counter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"strconv"
 	"sync"
@@ -138,7 +137,7 @@
 		Host: c.opts.Host, FailureDomain: c.opts.FailureDomain, Incarnation: c.opts.Incarnation, Address: c.opts.Address,
 		Through: now, Left: left, Windows: c.windows,
 	}
-	value, err := json.Marshal(&checkpoint)
+	value, err := encode(&checkpoint)
 	return checkpoint.key(), value, err
 }
 
--- /dev/null
+++ b/pkg/tally/tally_test.go
@@ -0,0 +1,239 @@
+package tally
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
+)
+
+const windowLength = 5 * time.Second
+
+// sink takes reports as the platform does: a repeat must bear the same counts.
+type sink struct {
+	t       *testing.T
+	reports map[Window]Counts
+	// err fails the calls, after the report was taken where lost is set.
+	err  error
+	lost bool
+}
+
+func (s *sink) Report(_ context.Context, window Window, counts Counts, _ ident.Fencing) error {
+	if s.err != nil && !s.lost {
+		return s.err
+	}
+	if known, ok := s.reports[window]; ok {
+		must.Eq(s.t, known, counts, must.Sprint("a window was reported with other counts"))
+	}
+	s.reports[window] = counts
+	return s.err
+}
+
+// authority is held until it is lost.
+type authority struct{ lost bool }
+
+func (a *authority) Duty() ident.Duty       { return "usage" }
+func (a *authority) Fencing() ident.Fencing { return 7 }
+
+func (a *authority) Check() error {
+	if a.lost {
+		return fault.New(fault.Fenced, "lost", "stop")
+	}
+	return nil
+}
+
+// world is a store, a sink and daemons that count.
+type world struct {
+	t     *testing.T
+	store *memstore.Store
+	time  *TrueTime
+	sink  *sink
+}
+
+// inWorld runs a test in fake time.
+func inWorld(t *testing.T, body func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := clock.NewRuntime()
+		body(&world{t: t, store: memstore.New(c), time: NewTrueTime(c), sink: &sink{t: t, reports: make(map[Window]Counts)}})
+	})
+}
+
+// daemon starts a counter.
+func (w *world) daemon(ctx context.Context, host ident.Host) *Counter {
+	counter := NewCounter(CounterOptions{
+		Host: host, Incarnation: 1, Store: w.store, Time: w.time, Window: windowLength, Log: slog.New(slog.DiscardHandler),
+	})
+	go func() { _ = counter.Run(ctx) }()
+	return counter
+}
+
+// report runs a reporter until ctx ends.
+func (w *world) report(ctx context.Context, held *authority) {
+	reporter := &Reporter{
+		Store: w.store, Sink: w.sink, Time: w.time, Window: windowLength, Due: 10 * time.Second, Log: slog.New(slog.DiscardHandler),
+	}
+	_ = reporter.Work(ctx, held)
+}
+
+// total adds up what was reported.
+func (w *world) total(workspace ident.Workspace) (sum uint64) {
+	for _, counts := range w.sink.reports {
+		sum += counts[workspace]
+	}
+	return sum
+}
+
+func TestEveryRequestIsReportedOnceInItsWindow(t *testing.T) {
+	inWorld(t, func(w *world) {
+		ctx, cancel := context.WithCancel(w.t.Context())
+		defer cancel()
+		one, two := w.daemon(ctx, "one"), w.daemon(ctx, "two")
+		go w.report(ctx, &authority{})
+		time.Sleep(time.Second)
+		for range 100 {
+			one.Begun("a")
+			two.Begun("b")
+			two.Begun("a")
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(8 * time.Second)
+		must.Eq(t, uint64(200), w.total("a"))
+		must.Eq(t, uint64(100), w.total("b"))
+		must.GreaterEq(t, 3, len(w.sink.reports))
+	})
+}
+
+// TestASuccessorReportsWhatWasClosed loses the reports' answers, then the
+// authority, and has another holder go on while late counts come in.
+func TestASuccessorReportsWhatWasClosed(t *testing.T) {
+	inWorld(t, func(w *world) {
+		ctx, cancel := context.WithCancel(w.t.Context())
+		defer cancel()
+		counter := w.daemon(ctx, "one")
+		first, stop := context.WithCancel(ctx)
+		go w.report(first, &authority{})
+		counter.Begun("a")
+		w.sink.err, w.sink.lost = fault.New(fault.Unknown, "lost", "repeat"), true
+		time.Sleep(12 * time.Second)
+		stop()
+		counter.Begun("a")
+		w.sink.err = nil
+		go w.report(ctx, &authority{})
+		time.Sleep(12 * time.Second)
+		must.Eq(t, uint64(2), w.total("a"))
+	})
+}
+
+func TestNothingIsReportedWithoutAuthority(t *testing.T) {
+	inWorld(t, func(w *world) {
+		ctx, cancel := context.WithCancel(w.t.Context())
+		defer cancel()
+		w.daemon(ctx, "one").Begun("a")
+		w.report(ctx, &authority{lost: true})
+		must.MapEmpty(t, w.sink.reports)
+	})
+}
+
+// TestASilentDaemonIsWaitedForNoLongerThanItMay kills a daemon: the windows
+// after it are still reported in time.
+func TestASilentDaemonIsWaitedForNoLongerThanItMay(t *testing.T) {
+	inWorld(t, func(w *world) {
+		ctx, cancel := context.WithCancel(w.t.Context())
+		defer cancel()
+		dying, kill := context.WithCancel(ctx)
+		w.daemon(ctx, "one")
+		w.daemon(dying, "two")
+		go w.report(ctx, &authority{})
+		time.Sleep(6 * time.Second)
+		kill()
+		for range 30 {
+			time.Sleep(time.Second)
+			last := windowOf(w.time.Now(), windowLength) - 3
+			_, reported := w.sink.reports[last]
+			_, began := w.sink.reports[last-1]
+			must.True(t, reported || !began, must.Sprint("a window is overdue"))
+		}
+	})
+}
+
+// TestALostWriteIsMadeGood has a write of the checkpoint take effect without an
+// answer.
+func TestALostWriteIsMadeGood(t *testing.T) {
+	inWorld(t, func(w *world) {
+		store := &losing{Store: w.store}
+		counter := NewCounter(CounterOptions{Host: "one", Store: store, Time: w.time, Window: windowLength, Log: slog.New(slog.DiscardHandler)})
+		counter.Begun("a")
+		store.lose = true
+		must.Error(t, counter.publish(w.t.Context(), false))
+		store.lose = false
+		counter.Begun("a")
+		must.Error(t, counter.publish(w.t.Context(), false), must.Sprint("the version moved on"))
+		must.NoError(t, counter.publish(w.t.Context(), false))
+		entries, err := w.store.List(w.t.Context(), OpenPrefix)
+		must.NoError(t, err)
+		must.Len(t, 1, entries)
+		checkpoint, err := DecodeCheckpoint(entries[0].Value)
+		must.NoError(t, err)
+		must.Eq(t, uint64(2), checkpoint.Windows[windowOf(w.time.Now(), windowLength)]["a"])
+	})
+}
+
+// losing makes writes whose answers are lost.
+type losing struct {
+	external.Store
+	lose bool
+}
+
+func (l *losing) CompareAndSwap(ctx context.Context, swap external.Swap) (external.Version, error) {
+	version, err := l.Store.CompareAndSwap(ctx, swap)
+	if l.lose {
+		return 0, external.ErrStoreUnknown
+	}
+	return version, err
+}
+
+// TestTrueTimeDoesNotStep sees that the windows follow the clock that never
+// steps.
+func TestTrueTimeDoesNotStep(t *testing.T) {
+	c := &handClock{}
+	trueTime := NewTrueTime(c)
+	before := trueTime.Now()
+	c.now = 7 * time.Second
+	must.Eq(t, 7*time.Second, trueTime.Now().Sub(before))
+}
+
+// handClock is moved by hand.
+type handClock struct{ now time.Duration }
+
+func (c *handClock) Now() time.Duration { return c.now }
+
+func TestPresenceFollowsTheCheckpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPresence("self")
+		entry := func(host ident.Host, left bool) external.Entry {
+			checkpoint := Checkpoint{Host: host, Incarnation: 1, Left: left}
+			value, err := encode(&checkpoint)
+			must.NoError(t, err)
+			return external.Entry{Key: checkpoint.key(), Value: value}
+		}
+		p.Apply([]external.Entry{entry("self", false), entry("one", false), entry("two", false)}, true, time.Now())
+		must.Eq(t, 3, p.Daemons())
+		p.Apply([]external.Entry{entry("two", true)}, false, time.Now())
+		must.Eq(t, 2, p.Daemons())
+		time.Sleep(presentFor + time.Second)
+		must.Eq(t, 1, p.Daemons())
+		p.Apply([]external.Entry{entry("one", false)}, false, time.Now())
+		p.Outage(time.Now(), time.Time{})
+		time.Sleep(time.Minute)
+		must.Eq(t, 2, p.Daemons(), must.Sprint("nothing grows old while the store can't be read"))
+	})
+}
