--- a/cmd/amaranthplank/hosted.go
+++ b/cmd/amaranthplank/hosted.go
@@ -46,6 +46,24 @@
 		return err
 	}
 	g := gateway.New(opts)
+	go newReloader(log, map[string]func([]byte) error{
+		path: func(text []byte) error {
+			changed, err := platform.ParseSettings(text)
+			if err != nil {
+				return err
+			}
+			g.ApplyLimits(limitsOf(changed))
+			return nil
+		},
+		flags.policy: func(text []byte) error {
+			changed, err := config.ParsePolicy(text)
+			if err != nil {
+				return err
+			}
+			opts.Published.SetPolicy(changed)
+			return nil
+		},
+	}).run(ctx)
 	go func() {
 		<-stop
 		g.Stop()
@@ -54,6 +72,11 @@
 	return g.Run(ctx)
 }
 
+// limitsOf returns the limits that settings may change while a process runs.
+func limitsOf(s *platform.Settings) gateway.Limits {
+	return gateway.Limits{RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack}
+}
+
 // readPolicy reads the fleet's defaults and exceptions.
 func readPolicy(file string) (*config.Document, error) {
 	text, err := os.ReadFile(file)
@@ -74,7 +97,7 @@
 		Entries: registry.Options{
 			Prefix: platform.EntryPrefix, Decode: platform.Entries{ChecksFencing: s.ChecksFencing}.Decode, Log: log,
 		},
-		Format: platform.Callers{}, Protocol: platform.Replicas{}, StopGrace: s.StopGrace,
+		Format: platform.Callers{}, Protocol: platform.Replicas{}, StopGrace: s.StopGrace, Limits: limitsOf(s),
 		Sink: duties, Supplier: duties, UsageWindow: s.UsageWindow, UsageDue: s.UsageDue,
 		Orderer: platform.NewOrders(s.Host), LeaseTerm: s.LeaseTerm,
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -59,11 +60,13 @@
 	presence    *tally.Presence
 	duties      *duties
 	backlog     *backlog.Exchange
+	limits      atomic.Pointer[Limits]
 }
 
 // New returns a gateway that is ready to run.
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
+	g.ApplyLimits(opts.Limits)
 	g.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.incarnation = ident.Incarnation(time.Now().UnixNano())
 	g.time = tally.NewTrueTime(clock.Boot{})
@@ -88,6 +91,7 @@
 	g.relay = relay.New(relay.Options{
 		Router: g.router, Client: target.NewClient(), Config: opts.Published, Protocol: opts.Protocol,
 		Log: opts.Log, Registerer: g.registry, Began: g.counter.Begun,
+		Budget: g.retryBudget,
 	})
 	g.duties = g.newDuties()
 	g.callers = drain.New(drain.Options{
--- a/pkg/gateway/options.go
+++ b/pkg/gateway/options.go
@@ -52,6 +52,8 @@
 	Supplier supplykeeper.Orderer
 	// LeaseTerm is the time in which holders of a duty must not take turns.
 	LeaseTerm time.Duration
+	// Limits are the first limits.
+	Limits Limits
 	// StopGrace is the time from the request to stop until the process is
 	// killed.
 	StopGrace time.Duration
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -49,7 +49,7 @@
 // trouble fails the store's watches while it is set.
 type trouble struct {
 	external.Store
-	err   error
+	err error
 	// times is how many watches fail; zero fails all.
 	times int
 	calls int
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -47,10 +47,18 @@
 	limits := retry.Limits{
 		MaxAttempts: attemptsOf(req, knobs), MaxResumes: maxResumes, Deadline: req.Deadline, LeastTime: leastTime,
 	}
-	budget := r.budgets.Of(req.Route, knobs.BudgetRatio, knobs.BudgetBurst)
+	budget := r.budgetOf(req, knobs)
 	return &call{relay: r, req: req, writer: w, knobs: knobs, run: retry.NewRun(allowed, limits, budget), last: req.After}
 }
 
+// budgetOf returns the budget that pays for the request's retries.
+func (r *Relay) budgetOf(req *request.Request, knobs *config.RetryKnobs) *retry.Budget {
+	if r.opts.Budget == nil {
+		return r.budgets.Of(string(req.Route), knobs.BudgetRatio, knobs.BudgetBurst)
+	}
+	return r.budgets.Of(r.opts.Budget(req))
+}
+
 // attemptsOf returns how many targets a request may be sent to.
 func attemptsOf(req *request.Request, knobs *config.RetryKnobs) int {
 	if req.MaxAttempts > 0 {
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -8,6 +8,7 @@
 
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/request"
 	"amaranthplank.example/amaranthplank/pkg/routing"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
@@ -27,6 +28,9 @@
 	// Began is told of each request at the first sign that a target runs it. It
 	// may be nil.
 	Began func(workspace ident.Workspace)
+	// Budget returns whose budget pays for the retries of a request, and its
+	// share and burst. Nil takes the route's, by the knobs.
+	Budget func(req *request.Request) (key string, ratio, burst float64)
 	// Log may be nil.
 	Log *slog.Logger
 	// Registerer takes the metrics; nil keeps them unregistered.
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -2,7 +2,7 @@
 
 import "sync"
 
-// Budget bounds the retries of one route to a share of its requests. It is a
+// Budget bounds the retries of some requests to a share of them. It is a
 // bucket that each request fills by the share and each retry empties by one.
 type Budget struct {
 	mu sync.Mutex
--- a/pkg/retry/budgets.go
+++ b/pkg/retry/budgets.go
@@ -1,29 +1,25 @@
 package retry
 
-import (
-	"sync"
+import "sync"
 
-	"amaranthplank.example/amaranthplank/pkg/ident"
-)
-
-// Budgets holds the budget of each route. Routes come from the configuration,
-// so their count is bounded.
+// Budgets holds budgets by name. Names come from the configuration, so their
+// count is bounded.
 type Budgets struct {
-	mu     sync.Mutex
-	routes map[ident.Route]*Budget
+	mu    sync.Mutex
+	named map[string]*Budget
 }
 
 // NewBudgets returns an empty set.
-func NewBudgets() *Budgets { return &Budgets{routes: make(map[ident.Route]*Budget)} }
+func NewBudgets() *Budgets { return &Budgets{named: make(map[string]*Budget)} }
 
-// Of returns a route's budget with the given share and limit in force.
-func (b *Budgets) Of(route ident.Route, ratio, limit float64) *Budget {
+// Of returns the budget of a name with the given share and limit in force.
+func (b *Budgets) Of(name string, ratio, limit float64) *Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	budget := b.routes[route]
+	budget := b.named[name]
 	if budget == nil {
 		budget = NewBudget(ratio, limit)
-		b.routes[route] = budget
+		b.named[name] = budget
 		return budget
 	}
 	budget.Configure(ratio, limit)
