Tell the other daemons which prompts were placed where

Change: a report to the linked daemons bears the hashes of the prompts that were placed since the last. An engine may fetch a shared part from one that holds it instead of computing it. Windows wait for late checkpoints two seconds longer.

--- a/pkg/backlog/exchange.go
+++ b/pkg/backlog/exchange.go
@@ -31,8 +31,10 @@
 
 // Options are what an Exchange works with.
 type Options struct {
-	// Own returns the daemon's own sums, without empty ones.
-	Own func() []Outstanding
+	// Own returns the daemon's own report.
+	Own func() Report
+	// Heard takes in the prompts that another daemon has placed.
+	Heard func(placed []Placed)
 	// Daemons counts the daemons of the fleet, this one included. Where not all
 	// are linked, what the linked ones tell stands for the others too.
 	Daemons func() int
@@ -69,18 +71,21 @@
 
 // receive takes in what a daemon says.
 func (x *Exchange) receive(from ident.Host, message peer.Message) {
-	var list []Outstanding
+	var report Report
 	if message.Version > messageVersion {
 		return
 	}
-	if err := peer.Decode(message.Payload, &list); err != nil {
+	if err := peer.Decode(message.Payload, &report); err != nil {
 		x.opts.Log.Debug("backlog message skipped", "peer", from, "error", err)
 		return
 	}
-	sums := make(map[ident.Target]Outstanding, len(list))
-	for _, sum := range list {
+	sums := make(map[ident.Target]Outstanding, len(report.Outstanding))
+	for _, sum := range report.Outstanding {
 		sums[sum.Target] = sum
 	}
+	if len(report.Placed) > 0 {
+		x.opts.Heard(report.Placed)
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.others[from] = told{at: time.Now(), sums: sums}
@@ -121,17 +126,18 @@
 			return nil
 		case now := <-ticker.C:
 			own := x.opts.Own()
-			if slices.Equal(own, last) && (len(own) == 0 || now.Sub(sentAt) < repeatEvery) {
+			same := len(own.Placed) == 0 && slices.Equal(own.Outstanding, last)
+			if same && (len(last) == 0 || now.Sub(sentAt) < repeatEvery) {
 				continue
 			}
-			x.send(own)
-			last, sentAt = own, now
+			x.send(&own)
+			last, sentAt = own.Outstanding, now
 		}
 	}
 }
 
 // send tells every linked daemon.
-func (x *Exchange) send(own []Outstanding) {
+func (x *Exchange) send(own *Report) {
 	x.mu.RLock()
 	links := x.links
 	x.mu.RUnlock()
--- /dev/null
+++ b/pkg/backlog/report.go
@@ -0,0 +1,19 @@
+package backlog
+
+import "amaranthplank.example/amaranthplank/pkg/ident"
+
+// Report is what a daemon tells the others.
+type Report struct {
+	// Outstanding are the daemon's sums, without empty ones.
+	Outstanding []Outstanding
+	// Placed are the prompts that it has sent to engines since its last report,
+	// so that others send the like of them there too.
+	Placed []Placed
+}
+
+// Placed is one prompt that an engine was sent and will hold for a while.
+type Placed struct {
+	Target ident.Target
+	// Blocks are the prompt's hashes as request.Request has them.
+	Blocks []uint64
+}
--- a/pkg/config/knobs_routing.go
+++ b/pkg/config/knobs_routing.go
@@ -56,6 +56,12 @@
 	// request.
 	ReclaimablePenalty Duration `json:"reclaimablePenalty" default:"20ms" unit:"duration" min:"0s" max:"1m"`
 	DependablePenalty  Duration `json:"dependablePenalty" default:"1s" unit:"duration" min:"0s" max:"1m"`
+	// FetchLeast is the least part of a prompt, in tokens, that an engine
+	// fetches from one that holds it instead of computing it; zero never does.
+	FetchLeast int64 `json:"fetchLeast" default:"0" unit:"tokens" min:"0" max:"10000000"`
+	// FetchRate is how fast a part of a prompt is reckoned to be fetched. It is
+	// below what links carry, so that prompts keep to few engines.
+	FetchRate float64 `json:"fetchRate" default:"200000" unit:"tokens/s" min:"1" max:"1000000000"`
 	// MoveRate is how fast KV cache moves between engines.
 	MoveRate float64 `json:"moveRate" default:"200000" unit:"tokens/s" min:"1" max:"1000000000"`
 	// OutlierErrors is how many failures in a row eject a service's replica.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -81,7 +81,8 @@
 		Store: opts.Store, Pause: mirrorPause, Wait: mirrorWait, Log: opts.Log,
 	}, opts.Feed, g.targets, g.presence)
 	g.backlog = backlog.New(backlog.Options{
-		Own: func() []backlog.Outstanding { return g.router.Models.Outstanding() }, Daemons: g.presence.Daemons, Log: opts.Log,
+		Own:   func() backlog.Report { return g.router.Models.Report() },
+		Heard: func(placed []backlog.Placed) { g.router.Models.Heard(placed) }, Daemons: g.presence.Daemons, Log: opts.Log,
 	})
 	g.router = routing.New(routing.Options{
 		View: g.targets, Domain: opts.FailureDomain, Now: time.Now, Random: newRandom(),
--- a/pkg/lease/contest.go
+++ b/pkg/lease/contest.go
@@ -36,6 +36,9 @@
 		c.sleep(ctx, left+time.Duration(c.manager.draw()*float64(c.manager.terms.RankWait)/heldShare))
 	case ActionAcquire:
 		c.acquire(ctx)
+	case ActionClear:
+		c.manager.remove(ctx, c.duty, version)
+		c.pause(ctx)
 	case ActionAdopt:
 		if t := c.manager.session.live(); t != nil && t.id == look.Lease {
 			c.hold(ctx, t, version)
--- a/pkg/lease/decide.go
+++ b/pkg/lease/decide.go
@@ -20,6 +20,9 @@
 	ActionDefer Action = "defer"
 	// ActionAcquire takes the duty.
 	ActionAcquire Action = "acquire"
+	// ActionClear frees a duty that this process held under a lease which it
+	// has given up, so that nobody waits for that lease to lapse.
+	ActionClear Action = "clear"
 	// ActionAdopt takes a duty up that the store already gives to this
 	// process, since the answer of its write was lost.
 	ActionAdopt Action = "adopt"
@@ -59,6 +62,9 @@
 		if look.OwnLease != external.NoLease && look.Lease == look.OwnLease && look.Holder.SameProcess(look.Self) {
 			return ActionAdopt
 		}
+		if look.Holder.SameProcess(look.Self) && look.Lease != look.OwnLease {
+			return ActionClear
+		}
 		return ActionWait
 	}
 	if look.Free < t.WaitOf(look.Rank, look.Held) {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -25,6 +25,8 @@
 	record external.TargetRecord
 	// source is the KV cache that the answer goes on from, or empty.
 	source Source
+	// holder is where a part of the prompt is fetched from, or empty.
+	holder string
 	// began is when the attempt was made.
 	began time.Time
 	// phase only rises.
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -42,7 +42,7 @@
 func (a *attempt) send() *Send {
 	return &Send{
 		Request: a.call.req, Attempt: a.id, Target: a.record, After: a.last,
-		Left: time.Until(a.call.req.Deadline), Source: a.source,
+		Left: time.Until(a.call.req.Deadline), Source: a.source, Holder: a.holder,
 	}
 }
 
--- a/pkg/relay/prefill.go
+++ b/pkg/relay/prefill.go
@@ -29,6 +29,9 @@
 	ctx, cancel := context.WithTimeout(ctx, prefillPatience*c.knobs.SilenceTimeout.D())
 	defer cancel()
 	a := newAttempt(c, placement.Target)
+	if placement.Holder != nil {
+		a.holder = placement.Holder.Record.Address
+	}
 	defer func() {
 		c.prompt = promptTrace{target: a.target, took: time.Since(a.began), expected: placement.Expected}
 	}()
--- a/pkg/relay/protocol.go
+++ b/pkg/relay/protocol.go
@@ -55,6 +55,9 @@
 	Left time.Duration
 	// Source names the KV cache that the answer goes on from, or nothing.
 	Source Source
+	// Holder is where an engine holds a part of the prompt that the target is to
+	// fetch first, or empty.
+	Holder string
 	// Prompt says that the prompt alone is to be computed.
 	Prompt bool
 }
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -32,6 +32,8 @@
 	refs []*ledger
 	// daemons counts the daemons that send to the engines, as of that snapshot.
 	daemons int
+	// placed are the prompts that others are still to be told of.
+	placed []backlog.Placed
 	// scores and depths are reused by each decision.
 	scores []score
 	depths [prefix.MaxEngines]int32
@@ -144,10 +146,14 @@
 		Wait: duration(s.wait), Own: duration(s.own), Uncached: int(s.uncached), Present: s.occupied,
 		Slowness: r.refs[s.target].slowness,
 	}}
+	if s.holder >= 0 {
+		placement.Holder = &snapshot.Targets[s.holder]
+	}
 	now := r.opts.Now()
 	keep := r.opts.Knobs().PromptMemory.D()
 	r.refs[s.target].sent(send{request: req.ID, at: now, prefill: s.uncached, reckoned: s.wait + s.own, urgent: urgent(req)})
 	r.refs[s.target].prompts.add(req.Prefix, now, keep)
+	r.note(placement.Target.Record.Target, req.Prefix)
 	if keep == 0 {
 		r.index.Expect(placement.Target.Record.Target, req.Prefix)
 	}
@@ -163,11 +169,42 @@
 // duration returns a number of seconds as a duration.
 func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
 
-// Outstanding returns the daemon's own prompts that were sent to engines and not
-// seen computed, by engine.
-func (r *ModelRouter) Outstanding() []backlog.Outstanding {
+// Report returns what the daemon tells others of its prompts, and forgets those
+// that were placed since the last.
+func (r *ModelRouter) Report() backlog.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	placed := r.placed
+	r.placed = nil
+	return backlog.Report{Outstanding: r.outstanding(), Placed: placed}
+}
+
+// Heard takes in prompts that other daemons have placed.
+func (r *ModelRouter) Heard(placed []backlog.Placed) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now, keep := r.opts.Now(), r.opts.Knobs().PromptMemory.D()
+	for i := range placed {
+		if own, ok := r.ledgers[placed[i].Target]; ok {
+			own.prompts.add(placed[i].Blocks, now, keep)
+		}
+	}
+}
+
+// maxPlaced bounds the prompts that wait for the next report. Those beyond it
+// are not told.
+const maxPlaced = 256
+
+// note has the others told of a prompt that was placed.
+func (r *ModelRouter) note(target ident.Target, blocks []uint64) {
+	if r.opts.Elsewhere != nil && len(blocks) > 0 && len(r.placed) < maxPlaced {
+		r.placed = append(r.placed, backlog.Placed{Target: target, Blocks: blocks})
+	}
+}
+
+// outstanding returns the daemon's own prompts that were sent to engines and not
+// seen computed, by engine.
+func (r *ModelRouter) outstanding() []backlog.Outstanding {
 	var sums []backlog.Outstanding
 	for name, own := range r.ledgers {
 		if len(own.pending) > 0 {
--- a/pkg/routing/placement.go
+++ b/pkg/routing/placement.go
@@ -15,6 +15,9 @@
 	// Decode takes the KV cache over and generates the answer. It is nil where
 	// Target does both.
 	Decode *fleet.TargetState
+	// Holder holds a part of the prompt that Target fetches first. It is nil
+	// where nothing is fetched.
+	Holder *fleet.TargetState
 	// Expected is what the placement was reckoned at.
 	Expected Expected
 }
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -34,6 +34,10 @@
 	uncached float64
 	// ejected says that the engine failed lately.
 	ejected bool
+	// holder is the index of the engine that a part of the prompt is fetched
+	// from, negative without one, and fetched how many tokens that is.
+	holder  int
+	fetched float64
 }
 
 // score fills the scores of the engines that may take the request.
@@ -43,6 +47,7 @@
 	engines := snapshot.Model(req.Model)
 	known := r.findDepths(req)
 	home := r.home(snapshot, engines, req, knobs)
+	holder, held := r.holder(snapshot, engines, home, known, req)
 	for _, i := range engines {
 		state := &snapshot.Targets[i]
 		if !takesNew(state, knobs, now) || slices.Contains(exclude, state.Record.Target) {
@@ -52,9 +57,11 @@
 		e.elsewhere(r, state, r.own(i), urgent(req))
 		s := score{
 			target: i, role: state.Load.Role, slots: e.slots, occupied: e.occupied,
-			uncached: r.uncached(i, i == home, known, req, knobs, now),
+			uncached: r.uncached(i, i == home, known, req, knobs, now), holder: -1,
 		}
+		s.fetch(holder, held, knobs)
 		s.wait, s.own = e.prefill(s.uncached)
+		s.own += s.fetched / knobs.FetchRate
 		s.prefill = s.own*(knobs.PrefillWeight+knobs.InterferenceWeight*e.decoding) + r.penalty(state, req, knobs)
 		s.slotWait, s.decode = e.decode(float64(req.MaxOutputTokens))
 		s.decode *= 1 + knobs.CrowdWeight*e.crowd()
@@ -70,6 +77,35 @@
 	r.dropEjected()
 }
 
+// holder returns the index of the engine that is taken to hold the most of the
+// prompt, and the tokens that it lacks; the index is negative where none can be
+// fetched from.
+func (r *ModelRouter) holder(snapshot *fleet.Snapshot, engines []int, home int, known bool, req *request.Request) (best int, lacks float64) {
+	knobs, now := r.opts.Knobs(), r.opts.Now()
+	best, lacks = -1, float64(req.PromptTokens)
+	if knobs.FetchLeast <= 0 {
+		return best, lacks
+	}
+	for _, i := range engines {
+		if !takesNew(&snapshot.Targets[i], knobs, now) || r.refs[i].ejectedUntil.After(now) {
+			continue
+		}
+		if left := r.uncached(i, i == home, known, req, knobs, now); left < lacks {
+			best, lacks = i, left
+		}
+	}
+	return best, lacks
+}
+
+// fetch has the engine fetch what the holder has beyond it, where that is much.
+func (s *score) fetch(holder int, lacks float64, knobs *config.RoutingKnobs) {
+	more := s.uncached - lacks
+	if holder < 0 || holder == s.target || more < float64(knobs.FetchLeast) {
+		return
+	}
+	s.holder, s.fetched, s.uncached = holder, more, lacks
+}
+
 // dropEjected leaves out the engines that failed lately, as long as others of
 // the same role are there.
 func (r *ModelRouter) dropEjected() {
--- a/pkg/tally/reporter.go
+++ b/pkg/tally/reporter.go
@@ -24,7 +24,7 @@
 	closeAfter = 1200 * time.Millisecond
 	// reserve is what is left of the time to report in when an incomplete
 	// window is closed.
-	reserve = 4 * time.Second
+	reserve = 2 * time.Second
 )
 
 // windowKey holds the newest window that was closed.
