--- a/bench/shift/control.go
+++ b/bench/shift/control.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/roles"
 	"amaranthplank.example/amaranthplank/pkg/supply"
 )
--- a/bench/shift/engine.go
+++ b/bench/shift/engine.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/request"
 )
 
--- a/bench/shift/run.go
+++ b/bench/shift/run.go
@@ -7,9 +7,9 @@
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
-	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
 const (
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -31,7 +31,7 @@
 // daemon serves on, with less knowledge of the engines' load.
 func (g *Gateway) runLinks(ctx context.Context) error {
 	secret := g.secret(ctx)
-	if ctx.Err() != nil {
+	if len(secret) == 0 {
 		return nil
 	}
 	links, err := peer.New(peer.Options{
@@ -82,17 +82,11 @@
 // makes up. It returns nil once ctx ends.
 func (g *Gateway) secret(ctx context.Context) []byte {
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, mirrorWait)
-		entry, err := g.opts.Store.Get(call, secretKey)
-		if errors.Is(err, external.ErrKeyNotFound) {
-			// Whoever is first wins; the next read finds it.
-			_, err = g.opts.Store.CompareAndSwap(call, external.Swap{Key: secretKey, Value: []byte(rand.Text())})
+		secret, err := g.readSecret(ctx)
+		if err == nil && len(secret) > 0 {
+			return secret
 		}
-		cancel()
-		if err == nil && len(entry.Value) > 0 {
-			return entry.Value
-		}
-		if err != nil && !errors.Is(err, external.ErrVersionConflict) {
+		if err != nil {
 			g.opts.Log.Info("secret of the links not read", "error", err)
 		}
 		select {
@@ -102,3 +96,19 @@
 	}
 	return nil
 }
+
+// readSecret returns the secret in the store. Where there is none it makes one
+// up, and returns nothing: the next read finds whichever came first.
+func (g *Gateway) readSecret(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, mirrorWait)
+	defer cancel()
+	entry, err := g.opts.Store.Get(ctx, secretKey)
+	if !errors.Is(err, external.ErrKeyNotFound) {
+		return entry.Value, err
+	}
+	_, err = g.opts.Store.CompareAndSwap(ctx, external.Swap{Key: secretKey, Value: []byte(rand.Text())})
+	if errors.Is(err, external.ErrVersionConflict) {
+		return nil, nil
+	}
+	return nil, err
+}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -76,23 +76,18 @@
 // Apply takes in changed entries.
 func (r *Registry) Apply(entries []external.Entry, whole bool, now time.Time) {
 	changed := false
-	seen := make(map[external.Key]bool, len(entries))
 	for i := range entries {
-		entry := &entries[i]
-		seen[entry.Key] = true
-		if entry.Deleted {
-			changed = r.remove(entry.Key, now) || changed
+		if entries[i].Deleted {
+			changed = r.remove(entries[i].Key, now) || changed
 			continue
 		}
-		changed = r.put(entry) || changed
+		changed = r.put(&entries[i]) || changed
 	}
-	for key := range r.targets {
-		if whole && !seen[key] {
-			changed = r.remove(key, now) || changed
-		}
+	if whole {
+		changed = r.removeOthers(entries, now) || changed
 	}
 	changed = r.expire(now) || changed
-	if changed || !r.loaded.Load() && whole {
+	if changed {
 		r.publish()
 	}
 	if whole {
@@ -100,6 +95,21 @@
 	}
 }
 
+// removeOthers takes out the entries that a whole list lacks.
+func (r *Registry) removeOthers(entries []external.Entry, now time.Time) bool {
+	listed := make(map[external.Key]bool, len(entries))
+	for i := range entries {
+		listed[entries[i].Key] = true
+	}
+	changed := false
+	for key := range r.targets {
+		if !listed[key] {
+			changed = r.remove(key, now) || changed
+		}
+	}
+	return changed
+}
+
 // put takes in one entry and reports whether the view changes.
 func (r *Registry) put(entry *external.Entry) bool {
 	said, ok := r.opts.Decode(*entry)
--- a/pkg/routing/best.go
+++ b/pkg/routing/best.go
@@ -91,8 +91,10 @@
 		return s.decode, s.role != fleet.Prefill
 	case taskWhole:
 		return s.prefill + s.decode, s.role != fleet.Prefill && s.role != fleet.Decode && s.uncached <= limits.prompt && inTime
+	case taskAny:
+		return s.prefill + s.decode, inTime
 	}
-	return s.prefill + s.decode, inTime
+	return 0, false
 }
 
 // refusal returns why no engine takes the request: there is none, or the
--- /dev/null
+++ b/pkg/routing/shared_test.go
@@ -0,0 +1,198 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/shoenig/test/must"
+
+	"amaranthplank.example/amaranthplank/pkg/backlog"
+	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/request"
+)
+
+// The pattern of these tests: long prompts that share one of 126 beginnings come
+// at 18.6 a second to eight daemons, of which each sees a beginning once in 54 s,
+// while engines hold what they were sent for some ten seconds.
+const (
+	patternDaemons  = 8
+	patternShared   = 126
+	patternPerS     = 18.6
+	patternReuse    = 9800 * time.Millisecond
+	patternFor      = 60 * time.Second
+	sharedBlocks    = 26
+	ownBlocks       = 7
+	patternPrefill  = 8
+	patternGenerate = 4
+)
+
+// pattern is daemons' routers over one view, in hand-moved time.
+type pattern struct {
+	now     time.Time
+	routers []*ModelRouter
+	// reports is what each daemon told last.
+	reports map[int]backlog.Report
+	// held is when each engine was last sent each shared beginning.
+	held map[ident.Target]map[int]time.Time
+}
+
+// newPattern returns the daemons; telling says that they tell each other.
+func newPattern(telling bool) *pattern {
+	p := &pattern{now: time.Unix(1000, 0), reports: make(map[int]backlog.Report), held: make(map[ident.Target]map[int]time.Time)}
+	var states []fleet.TargetState
+	for i := range patternPrefill + patternGenerate {
+		role := fleet.Prefill
+		if i >= patternPrefill {
+			role = fleet.Mixed
+		}
+		name := ident.Target(fmt.Sprintf("e%02d", i))
+		states = append(states, fleet.TargetState{Record: external.TargetRecord{Target: name, Model: "m"}, Load: fleet.LoadReport{Role: role, Slots: 64}})
+		p.held[name] = make(map[int]time.Time)
+	}
+	knobs := config.BuiltinKnobs().Routing
+	knobs.PrefillRate, knobs.MixedPrefillShare, knobs.DecodeRate = 32000, 0.5, 150
+	knobs.PrefillWeight, knobs.InterferenceWeight, knobs.MixedPromptLimit = 2, 0.15, 1500
+	knobs.PromptMemory, knobs.AffinityCredit, knobs.Patience = config.Duration(12*time.Second), 0.1, 0.6
+	view := &fixedView{fleet.NewSnapshot(states)}
+	for i := range patternDaemons {
+		opts := Options{
+			View: view, Knobs: func() *config.RoutingKnobs { return &knobs }, Now: func() time.Time { return p.now },
+			Random: rand.New(rand.NewPCG(1, uint64(i))), Daemons: func() int { return patternDaemons },
+		}
+		if telling {
+			opts.Elsewhere = func(target ident.Target) backlog.Outstanding { return p.elsewhere(i, target) }
+		}
+		p.routers = append(p.routers, NewModelRouter(opts))
+	}
+	return p
+}
+
+// elsewhere adds up what the other daemons told of an engine.
+func (p *pattern) elsewhere(self int, target ident.Target) (total backlog.Outstanding) {
+	for other, report := range p.reports {
+		for _, sum := range report.Outstanding {
+			if other != self && sum.Target == target {
+				total.Urgent += sum.Urgent
+				total.Other += sum.Other
+			}
+		}
+	}
+	return total
+}
+
+// sharedPrompt returns a request that shares a beginning, with an end of its own.
+func sharedPrompt(shared, own int) *request.Request {
+	req := &request.Request{
+		ID: ident.Request(fmt.Sprint(own)), Model: "m", Host: "h", Urgency: 1, Stream: true, FirstPart: 600 * time.Millisecond,
+		PromptTokens: (sharedBlocks + ownBlocks) * request.PrefixBlockTokens, MaxOutputTokens: 120,
+	}
+	for i := range sharedBlocks {
+		req.Prefix = append(req.Prefix, xxhash.Sum64String(fmt.Sprint("s", shared, i)))
+	}
+	for i := range ownBlocks {
+		req.Prefix = append(req.Prefix, xxhash.Sum64String(fmt.Sprint("o", own, i)))
+	}
+	return req
+}
+
+// again plays the pattern and returns the share of placements at which a
+// beginning is computed again though an engine held it.
+func (p *pattern) again(t *testing.T) float64 {
+	random := rand.New(rand.NewPCG(7, 7))
+	start, placed, again := p.now, 0, 0
+	for own := 0; p.now.Sub(start) < patternFor; own++ {
+		p.now = p.now.Add(time.Duration(random.ExpFloat64() / patternPerS * float64(time.Second)))
+		shared, self := random.IntN(patternShared), random.IntN(patternDaemons)
+		req := sharedPrompt(shared, own)
+		placement, err := p.routers[self].Place(req, nil)
+		if err != nil {
+			continue
+		}
+		placed++
+		again += p.send(placement.Target.Record.Target, shared)
+		p.routers[self].PromptTime(req, placement.Target.Record.Target, 120*time.Millisecond)
+		p.routers[self].Done(req, placement.Target.Record.Target)
+		p.tell(self)
+	}
+	must.Greater(t, 900, placed)
+	return float64(again) / float64(placed)
+}
+
+// send notes a beginning at an engine, and returns one where it was held
+// elsewhere alone.
+func (p *pattern) send(target ident.Target, shared int) int {
+	here, anywhere := false, false
+	for name, held := range p.held {
+		at, ok := held[shared]
+		fresh := ok && p.now.Sub(at) <= patternReuse
+		anywhere = anywhere || fresh
+		here = here || (fresh && name == target)
+	}
+	p.held[target][shared] = p.now
+	if anywhere && !here {
+		return 1
+	}
+	return 0
+}
+
+// tell hands a daemon's report to the others.
+func (p *pattern) tell(self int) {
+	report := p.routers[self].Report()
+	p.reports[self] = report
+	for i, router := range p.routers {
+		if i != self {
+			router.Heard(report.Placed)
+		}
+	}
+}
+
+// TestSharedPromptsAreComputedOnce states the target: parts that an engine holds
+// are computed again in at most one placement of twenty. Daemons that keep to
+// themselves miss it, though all name the same home for a beginning.
+func TestSharedPromptsAreComputedOnce(t *testing.T) {
+	must.LessEq(t, 0.05, newPattern(true).again(t))
+}
+
+// TestWaitsCountEveryDaemonsPrompts fills one engine through seven daemons and
+// sees that the eighth sends elsewhere, and that urgent prompts wait for their
+// like alone.
+func TestWaitsCountEveryDaemonsPrompts(t *testing.T) {
+	p := newPattern(true)
+	full := ident.Target("e00")
+	p.reports[1] = backlog.Report{Outstanding: []backlog.Outstanding{{Target: full, Other: 64000}}}
+	for own := range 50 {
+		placement, err := p.routers[0].Place(sharedPrompt(own, own), nil)
+		must.NoError(t, err)
+		must.NotEq(t, full, placement.Target.Record.Target)
+		p.routers[0].Done(sharedPrompt(own, own), placement.Target.Record.Target)
+	}
+	req := sharedPrompt(99, 99)
+	for i := range patternPrefill {
+		p.reports[i+2] = backlog.Report{Outstanding: []backlog.Outstanding{{Target: ident.Target(fmt.Sprintf("e%02d", i)), Other: 64000}}}
+	}
+	_, err := p.routers[0].Place(req, nil)
+	must.Error(t, err, must.Sprint("every engine is full: the request is refused at once"))
+	req.Urgency, req.PromptTokens, req.Prefix = 0, 300, nil
+	_, err = p.routers[0].Place(req, nil)
+	must.NoError(t, err)
+}
+
+// BenchmarkPlaceByAnswers is a placement among engines that tell nothing of
+// their memory, with what eight daemons told each other.
+func BenchmarkPlaceByAnswers(b *testing.B) {
+	p := newPattern(true)
+	req := sharedPrompt(1, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		placement, err := p.routers[0].Place(req, nil)
+		must.NoError(b, err)
+		p.routers[0].Done(req, placement.Target.Record.Target)
+		p.routers[0].placed = p.routers[0].placed[:0]
+	}
+}
