--- a/cmd/amaranthplank/hosted.go
+++ b/cmd/amaranthplank/hosted.go
@@ -10,6 +10,7 @@
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/gateway"
+	"amaranthplank.example/amaranthplank/pkg/logqueue"
 	"amaranthplank.example/amaranthplank/pkg/registry"
 	"amaranthplank.example/amaranthplank/platform"
 )
@@ -40,7 +41,15 @@
 	if err != nil || flags.check {
 		return err
 	}
-	log := slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: flags.level}))
+	lines := logqueue.New(os.Stdout)
+	log := slog.New(lines.Handler(flags.level))
+	logging, stopLogging := context.WithCancel(context.Background())
+	written := make(chan error, 1)
+	go func() { written <- lines.Run(logging) }()
+	defer func() {
+		stopLogging()
+		<-written
+	}()
 	opts, err := hostedOptions(settings, policy, log)
 	if err != nil {
 		return err
--- a/pkg/ctl/check.go
+++ b/pkg/ctl/check.go
@@ -14,7 +14,8 @@
 
 // checkFlags are the flags of check.
 type checkFlags struct {
-	json bool
+	json   bool
+	policy bool
 }
 
 // checkCommand checks a configuration file without a daemon.
@@ -24,6 +25,7 @@
 		Setup: func(flags *flag.FlagSet) Action {
 			f := &checkFlags{}
 			flags.BoolVar(&f.json, "json", false, "print the problems as JSON")
+			flags.BoolVar(&f.policy, "policy", false, "the file holds defaults and exceptions alone")
 			return f.run
 		},
 	}
@@ -31,7 +33,7 @@
 
 // run reads the file and prints everything that is wrong with it.
 func (f *checkFlags) run(_ context.Context, env Env, args []string) ExitCode {
-	problems, err := problemsIn(args[0])
+	problems, err := problemsIn(args[0], f.policy)
 	if f.json {
 		printJSON(env, problems)
 	}
@@ -52,12 +54,16 @@
 }
 
 // problemsIn returns what is wrong with a file's text.
-func problemsIn(name string) ([]jsonc.Problem, error) {
+func problemsIn(name string, policy bool) ([]jsonc.Problem, error) {
 	text, err := os.ReadFile(name)
 	if err != nil {
 		return []jsonc.Problem{}, err
 	}
-	_, err = config.Check(text, time.Now())
+	if policy {
+		_, err = config.ParsePolicy(text)
+	} else {
+		_, err = config.Check(text, time.Now())
+	}
 	var problems *jsonc.ProblemsError
 	if errors.As(err, &problems) {
 		return problems.Problems, err
--- a/pkg/entry/build.go
+++ b/pkg/entry/build.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
@@ -41,11 +43,28 @@
 		share := route.Pick(rand.Float64())
 		req.Model, req.Service = share.Model, share.Service
 	}
+	if err := checkModel(snapshot, req.Model); err != nil {
+		return nil, err
+	}
 	knobs := snapshot.Knobs(config.Selector{Workspace: from.workspace, Route: route.Name, Model: req.Model, Service: req.Service})
 	req.Deadline = time.Now().Add(timeoutOf(d.Wait, route, &knobs.Retry))
 	return req, nil
 }
 
+// checkModel refuses a model that the configuration does not have, which no
+// retry can cure.
+func checkModel(snapshot *config.Snapshot, model ident.Model) error {
+	models := snapshot.Document.Models
+	if model == "" || slices.ContainsFunc(models, func(m config.Model) bool { return m.Name == model }) {
+		return nil
+	}
+	names := make([]string, 0, len(models))
+	for i := range models {
+		names = append(names, string(models[i].Name))
+	}
+	return fault.New(fault.NotFound, "there is no such model", "use one of: "+strings.Join(names, ", "))
+}
+
 // errNoRoute tells the caller that the configuration has no such route.
 var errNoRoute = fault.New(fault.NotFound, "no route matches the request", "ask the operators which routes there are")
 
--- a/pkg/entry/build_test.go
+++ b/pkg/entry/build_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
 // FuzzReadModel sees that no body makes the reader fail otherwise than as
@@ -68,3 +71,17 @@
 	must.Eq(t, 300*time.Millisecond, timeoutOf(300*time.Millisecond, route, &knobs))
 	must.Eq(t, 800*time.Millisecond, timeoutOf(0, route, &knobs))
 }
+
+func TestUnknownModelIsTheCallersError(t *testing.T) {
+	snapshot := config.NewSnapshot(1, &config.Document{
+		Defaults: config.BuiltinKnobs(), Models: []config.Model{{Name: "counting"}, {Name: "lessons"}},
+		Routes: []config.Route{{Name: "chat", Path: "/", Class: ident.ClassInteractive, Open: true}},
+	})
+	r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", nil)
+	_, err := build(snapshot, r, "r1", caller{}, &Description{Model: "other", Path: "/"}, nil)
+	must.Eq(t, fault.NotFound, fault.KindOf(err))
+	must.StrContains(t, err.Error(), "counting, lessons")
+	must.Eq(t, time.Duration(0), waitOf(err, fault.KindOf(err)), must.Sprint("no retry cures it"))
+	_, err = build(snapshot, r, "r1", caller{}, &Description{Model: "lessons", Path: "/"}, nil)
+	must.NoError(t, err)
+}
--- /dev/null
+++ b/pkg/logqueue/handler.go
@@ -0,0 +1,38 @@
+package logqueue
+
+import (
+	"context"
+	"log/slog"
+)
+
+// handler sends lines from a warning on to one formatter, others to another.
+type handler struct {
+	queue    *Queue
+	ordinary slog.Handler
+	urgent   slog.Handler
+}
+
+var _ slog.Handler = (*handler)(nil)
+
+// Enabled reports whether a level is logged.
+func (h *handler) Enabled(ctx context.Context, level slog.Level) bool {
+	return h.ordinary.Enabled(ctx, level)
+}
+
+// Handle queues one line.
+func (h *handler) Handle(ctx context.Context, record slog.Record) error {
+	if record.Level >= slog.LevelWarn {
+		return h.urgent.Handle(ctx, record)
+	}
+	return h.ordinary.Handle(ctx, record)
+}
+
+// WithAttrs returns a handler whose lines bear the attributes.
+func (h *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &handler{queue: h.queue, ordinary: h.ordinary.WithAttrs(attrs), urgent: h.urgent.WithAttrs(attrs)}
+}
+
+// WithGroup returns a handler whose attributes stand in a group.
+func (h *handler) WithGroup(name string) slog.Handler {
+	return &handler{queue: h.queue, ordinary: h.ordinary.WithGroup(name), urgent: h.urgent.WithGroup(name)}
+}
