Have every daemon leave out engines that change their role

Change: the keeper of roles announces an engine before its order, and the daemons tell each other; the engine is taken up again when its new role is seen.

Ruled out: too few engines, as the log shows rejections by engines whose orders were 0.8 s old, with others idle.

--- a/pkg/backlog/exchange.go
+++ b/pkg/backlog/exchange.go
@@ -33,8 +33,8 @@
 type Options struct {
 	// Own returns the daemon's own report.
 	Own func() Report
-	// Heard takes in the prompts that another daemon has placed.
-	Heard func(placed []Placed)
+	// Heard takes in what another daemon tells besides its sums.
+	Heard func(report *Report)
 	// Daemons counts the daemons of the fleet, this one included. Where not all
 	// are linked, what the linked ones tell stands for the others too.
 	Daemons func() int
@@ -83,8 +83,8 @@
 	for _, sum := range report.Outstanding {
 		sums[sum.Target] = sum
 	}
-	if len(report.Placed) > 0 {
-		x.opts.Heard(report.Placed)
+	if len(report.Placed)+len(report.Away) > 0 {
+		x.opts.Heard(&report)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -126,7 +126,7 @@
 			return nil
 		case now := <-ticker.C:
 			own := x.opts.Own()
-			same := len(own.Placed) == 0 && slices.Equal(own.Outstanding, last)
+			same := len(own.Placed)+len(own.Away) == 0 && slices.Equal(own.Outstanding, last)
 			if same && (len(last) == 0 || now.Sub(sentAt) < repeatEvery) {
 				continue
 			}
--- a/pkg/backlog/report.go
+++ b/pkg/backlog/report.go
@@ -9,6 +9,16 @@
 	// Placed are the prompts that it has sent to engines since its last report,
 	// so that others send the like of them there too.
 	Placed []Placed
+	// Away are the engines that take nothing for a while, such as those that
+	// change their role.
+	Away []Away
+}
+
+// Away is one engine that takes nothing for a while.
+type Away struct {
+	Target ident.Target
+	// Millis is how long, from the report on.
+	Millis int64
 }
 
 // Placed is one prompt that an engine was sent and will hold for a while.
--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -49,6 +49,7 @@
 	})
 	roles := rolekeeper.New(rolekeeper.Options{
 		View: g.targets, Orderer: g.opts.Orderer, Log: g.opts.Log, Settled: supply.Settled,
+		Away: g.router.Models.Away, SwitchTime: g.switchTime,
 		Share: func(model ident.Model) float64 { return g.knobs(config.Selector{Model: model}).Roles.PrefillShare },
 	})
 	d.works = map[ident.Duty]lease.Work{dutyUsage: reporter.Work, dutyEngines: together(supply.Work, roles.Work)}
@@ -77,6 +78,20 @@
 	return t
 }
 
+// switchTime returns how long an engine of a model is away to change its role.
+func (g *Gateway) switchTime(name ident.Model) time.Duration {
+	snapshot := g.opts.Published.Current()
+	if snapshot == nil {
+		return 0
+	}
+	for i := range snapshot.Document.Models {
+		if model := &snapshot.Document.Models[i]; model.Name == name {
+			return model.SwitchTime.D()
+		}
+	}
+	return 0
+}
+
 // together returns the work that does several works under one authority.
 func together(works ...lease.Work) lease.Work {
 	return func(ctx context.Context, authority lease.Authority) error {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -82,7 +82,7 @@
 	}, opts.Feed, g.targets, g.presence)
 	g.backlog = backlog.New(backlog.Options{
 		Own:   func() backlog.Report { return g.router.Models.Report() },
-		Heard: func(placed []backlog.Placed) { g.router.Models.Heard(placed) }, Daemons: g.presence.Daemons, Log: opts.Log,
+		Heard: func(report *backlog.Report) { g.router.Models.Heard(report) }, Daemons: g.presence.Daemons, Log: opts.Log,
 	})
 	g.router = routing.New(routing.Options{
 		View: g.targets, Domain: opts.FailureDomain, Now: time.Now, Random: newRandom(),
--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -25,6 +25,11 @@
 	pendingFor = 14 * time.Second
 	// orderTimeout bounds one call.
 	orderTimeout = time.Second
+	// announceTime is how long before its order an engine gets nothing new, and
+	// awayMargin how much longer than a change it is left out unless its new
+	// role is seen.
+	announceTime = 150 * time.Millisecond
+	awayMargin   = 2 * time.Second
 	// awayShare is the share of a model's engines that may change at once.
 	awayShare = 0.34
 )
@@ -36,6 +41,10 @@
 	// Share returns the share of a model's engines that compute prompts alone;
 	// negative leaves the roles as they are.
 	Share func(model ident.Model) float64
+	// Away has nothing sent to an engine for a while, at all daemons.
+	Away func(target ident.Target, d time.Duration)
+	// SwitchTime returns how long an engine of a model is away to change.
+	SwitchTime func(model ident.Model) time.Duration
 	// Settled reports whether the engines are those that are to stay; until
 	// then no role is changed, for a while.
 	Settled func() bool
@@ -117,7 +126,9 @@
 		return nil
 	}
 	room := max(1, int(awayShare*float64(len(engines)))) - away
-	for _, change := range changes[:max(0, min(room, len(changes)))] {
+	changes = changes[:max(0, min(room, len(changes)))]
+	k.announce(ctx, model, changes)
+	for _, change := range changes {
 		if err := k.order(ctx, authority, snapshot.Target(change.Target), change.Role); err != nil {
 			return err
 		}
@@ -125,6 +136,23 @@
 	return nil
 }
 
+// announce has the daemons send nothing more to engines that are about to
+// change, and waits until they have heard of it.
+func (k *Keeper) announce(ctx context.Context, model ident.Model, changes []Change) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, change := range changes {
+		k.opts.Away(change.Target, k.opts.SwitchTime(model)+awayMargin)
+	}
+	timer := time.NewTimer(announceTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // engines returns a model's engines with the roles that they have or are
 // changing to, and how many are changing.
 func (k *Keeper) engines(snapshot *fleet.Snapshot, model ident.Model, now time.Time) (engines []Engine, away int) {
--- a/pkg/routing/ledger.go
+++ b/pkg/routing/ledger.go
@@ -43,6 +43,10 @@
 	// failures counts failures in a row; ejectedUntil bars new work.
 	failures     int
 	ejectedUntil time.Time
+	// awayUntil is until when the engine takes nothing unless its role changes
+	// before; role is the one that it had last.
+	awayUntil time.Time
+	role      fleet.Role
 }
 
 // send is one request that a target was sent.
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -34,6 +34,8 @@
 	daemons int
 	// placed are the prompts that others are still to be told of.
 	placed []backlog.Placed
+	// away are the engines that others are still to be told of.
+	away []backlog.Away
 	// scores and depths are reused by each decision.
 	scores []score
 	depths [prefix.MaxEngines]int32
@@ -174,13 +176,30 @@
 func (r *ModelRouter) Report() backlog.Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	placed := r.placed
-	r.placed = nil
-	return backlog.Report{Outstanding: r.outstanding(), Placed: placed}
+	report := backlog.Report{Outstanding: r.outstanding(), Placed: r.placed, Away: r.away}
+	r.placed, r.away = nil, nil
+	return report
 }
 
-// Heard takes in prompts that other daemons have placed.
-func (r *ModelRouter) Heard(placed []backlog.Placed) {
+// Away has nothing sent to an engine for a while, here and, by the next report,
+// at the other daemons. It ends once the engine shows another role.
+func (r *ModelRouter) Away(target ident.Target, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaveOut(target, d)
+	r.away = append(r.away, backlog.Away{Target: target, Millis: d.Milliseconds()})
+}
+
+// leaveOut has nothing sent to an engine for a while.
+func (r *ModelRouter) leaveOut(target ident.Target, d time.Duration) {
+	if own, ok := r.ledgers[target]; ok {
+		own.awayUntil = r.opts.Now().Add(d)
+	}
+}
+
+// Heard takes in what another daemon told.
+func (r *ModelRouter) Heard(report *backlog.Report) {
+	placed := report.Placed
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, keep := r.opts.Now(), r.opts.Knobs().PromptMemory.D()
@@ -189,6 +208,9 @@
 			own.prompts.add(placed[i].Blocks, now, keep)
 		}
 	}
+	for _, away := range report.Away {
+		r.leaveOut(away.Target, time.Duration(away.Millis)*time.Millisecond)
+	}
 }
 
 // maxPlaced bounds the prompts that wait for the next report. Those beyond it
@@ -256,6 +278,9 @@
 		r.index.SetLimit(name, load.CacheLimit)
 	}
 	own.reported(load.Incarnation, load.Sequence, takenAt(load, state.LoadAt))
+	if load.Role != own.role {
+		own.role, own.awayUntil = load.Role, time.Time{}
+	}
 	return own
 }
 
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -71,7 +71,7 @@
 		}
 		s.prefill += s.wait
 		s.decode += s.slotWait
-		s.ejected = r.refs[i].ejectedUntil.After(now)
+		s.ejected = r.refs[i].ejectedUntil.After(now) || r.refs[i].awayUntil.After(now)
 		r.scores = append(r.scores, s)
 	}
 	r.dropEjected()
--- a/pkg/routing/shared_test.go
+++ b/pkg/routing/shared_test.go
@@ -147,7 +147,7 @@
 	p.reports[self] = report
 	for i, router := range p.routers {
 		if i != self {
-			router.Heard(report.Placed)
+			router.Heard(&report)
 		}
 	}
 }
