Have other daemons write the usage of one that the store turns away

Change: a checkpoint that can't be written goes to a linked daemon, which writes it unless a newer one stands; the last one of a planned stop is tried again for as long as the stop lasts.

Ruled out: a shorter time between checkpoints, since those hosts wrote none.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/mirror"
 	"amaranthplank.example/amaranthplank/pkg/operator"
+	"amaranthplank.example/amaranthplank/pkg/peer"
 	"amaranthplank.example/amaranthplank/pkg/registry"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
@@ -61,6 +62,9 @@
 	duties      *duties
 	backlog     *backlog.Exchange
 	limits      atomic.Pointer[Limits]
+	// links is nil until the links to other daemons are made.
+	links   atomic.Pointer[peer.Manager]
+	courier *tally.Courier
 }
 
 // New returns a gateway that is ready to run.
@@ -74,8 +78,9 @@
 	g.counter = tally.NewCounter(tally.CounterOptions{
 		Host: opts.Host, FailureDomain: opts.FailureDomain, Incarnation: g.incarnation, Store: opts.Store,
 		Address: opts.PeerListener.Addr().String(),
-		Time:    g.time, Window: opts.UsageWindow, Log: opts.Log,
+		Time:    g.time, Window: opts.UsageWindow, HandOver: g.handOver, Log: opts.Log,
 	})
+	g.courier = tally.NewCourier(opts.Store, opts.Log)
 	g.targets = registry.New(opts.Entries)
 	g.mirror = mirror.New(mirror.Options{
 		Store: opts.Store, Pause: mirrorPause, Wait: mirrorWait, Log: opts.Log,
@@ -169,7 +174,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run, g.duties.run, g.counter.Run, g.backlog.Run, g.runLinks} {
+	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run, g.duties.run, g.counter.Run, g.backlog.Run, g.runLinks, g.courier.Run} {
 		group.Go(func() error { return run(ctx) })
 	}
 	group.Go(func() error { return serve(ctx, g.opts.ReadyHandler(g.ready), g.opts.ReadyListener) })
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -42,6 +42,8 @@
 		return err
 	}
 	g.backlog.Attach(links)
+	links.Handle(peer.KindUsageTail, g.takeUsage)
+	g.links.Store(links)
 	go g.keepPeers(ctx, links)
 	return links.Run(ctx)
 }
--- a/pkg/tally/counter.go
+++ b/pkg/tally/counter.go
@@ -19,6 +19,8 @@
 	publishEvery = time.Second
 	// publishTimeout bounds one write.
 	publishTimeout = 900 * time.Millisecond
+	// leaveRetry is the pause between tries to write the last checkpoint.
+	leaveRetry = 300 * time.Millisecond
 	// keepWindows is how many windows a checkpoint holds, so that a window which
 	// is reported late after an outage still finds its counts.
 	keepWindows = 24
@@ -35,7 +37,10 @@
 	Time    *TrueTime
 	// Window is the length of a window.
 	Window time.Duration
-	Log    *slog.Logger
+	// HandOver has another daemon write a checkpoint that this one could not.
+	// It may be nil.
+	HandOver func(value []byte)
+	Log      *slog.Logger
 }
 
 // Counter counts the requests that began to run through one daemon.
@@ -85,8 +90,21 @@
 	}
 }
 
-// Leave writes the last checkpoint of a planned stop.
-func (c *Counter) Leave(ctx context.Context) error { return c.publish(ctx, true) }
+// Leave writes the last checkpoint of a planned stop. It tries again for as long
+// as ctx lets it.
+func (c *Counter) Leave(ctx context.Context) error {
+	for {
+		err := c.publish(ctx, true)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(leaveRetry):
+		}
+	}
+}
 
 // publish writes a checkpoint. What fails is made good by the next.
 func (c *Counter) publish(ctx context.Context, left bool) error {
@@ -106,6 +124,8 @@
 		// Only this life writes the key: a write whose answer was lost was made
 		// after all, or the checkpoint was removed as abandoned.
 		c.version = c.standing(ctx, key)
+	case c.opts.HandOver != nil:
+		c.opts.HandOver(value)
 	}
 	return err
 }
--- a/pkg/tally/tally_test.go
+++ b/pkg/tally/tally_test.go
@@ -237,3 +237,63 @@
 		must.Eq(t, 2, p.Daemons(), must.Sprint("nothing grows old while the store can't be read"))
 	})
 }
+
+// TestUsageOfADaemonThatTheStoreTurnsAwayIsReported has the store refuse one
+// daemon, which hands its counts to the other and then stops for good.
+func TestUsageOfADaemonThatTheStoreTurnsAwayIsReported(t *testing.T) {
+	inWorld(t, func(w *world) {
+		ctx, cancel := context.WithCancel(w.t.Context())
+		defer cancel()
+		log := slog.New(slog.DiscardHandler)
+		courier := NewCourier(w.store, log)
+		go func() { _ = courier.Run(ctx) }()
+		w.daemon(ctx, "one")
+		refused := NewCounter(CounterOptions{
+			Host: "two", Incarnation: 1, Store: refusing{w.store}, Time: w.time, Window: windowLength, Log: log,
+			HandOver: func(value []byte) { must.NoError(w.t, courier.Take(value)) },
+		})
+		alive, stop := context.WithCancel(ctx)
+		go func() { _ = refused.Run(alive) }()
+		go w.report(ctx, &authority{})
+		for range 80 {
+			refused.Begun("a")
+			time.Sleep(100 * time.Millisecond)
+		}
+		stop()
+		leaving, end := context.WithTimeout(ctx, time.Second)
+		must.Error(w.t, refused.Leave(leaving))
+		end()
+		time.Sleep(12 * time.Second)
+		must.Eq(w.t, uint64(80), w.total("a"))
+		must.MapEmpty(w.t, courier.parcels)
+	})
+}
+
+// refusing refuses every write.
+type refusing struct{ external.Store }
+
+func (refusing) CompareAndSwap(context.Context, external.Swap) (external.Version, error) {
+	return 0, external.ErrStoreUnavailable
+}
+
+// TestAnOlderCheckpointNeverReplacesANewerOne delivers two out of order.
+func TestAnOlderCheckpointNeverReplacesANewerOne(t *testing.T) {
+	inWorld(t, func(w *world) {
+		courier := NewCourier(w.store, slog.New(slog.DiscardHandler))
+		at := func(d time.Duration, n uint64) []byte {
+			value, err := encode(&Checkpoint{Host: "h", Through: time.Unix(100, 0).Add(d), Windows: map[Window]Counts{1: {"a": n}}})
+			must.NoError(w.t, err)
+			return value
+		}
+		must.NoError(w.t, courier.Take(at(time.Second, 2)))
+		courier.deliver(w.t.Context())
+		must.NoError(w.t, courier.Take(at(0, 1)))
+		courier.deliver(w.t.Context())
+		entries, err := w.store.List(w.t.Context(), OpenPrefix)
+		must.NoError(w.t, err)
+		standing, err := DecodeCheckpoint(entries[0].Value)
+		must.NoError(w.t, err)
+		must.Eq(w.t, uint64(2), standing.Windows[1]["a"])
+		must.Error(w.t, courier.Take([]byte("{")))
+	})
+}
