Guard what the new tests share between goroutines

Change: the stand-ins of the mirror's and the tally's tests lock what they share; no check is changed.

Measured: the packages' tests pass under the race detector.

--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +50,7 @@
 // trouble fails the store's watches while it is set.
 type trouble struct {
 	external.Store
+	mu  sync.Mutex
 	err error
 	// times is how many watches fail; zero fails all.
 	times int
@@ -56,17 +58,38 @@
 }
 
 func (s *trouble) Watch(ctx context.Context, prefix external.Key, after external.Cursor) (external.Changes, error) {
-	s.calls++
-	if s.err != nil {
-		err := s.err
-		if s.times--; s.times == 0 {
-			s.err = nil
-		}
+	if err := s.next(); err != nil {
 		return external.Changes{}, err
 	}
 	return s.Store.Watch(ctx, prefix, after)
 }
 
+// next counts a call and returns what it fails with.
+func (s *trouble) next() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	err := s.err
+	if s.times--; s.times == 0 {
+		s.err = nil
+	}
+	return err
+}
+
+// fail has the next calls fail, or all of them where times is zero.
+func (s *trouble) fail(err error, times int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err, s.times = err, times
+}
+
+// count returns how many calls were made.
+func (s *trouble) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // follow runs a mirror over a store until the body returns.
 func follow(t *testing.T, body func(t *testing.T, store *memstore.Store, front *trouble, m *Mirror, r *recorder)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -83,6 +106,12 @@
 	})
 }
 
+// pause lets time pass, and what then runs come to rest.
+func pause(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 // put writes a key.
 func put(t *testing.T, store *memstore.Store, key external.Key, value string, base external.Version) external.Version {
 	version, err := store.CompareAndSwap(t.Context(), external.Swap{Key: key, Value: []byte(value), Base: base})
@@ -94,13 +123,13 @@
 	follow(t, func(t *testing.T, store *memstore.Store, _ *trouble, m *Mirror, r *recorder) {
 		version := put(t, store, "a/1", "x", 0)
 		put(t, store, "b/1", "other", 0)
-		time.Sleep(2 * time.Second)
+		pause(2 * time.Second)
 		must.Eq(t, map[external.Key]string{"a/1": "x"}, r.values)
 		version = put(t, store, "a/1", "y", version)
-		time.Sleep(time.Second)
+		pause(time.Second)
 		must.Eq(t, "y", r.values["a/1"])
 		must.NoError(t, store.Delete(t.Context(), "a/1", version))
-		time.Sleep(time.Second)
+		pause(time.Second)
 		must.MapEmpty(t, r.values)
 		age, ok := m.Age()
 		must.True(t, ok)
@@ -117,19 +146,20 @@
 			version = put(t, store, "a/beat", "x", version)
 			time.Sleep(77 * time.Millisecond)
 		}
-		must.LessEq(t, 22, front.calls)
+		synctest.Wait()
+		must.LessEq(t, 22, front.count())
 	})
 }
 
 func TestOutageIsToldOnceAndOvercome(t *testing.T) {
 	follow(t, func(t *testing.T, store *memstore.Store, front *trouble, _ *Mirror, r *recorder) {
-		time.Sleep(time.Second)
-		front.err = external.ErrStoreUnavailable
-		time.Sleep(5 * time.Second)
+		pause(time.Second)
+		front.fail(external.ErrStoreUnavailable, 0)
+		pause(5 * time.Second)
 		put(t, store, "a/1", "x", 0)
 		must.Eq(t, 1, r.outages)
-		front.err = nil
-		time.Sleep(3 * time.Second)
+		front.fail(nil, 0)
+		pause(3 * time.Second)
 		must.Eq(t, "x", r.values["a/1"])
 		must.Eq(t, 1, r.outages)
 	})
@@ -138,12 +168,12 @@
 func TestLostHistoryIsReadAnewAtOnce(t *testing.T) {
 	follow(t, func(t *testing.T, store *memstore.Store, front *trouble, _ *Mirror, r *recorder) {
 		put(t, store, "a/1", "x", 0)
-		time.Sleep(2 * time.Second)
+		pause(2 * time.Second)
 		before := r.wholes
-		front.err, front.times = external.ErrHistoryGone, 1
-		time.Sleep(1700 * time.Millisecond)
+		front.fail(external.ErrHistoryGone, 1)
+		pause(1700 * time.Millisecond)
 		must.Eq(t, 0, r.outages, must.Sprint("a lost history is no outage"))
-		time.Sleep(time.Second)
+		pause(time.Second)
 		must.Greater(t, before, r.wholes)
 		must.Eq(t, "x", r.values["a/1"])
 	})
@@ -153,8 +183,8 @@
 // alike, the one from the start too.
 func TestAStoreThatKeepsNoHistoryIsNotAskedWithoutPause(t *testing.T) {
 	follow(t, func(t *testing.T, _ *memstore.Store, front *trouble, _ *Mirror, _ *recorder) {
-		front.err = external.ErrHistoryGone
-		time.Sleep(10 * time.Second)
-		must.LessEq(t, 40, front.calls)
+		front.fail(external.ErrHistoryGone, 0)
+		pause(10 * time.Second)
+		must.LessEq(t, 40, front.count())
 	})
 }
--- a/pkg/tally/tally_test.go
+++ b/pkg/tally/tally_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,7 @@
 // sink takes reports as the platform does: a repeat must bear the same counts.
 type sink struct {
 	t       *testing.T
+	mu      sync.Mutex
 	reports map[Window]Counts
 	// err fails the calls, after the report was taken where lost is set.
 	err  error
@@ -28,6 +30,8 @@
 }
 
 func (s *sink) Report(_ context.Context, window Window, counts Counts, _ ident.Fencing) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.err != nil && !s.lost {
 		return s.err
 	}
@@ -38,6 +42,21 @@
 	return s.err
 }
 
+// fail has the reports fail, after they were taken where lost is set.
+func (s *sink) fail(err error, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err, s.lost = err, lost
+}
+
+// reported returns whether a window was reported, and how many were.
+func (s *sink) reported(window Window) (ok bool, count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok = s.reports[window]
+	return ok, len(s.reports)
+}
+
 // authority is held until it is lost.
 type authority struct{ lost bool }
 
@@ -86,6 +105,8 @@
 
 // total adds up what was reported.
 func (w *world) total(workspace ident.Workspace) (sum uint64) {
+	w.sink.mu.Lock()
+	defer w.sink.mu.Unlock()
 	for _, counts := range w.sink.reports {
 		sum += counts[workspace]
 	}
@@ -108,7 +129,8 @@
 		time.Sleep(8 * time.Second)
 		must.Eq(t, uint64(200), w.total("a"))
 		must.Eq(t, uint64(100), w.total("b"))
-		must.GreaterEq(t, 3, len(w.sink.reports))
+		_, count := w.sink.reported(0)
+		must.GreaterEq(t, 3, count)
 	})
 }
 
@@ -122,11 +144,11 @@
 		first, stop := context.WithCancel(ctx)
 		go w.report(first, &authority{})
 		counter.Begun("a")
-		w.sink.err, w.sink.lost = fault.New(fault.Unknown, "lost", "repeat"), true
+		w.sink.fail(fault.New(fault.Unknown, "lost", "repeat"), true)
 		time.Sleep(12 * time.Second)
 		stop()
 		counter.Begun("a")
-		w.sink.err = nil
+		w.sink.fail(nil, false)
 		go w.report(ctx, &authority{})
 		time.Sleep(12 * time.Second)
 		must.Eq(t, uint64(2), w.total("a"))
@@ -158,8 +180,8 @@
 		for range 30 {
 			time.Sleep(time.Second)
 			last := windowOf(w.time.Now(), windowLength) - 3
-			_, reported := w.sink.reports[last]
-			_, began := w.sink.reports[last-1]
+			reported, _ := w.sink.reported(last)
+			began, _ := w.sink.reported(last - 1)
 			must.True(t, reported || !began, must.Sprint("a window is overdue"))
 		}
 	})
