--- a/pkg/drain/server.go
+++ b/pkg/drain/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 )
 
@@ -114,7 +115,7 @@
 // waitForBalancer waits for the balancer's delay, and then until no request
 // has come for a while.
 func (s *Server) waitForBalancer(ctx context.Context, asked time.Time) {
-	sleep(ctx, s.opts.BalancerDelay-time.Since(asked))
+	clock.Sleep(ctx, s.opts.BalancerDelay-time.Since(asked))
 	latest := asked.Add((1 + lookAwayFactor) * s.opts.BalancerDelay)
 	if s.opts.LatestClose > 0 {
 		latest = asked.Add(s.opts.LatestClose)
@@ -124,7 +125,7 @@
 		if quiet >= quietTime {
 			return
 		}
-		sleep(ctx, quietTime-quiet)
+		clock.Sleep(ctx, quietTime-quiet)
 	}
 }
 
@@ -133,16 +134,3 @@
 	s.phase.Store(&phase)
 	s.opts.Log.Info("callers' server", "phase", phase, "running", s.running.Load())
 }
-
-// sleep waits, or returns early when ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -35,6 +35,9 @@
 	hold *claims.Hold
 	// callerWaits says that the caller stated how long it waits.
 	callerWaits bool
+	// target and attempts are the last send's and how many there were.
+	target   ident.Target
+	attempts int
 	// figures are what the ticket is given back with.
 	figures request.Figures
 }
@@ -128,6 +131,7 @@
 	}
 	s.life.To(request.Attempting)
 	result := s.handler.opts.Relay.Do(s.http.Context(), s.req, s.writer)
+	s.target, s.attempts = result.Target, result.Attempts
 	s.settle(result)
 	s.settleClaim(result.Outcome)
 	switch {
@@ -201,7 +205,8 @@
 	}
 	s.handler.metrics.ended(route, outcome, string(fault.KindOf(err)))
 	s.handler.opts.Log.Log(s.http.Context(), levelOf(fault.KindOf(err)), "request not answered",
-		"request", s.id, "workspace", s.from.workspace, "route", route, "outcome", outcome, "error", err)
+		"request", s.id, "workspace", s.from.workspace, "route", route, "outcome", outcome,
+		"target", s.target, "attempts", s.attempts, "after", time.Since(s.began), "error", err)
 }
 
 // levelOf returns the level that a failure is logged at. What callers bring
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
@@ -91,10 +92,7 @@
 		if err != nil {
 			g.opts.Log.Info("secret of the links not read", "error", err)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(secretRetry):
-		}
+		clock.Sleep(ctx, secretRetry)
 	}
 	return nil
 }
--- a/pkg/lease/contest.go
+++ b/pkg/lease/contest.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
@@ -33,7 +34,7 @@
 		c.pause(ctx)
 	case ActionDefer:
 		left := c.manager.terms.WaitOf(look.Rank, look.Held) - look.Free
-		c.sleep(ctx, left+time.Duration(c.manager.draw()*float64(c.manager.terms.RankWait)/heldShare))
+		clock.Sleep(ctx, left+time.Duration(c.manager.draw()*float64(c.manager.terms.RankWait)/heldShare))
 	case ActionAcquire:
 		c.acquire(ctx)
 	case ActionClear:
@@ -97,15 +98,5 @@
 
 // pause waits for the next poll.
 func (c *contest) pause(ctx context.Context) {
-	c.sleep(ctx, c.manager.terms.PollAfter(c.manager.draw()))
-}
-
-// sleep waits, or returns early when ctx ends.
-func (c *contest) sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	clock.Sleep(ctx, c.manager.terms.PollAfter(c.manager.draw()))
 }
--- a/pkg/lease/hold.go
+++ b/pkg/lease/hold.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
+
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
@@ -113,7 +115,7 @@
 	m := c.manager
 	for ctx.Err() == nil && t.left() > 0 {
 		m.session.renew(ctx, t)
-		c.sleep(ctx, m.terms.RenewEvery/renewLooks)
+		clock.Sleep(ctx, m.terms.RenewEvery/renewLooks)
 	}
 }
 
@@ -125,7 +127,7 @@
 func (c *contest) verify(ctx context.Context, g *grant) {
 	m := c.manager
 	for ctx.Err() == nil {
-		c.sleep(ctx, m.terms.VerifyEvery)
+		clock.Sleep(ctx, m.terms.VerifyEvery)
 		entry, err := m.read(ctx, c.duty)
 		if err == nil && ctx.Err() == nil && entry.Version != external.Version(g.fencing) {
 			g.end()
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
+
 	"amaranthplank.example/amaranthplank/pkg/duty"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
@@ -45,7 +47,7 @@
 	c := &contest{manager: m, duty: d, work: work, freeSince: notFree}
 	// The first look waits for a part of the poll, so that processes that
 	// start together don't read together.
-	c.sleep(ctx, time.Duration(m.draw()*float64(m.terms.PollEvery)))
+	clock.Sleep(ctx, time.Duration(m.draw()*float64(m.terms.PollEvery)))
 	for ctx.Err() == nil {
 		c.turn(ctx)
 	}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
@@ -42,7 +43,7 @@
 		if err := m.step(ctx); err != nil {
 			pause = m.failed(ctx, err)
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 	return nil
 }
@@ -118,16 +119,3 @@
 	}
 	m.failedAt = time.Time{}
 }
-
-// sleep waits, or returns early when ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -136,6 +137,7 @@
 	a.decode, a.source = decode, source
 	c.run.Begin()
 	c.result.Attempts++
+	c.result.Target = a.target
 	return a
 }
 
@@ -198,8 +200,7 @@
 	switch {
 	case err == nil:
 		c.result.Outcome = request.Answered
-		c.relay.opts.Log.Debug("request answered", "request", c.req.ID, "route", c.req.Route, "target", a.target, "prompt", c.prompt.target,
-			"tokens", c.req.PromptTokens, "expected", c.prompt.expected, "promptTook", c.prompt.took, "answerTook", time.Since(a.began), "events", c.result.Events, "firstAfter", c.result.FirstAt.Sub(a.began))
+		c.logAnswered(a)
 		c.result.Figures = a.figures()
 	case decision == retry.HandOn:
 		return c.handOn(a)
@@ -215,6 +216,17 @@
 	return c.result
 }
 
+// logAnswered tells how an answered request fared, beside what was expected.
+func (c *call) logAnswered(a *attempt) {
+	log := c.relay.opts.Log
+	if !log.Enabled(c.caller, slog.LevelDebug) {
+		return
+	}
+	log.Debug("request answered", "request", c.req.ID, "route", c.req.Route, "target", a.target, "prompt", c.prompt.target,
+		"tokens", c.req.PromptTokens, "expected", c.prompt.expected, "promptTook", c.prompt.took,
+		"answerTook", time.Since(a.began), "events", c.result.Events, "firstAfter", c.result.FirstAt.Sub(a.began))
+}
+
 // handOn gives the caller the target's own refusal.
 func (c *call) handOn(a *attempt) Result {
 	if err := a.refusal.writeTo(c); err != nil {
--- a/pkg/relay/result.go
+++ b/pkg/relay/result.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
 )
 
@@ -21,6 +22,8 @@
 	Ran bool
 	// Attempts counts the sends.
 	Attempts int
+	// Target is where the last send went, empty without one.
+	Target ident.Target
 	// Events counts the stream events that were handed to the caller.
 	Events uint64
 	// FirstAt and LastAt are when the answer's first and last part were
--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
@@ -145,12 +146,7 @@
 	for _, change := range changes {
 		k.opts.Away(change.Target, k.opts.SwitchTime(model)+awayMargin)
 	}
-	timer := time.NewTimer(announceTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	clock.Sleep(ctx, announceTime)
 }
 
 // engines returns a model's engines with the roles that they have or are
