Let linked daemons, not the talkative ones, stand for the others

Cause: a daemon that had nothing to tell counted as one that isn't linked, so that the sums of the others were doubled at little load.

Change: each linked daemon stands for its part of the fleet. Tests of the exchange: sums, silence, fleets larger than the links, and the count of messages.

Ruled out: a lost report, as the wire of the test loses none.

--- a/pkg/backlog/exchange.go
+++ b/pkg/backlog/exchange.go
@@ -48,6 +48,8 @@
 	mu     sync.RWMutex
 	links  Links
 	others map[ident.Host]told
+	// factor is how many daemons each linked one stands for.
+	factor float64
 }
 
 // told is what one daemon said last.
@@ -58,7 +60,7 @@
 
 // New returns an exchange without links.
 func New(opts Options) *Exchange {
-	return &Exchange{opts: opts, others: make(map[ident.Host]told)}
+	return &Exchange{opts: opts, others: make(map[ident.Host]told), factor: 1}
 }
 
 // Attach sets the links, before they run.
@@ -93,7 +95,7 @@
 
 // Elsewhere returns what the other daemons have outstanding at an engine.
 func (x *Exchange) Elsewhere(target ident.Target) Outstanding {
-	total, heard := Outstanding{Target: target}, 0
+	total := Outstanding{Target: target}
 	now := time.Now()
 	x.mu.RLock()
 	defer x.mu.RUnlock()
@@ -101,16 +103,12 @@
 		if now.Sub(other.at) > silentAfter {
 			continue
 		}
-		heard++
 		sum := other.sums[target]
 		total.Urgent += sum.Urgent
 		total.Other += sum.Other
 	}
-	if heard > 0 {
-		factor := max(1, float64(x.opts.Daemons()-1)/float64(heard))
-		total.Urgent *= factor
-		total.Other *= factor
-	}
+	total.Urgent *= x.factor
+	total.Other *= x.factor
 	return total
 }
 
@@ -125,6 +123,7 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			x.weigh()
 			own := x.opts.Own()
 			same := len(own.Placed)+len(own.Away) == 0 && slices.Equal(own.Outstanding, last)
 			if same && (len(last) == 0 || now.Sub(sentAt) < repeatEvery) {
@@ -136,6 +135,17 @@
 	}
 }
 
+// weigh reckons how many daemons each linked one stands for.
+func (x *Exchange) weigh() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.links == nil {
+		return
+	}
+	linked := max(1, len(x.links.Linked()))
+	x.factor = max(1, float64(x.opts.Daemons()-1)/float64(linked))
+}
+
 // send tells every linked daemon.
 func (x *Exchange) send(own *Report) {
 	x.mu.RLock()
