Look an engine up again before an answer is sent on, and bound silent calls

Ruled out: a lapsed entry taken for alive, as both entries said draining; a slow processor, as the hosts were idle at those moments.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"amaranthplank.example/amaranthplank/pkg/drain"
 	"amaranthplank.example/amaranthplank/pkg/entry"
 	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/mirror"
 	"amaranthplank.example/amaranthplank/pkg/operator"
@@ -33,10 +34,6 @@
 )
 
 const (
-	// mirrorPause is the time between two reads of the store's changes.
-	mirrorPause = 500 * time.Millisecond
-	// mirrorWait bounds one such read.
-	mirrorWait = 1200 * time.Millisecond
 	// maxBodyBytes bounds a caller's body where the configuration does not.
 	maxBodyBytes = 8 << 20
 	// headerTimeout bounds how long a client of the other addresses takes to
@@ -83,7 +80,7 @@
 	g.courier = tally.NewCourier(opts.Store, opts.Log)
 	g.targets = registry.New(opts.Entries)
 	g.mirror = mirror.New(mirror.Options{
-		Store: opts.Store, Pause: mirrorPause, Wait: mirrorWait, Log: opts.Log,
+		Store: opts.Store, Pause: mirror.DefaultPause, Wait: mirror.DefaultWait, Log: opts.Log,
 	}, opts.Feed, g.targets, g.presence)
 	g.backlog = backlog.New(backlog.Options{
 		Own:   func() backlog.Report { return g.router.Models.Report() },
@@ -164,6 +161,9 @@
 	return g.serving()
 }
 
+// Targets returns the view of the targets.
+func (g *Gateway) Targets() fleet.View { return g.targets }
+
 // Stop asks for a planned stop and returns at once. Run returns when it is
 // complete.
 func (g *Gateway) Stop() { g.callers.Stop() }
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -19,6 +19,8 @@
 const (
 	// secretKey holds the secret that links between the daemons are proved by.
 	secretKey external.Key = "peers/secret"
+	// secretTimeout bounds one try to read it.
+	secretTimeout = time.Second
 	// secretRetry is the pause between tries to read it.
 	secretRetry = 500 * time.Millisecond
 	// linksEvery is the time between looks at which daemons there are.
@@ -100,7 +102,7 @@
 // readSecret returns the secret in the store. Where there is none it makes one
 // up, and returns nothing: the next read finds whichever came first.
 func (g *Gateway) readSecret(ctx context.Context) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, mirrorWait)
+	ctx, cancel := context.WithTimeout(ctx, secretTimeout)
 	defer cancel()
 	entry, err := g.opts.Store.Get(ctx, secretKey)
 	if !errors.Is(err, external.ErrKeyNotFound) {
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -55,15 +55,37 @@
 	// times is how many watches fail; zero fails all.
 	times int
 	calls int
+	// silent has the next call hang.
+	silent bool
 }
 
 func (s *trouble) Watch(ctx context.Context, prefix external.Key, after external.Cursor) (external.Changes, error) {
+	if s.hangs() {
+		<-ctx.Done()
+		return external.Changes{}, external.ErrStoreUnavailable
+	}
 	if err := s.next(); err != nil {
 		return external.Changes{}, err
 	}
 	return s.Store.Watch(ctx, prefix, after)
 }
 
+// hang has the next call bring nothing until it is given up.
+func (s *trouble) hang() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = true
+}
+
+// hangs reports whether a call is the one that hangs.
+func (s *trouble) hangs() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	silent := s.silent
+	s.silent = false
+	return silent
+}
+
 // next counts a call and returns what it fails with.
 func (s *trouble) next() error {
 	s.mu.Lock()
@@ -188,3 +210,27 @@
 		must.LessEq(t, 40, front.count())
 	})
 }
+
+// TestAChangeIsKnownInTimeThoughACallGoesSilent has a call hang from the moment
+// of a change on. Targets that leave must get nothing new two seconds later.
+func TestAChangeIsKnownInTimeThoughACallGoesSilent(t *testing.T) {
+	const known = 1500 * time.Millisecond
+	for shift := range 12 {
+		synctest.Test(t, func(t *testing.T) {
+			store := memstore.New(clock.NewRuntime())
+			front := &trouble{Store: store}
+			r := &recorder{prefix: "a/", values: make(map[external.Key]string)}
+			m := New(Options{Store: front, Pause: DefaultPause, Wait: DefaultWait, Log: slog.New(slog.DiscardHandler)}, r)
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error)
+			go func() { done <- m.Run(ctx) }()
+			pause(2*time.Second + time.Duration(shift)*100*time.Millisecond)
+			front.hang()
+			put(t, store, "a/1", "leaving", 0)
+			pause(known)
+			must.Eq(t, "leaving", r.values["a/1"], must.Sprint(shift))
+			cancel()
+			must.NoError(t, <-done)
+		})
+	}
+}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -120,7 +120,7 @@
 		}
 		source, err := c.prefill(ctx, prefiller, placement)
 		if err == nil {
-			return c.launched(placement.Decode, nil, source), nil
+			return c.goOn(placement.Decode, source)
 		}
 		c.relay.opts.Router.Done(c.req, placement.Decode.Record.Target)
 		c.failedAt = append(c.failedAt, placement.Target.Record.Target)
@@ -131,6 +131,21 @@
 	}
 }
 
+// goOn returns the attempt that generates the answer to a prompt that was
+// computed. An engine that has begun to leave meanwhile is replaced.
+func (c *call) goOn(decode *fleet.TargetState, source Source) (*attempt, error) {
+	checker, ok := c.relay.opts.Router.(routing.Checker)
+	if !ok || checker.TakesNew(decode.Record.Target) {
+		return c.launched(decode, nil, source), nil
+	}
+	c.relay.opts.Router.Done(c.req, decode.Record.Target)
+	state, err := c.relay.opts.Router.Choose(c.req, append(c.failedAt, decode.Record.Target))
+	if err != nil {
+		return nil, err
+	}
+	return c.launched(state, nil, source), nil
+}
+
 // launched returns the attempt at a target and counts it.
 func (c *call) launched(target, decode *fleet.TargetState, source Source) *attempt {
 	a := newAttempt(c, target)
