--- a/pkg/mirror/options.go
+++ b/pkg/mirror/options.go
@@ -20,10 +20,11 @@
 }
 
 const (
-	// DefaultPause and DefaultWait are the times of a process on the platform:
-	// a change is known within a second and a half though one call goes silent.
+	// DefaultPause is the pause of a process on the platform. With DefaultWait a
+	// change is known within a second and a half though one call goes silent.
 	DefaultPause = 400 * time.Millisecond
-	DefaultWait  = 700 * time.Millisecond
+	// DefaultWait bounds one call of a process on the platform.
+	DefaultWait = 700 * time.Millisecond
 	// firstRetry and longestRetry bound the pauses after failed calls.
 	firstRetry   = 100 * time.Millisecond
 	longestRetry = 400 * time.Millisecond
