Count calls to the store, targets left out and the view's age; log flips and steps

Cause: an engineer on call could not tell from metrics whether the store or the view was at fault, nor when a failing target was left out; flips of readiness and steps of the time of day left no line.

Change: a metered store (pkg/storemeter) in front of the client; gauges of the view's age, targets, daemons and links, a counter of log lines dropped and one of targets left out with a line for each; lines for readiness and for steps of the time of day.

--- a/cmd/amaranthplank/hosted.go
+++ b/cmd/amaranthplank/hosted.go
@@ -57,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	opts.LinesDropped = lines.Dropped
 	g := gateway.New(opts)
 	go newReloader(log, map[string]func([]byte) error{
 		path: func(text []byte) error {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"amaranthplank.example/amaranthplank/pkg/registry"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
+	"amaranthplank.example/amaranthplank/pkg/storemeter"
 	"amaranthplank.example/amaranthplank/pkg/tally"
 	"amaranthplank.example/amaranthplank/pkg/target"
 	"amaranthplank.example/amaranthplank/pkg/usage"
@@ -61,6 +62,8 @@
 	duties      *duties
 	backlog     *backlog.Exchange
 	limits      atomic.Pointer[Limits]
+	readiness   readiness
+	metrics     *metrics
 	// links is nil until the links to other daemons are made.
 	links   atomic.Pointer[peer.Manager]
 	courier *tally.Courier
@@ -69,6 +72,8 @@
 // New returns a gateway that is ready to run.
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
+	opts.Store = storemeter.New(opts.Store, g.registry)
+	g.opts.Store = opts.Store
 	g.ApplyLimits(opts.Limits)
 	g.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.incarnation = ident.Incarnation(time.Now().UnixNano())
@@ -94,12 +99,14 @@
 		View: g.targets, Domain: opts.FailureDomain, Now: time.Now, Random: newRandom(),
 		Knobs:   func() *config.RoutingKnobs { return &g.knobs(config.Selector{}).Routing },
 		Daemons: g.presence.Daemons, Elsewhere: g.backlog.Elsewhere, Told: g.backlog.Told,
+		LeftOut: g.leftOut,
 	})
 	g.relay = relay.New(relay.Options{
 		Router: g.router, Client: target.NewClient(), Config: opts.Published, Protocol: opts.Protocol,
 		Log: opts.Log, Registerer: g.registry, Began: g.counter.Begun,
 		Budget: g.retryBudget,
 	})
+	g.metrics = g.registerMetrics()
 	g.duties = g.newDuties()
 	g.callers = drain.New(drain.Options{
 		Server: entry.NewServer(g.newHandler()), Listener: opts.Listener, Log: opts.Log,
@@ -181,7 +188,11 @@
 	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run, g.duties.run, g.announcer.Run, g.counter.Run, g.backlog.Run, g.runLinks, g.courier.Run} {
 		group.Go(func() error { return run(ctx) })
 	}
-	group.Go(func() error { return serve(ctx, g.opts.ReadyHandler(g.ready), g.opts.ReadyListener) })
+	group.Go(func() error {
+		clock.WatchSteps(ctx, clock.Boot{}, g.opts.Log)
+		return nil
+	})
+	group.Go(func() error { return serve(ctx, g.opts.ReadyHandler(g.tellBalancer), g.opts.ReadyListener) })
 	if g.opts.AdminListener != nil {
 		group.Go(func() error { return serve(ctx, operator.New(g.registry, g.ready), g.opts.AdminListener) })
 	}
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -53,16 +53,10 @@
 
 // keepPeers tells the links which daemons there are until ctx ends.
 func (g *Gateway) keepPeers(ctx context.Context, links *peer.Manager) {
-	ticker := time.NewTicker(linksEvery)
-	defer ticker.Stop()
-	for {
+	_ = clock.Every(ctx, linksEvery, func() error {
 		links.SetPeers(neighboursOf(g.opts.Host, g.presence.Members()))
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+		return nil
+	})
 }
 
 // neighboursOf returns the daemons that one is linked to: those next to it in
--- a/pkg/gateway/options.go
+++ b/pkg/gateway/options.go
@@ -55,6 +55,8 @@
 	Supplier supplykeeper.Orderer
 	// LeaseTerm is the time in which holders of a duty must not take turns.
 	LeaseTerm time.Duration
+	// LinesDropped counts the log lines that were not written. It may be nil.
+	LinesDropped func() int64
 	// Limits are the first limits.
 	Limits Limits
 	// StopGrace is the time from the request to stop until the process is
--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -85,25 +85,24 @@
 
 // Work keeps the shares while the duty is held. It is a lease.Work.
 func (k *Keeper) Work(ctx context.Context, authority lease.Authority) error {
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
 	began := time.Now()
-	for {
-		snapshot := k.opts.View.Snapshot()
+	return clock.Every(ctx, lookEvery, func() error {
 		if !k.opts.Settled() && time.Since(began) < supplyPatience {
-			snapshot = fleet.NewSnapshot(nil)
-		}
-		for _, model := range snapshot.Models() {
-			if err := k.keep(ctx, authority, snapshot, model); fault.KindOf(err) == fault.Fenced {
-				return err
-			}
-		}
-		select {
-		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		}
+		return k.step(ctx, authority)
+	})
+}
+
+// step orders what is due of every model. It fails once authority is lost.
+func (k *Keeper) step(ctx context.Context, authority lease.Authority) error {
+	snapshot := k.opts.View.Snapshot()
+	for _, model := range snapshot.Models() {
+		if err := k.keep(ctx, authority, snapshot, model); fault.KindOf(err) == fault.Fenced {
+			return err
 		}
 	}
+	return nil
 }
 
 // keep orders the changes that one model needs. It fails where an order was
--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -26,12 +26,23 @@
 	// Told returns the part of the other daemons that tell where they place
 	// prompts, from 0 to 1. Nil means that all do.
 	Told func() float64
+	// LeftOut is told when a failing target gets no new work for a while, after
+	// so many failures in a row. It is called under the router's lock and may
+	// be nil.
+	LeftOut func(target ident.Target, failures int)
 	// Random draws among near equals; the router locks it.
 	Random *rand.Rand
 	// Off switches parts off; it is for measures alone.
 	Off Off
 }
 
+// leftOut tells that a target gets no new work for a while.
+func (o *Options) leftOut(target ident.Target, failures int) {
+	if o.LeftOut != nil {
+		o.LeftOut(target, failures)
+	}
+}
+
 // Off names the parts of a router that a measure leaves out.
 type Off struct {
 	// Affinity leaves out the home engines of a prompt.
--- a/pkg/routing/results.go
+++ b/pkg/routing/results.go
@@ -50,4 +50,5 @@
 	pause := firstPause << min(own.failures, maxDoublings)
 	own.failures++
 	own.ejectedUntil = r.opts.Now().Add(min(pause, r.opts.Knobs().OutlierPause.D()))
+	r.opts.leftOut(target, own.failures)
 }
--- a/pkg/routing/services.go
+++ b/pkg/routing/services.go
@@ -66,6 +66,7 @@
 	own.failures++
 	if int64(own.failures) >= knobs.OutlierErrors && s.mayEject(target, knobs) {
 		own.ejectedUntil = s.opts.Now().Add(knobs.OutlierPause.D())
+		s.opts.leftOut(target, own.failures)
 	}
 }
 
--- a/pkg/supplykeeper/keeper.go
+++ b/pkg/supplykeeper/keeper.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
@@ -62,18 +63,12 @@
 
 // Work keeps the counts while the duty is held. It is a lease.Work.
 func (k *Keeper) Work(ctx context.Context, authority lease.Authority) error {
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	for {
+	return clock.Every(ctx, lookEvery, func() error {
 		if err := k.step(ctx, authority); fault.KindOf(err) == fault.Fenced {
 			return err
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+		return nil
+	})
 }
 
 // step orders what is due at every place.
--- a/pkg/tally/counter.go
+++ b/pkg/tally/counter.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
@@ -82,26 +83,20 @@
 
 // Run writes checkpoints until ctx ends.
 func (c *Counter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(checkpointEvery)
-	defer ticker.Stop()
 	unwritten := longestUnwritten
-	for {
+	return clock.Every(ctx, checkpointEvery, func() error {
 		unwritten += checkpointEvery
-		if unwritten >= c.writeEvery() {
-			unwritten = 0
-			if err := c.publish(ctx, false); err != nil && ctx.Err() == nil {
-				c.opts.Log.Debug("usage checkpoint not written", "error", err)
-				unwritten = longestUnwritten
-			}
-		} else {
+		if unwritten < c.writeEvery() {
 			c.deposit()
-		}
-		select {
-		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
 		}
-	}
+		unwritten = 0
+		if err := c.publish(ctx, false); err != nil && ctx.Err() == nil {
+			c.opts.Log.Debug("usage checkpoint not written", "error", err)
+			unwritten = longestUnwritten
+		}
+		return nil
+	})
 }
 
 // writeEvery returns the time between two checkpoints that reach the store.
--- a/pkg/tally/courier.go
+++ b/pkg/tally/courier.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
 )
 
@@ -71,16 +72,10 @@
 
 // Run writes what was taken until ctx ends.
 func (c *Courier) Run(ctx context.Context) error {
-	ticker := time.NewTicker(courierEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.deliver(ctx)
-		}
-	}
+	return clock.Every(ctx, courierEvery, func() error {
+		c.deliver(ctx)
+		return nil
+	})
 }
 
 // due returns the checkpoints that are to be written.
--- a/pkg/tally/reporter.go
+++ b/pkg/tally/reporter.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -59,9 +60,7 @@
 
 // Work reports windows while the duty is held. It is a lease.Work.
 func (r *Reporter) Work(ctx context.Context, authority lease.Authority) error {
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
-	for {
+	return clock.Every(ctx, reportEvery, func() error {
 		err := r.step(ctx, authority)
 		if fault.KindOf(err) == fault.Fenced {
 			return err
@@ -69,12 +68,8 @@
 		if err != nil {
 			r.Log.Info("usage window not reported", "error", err)
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+		return nil
+	})
 }
 
 // step closes the next window where it is due, and reports it.
