Reckon what silent daemons owe from the mean of the engines

Cause: in a fleet of 85 a daemon is told a fifth of what the engines owe.

Change: what is known is counted as it is; the unseen part is three tenths the engine's own known part and for the rest the mean over the engines of its kind. What others tell is added up as it comes instead of at each look.

Fleets in which all tell are not touched.

--- a/pkg/backlog/exchange.go
+++ b/pkg/backlog/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -35,8 +36,7 @@
 	Own func() Report
 	// Heard takes in what another daemon tells besides its sums.
 	Heard func(report *Report)
-	// Daemons counts the daemons of the fleet, this one included. Where not all
-	// are linked, what the linked ones tell stands for the others too.
+	// Daemons counts the daemons of the fleet, this one included.
 	Daemons func() int
 	Log     *slog.Logger
 }
@@ -48,19 +48,21 @@
 	mu     sync.RWMutex
 	links  Links
 	others map[ident.Host]told
-	// factor is how many daemons each linked one stands for.
-	factor float64
+	// totals adds up what others said, by engine.
+	totals map[ident.Target]Outstanding
+	// linked is the part of the other daemons that is linked, from 0 to 1.
+	linked float64
 }
 
 // told is what one daemon said last.
 type told struct {
 	at   time.Time
-	sums map[ident.Target]Outstanding
+	sums []Outstanding
 }
 
 // New returns an exchange without links.
 func New(opts Options) *Exchange {
-	return &Exchange{opts: opts, others: make(map[ident.Host]told), factor: 1}
+	return &Exchange{opts: opts, others: make(map[ident.Host]told), linked: 1}
 }
 
 // Attach sets the links, before they run.
@@ -81,34 +83,36 @@
 		x.opts.Log.Debug("backlog message skipped", "peer", from, "error", err)
 		return
 	}
-	sums := make(map[ident.Target]Outstanding, len(report.Outstanding))
-	for _, sum := range report.Outstanding {
-		sums[sum.Target] = sum
-	}
 	if len(report.Placed)+len(report.Away) > 0 {
 		x.opts.Heard(&report)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.others[from] = told{at: time.Now(), sums: sums}
+	x.others[from] = told{at: time.Now(), sums: report.Outstanding}
+	x.addUp()
 }
 
-// Elsewhere returns what the other daemons have outstanding at an engine.
-func (x *Exchange) Elsewhere(target ident.Target) Outstanding {
-	total := Outstanding{Target: target}
-	now := time.Now()
-	x.mu.RLock()
-	defer x.mu.RUnlock()
+// addUp adds up what the others said.
+func (x *Exchange) addUp() {
+	totals := make(map[ident.Target]Outstanding, len(x.totals))
 	for _, other := range x.others {
-		if now.Sub(other.at) > silentAfter {
-			continue
+		for _, sum := range other.sums {
+			total := totals[sum.Target]
+			total.Target = sum.Target
+			total.Urgent += sum.Urgent
+			total.Other += sum.Other
+			totals[sum.Target] = total
 		}
-		sum := other.sums[target]
-		total.Urgent += sum.Urgent
-		total.Other += sum.Other
 	}
-	total.Urgent *= x.factor
-	total.Other *= x.factor
+	x.totals = totals
+}
+
+// Elsewhere returns what the linked daemons have outstanding at an engine.
+func (x *Exchange) Elsewhere(target ident.Target) Outstanding {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	total := x.totals[target]
+	total.Target = target
 	return total
 }
 
@@ -123,7 +127,7 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			x.weigh()
+			x.look(now)
 			own := x.opts.Own()
 			same := len(own.Placed)+len(own.Away) == 0 && slices.Equal(own.Outstanding, last)
 			if same && (len(last) == 0 || now.Sub(sentAt) < repeatEvery) {
@@ -135,15 +139,20 @@
 	}
 }
 
-// weigh reckons how many daemons each linked one stands for.
-func (x *Exchange) weigh() {
+// look leaves out daemons that have fallen silent, and reckons which part of the
+// others is linked.
+func (x *Exchange) look(now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	known := len(x.others)
+	maps.DeleteFunc(x.others, func(_ ident.Host, other told) bool { return now.Sub(other.at) > silentAfter })
+	if len(x.others) < known {
+		x.addUp()
+	}
 	if x.links == nil {
 		return
 	}
-	linked := max(1, len(x.links.Linked()))
-	x.factor = max(1, float64(x.opts.Daemons()-1)/float64(linked))
+	x.linked = min(1, float64(len(x.links.Linked()))/float64(max(1, x.opts.Daemons()-1)))
 }
 
 // Told returns the part of the other daemons that this one is linked to, from 0
@@ -151,7 +160,7 @@
 func (x *Exchange) Told() float64 {
 	x.mu.RLock()
 	defer x.mu.RUnlock()
-	return 1 / x.factor
+	return x.linked
 }
 
 // send tells every linked daemon.
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -36,9 +36,10 @@
 	placed []backlog.Placed
 	// away are the engines that others are still to be told of.
 	away []backlog.Away
-	// scores and depths are reused by each decision.
-	scores []score
-	depths [prefix.MaxEngines]int32
+	// outlook, scores and depths are reused by each decision.
+	outlook outlook
+	scores  []score
+	depths  [prefix.MaxEngines]int32
 }
 
 var _ Router = (*ModelRouter)(nil)
--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -20,8 +20,8 @@
 	Now   func() time.Time
 	// Daemons returns how many daemons serve, this one included.
 	Daemons func() int
-	// Elsewhere returns what other daemons have outstanding at an engine. Nil
-	// means that it is not known.
+	// Elsewhere returns what the daemons that tell it have outstanding at an
+	// engine. Nil means that it is not known.
 	Elsewhere func(target ident.Target) backlog.Outstanding
 	// Told returns the part of the other daemons that tell where they place
 	// prompts, from 0 to 1. Nil means that all do.
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -47,6 +47,7 @@
 	engines := snapshot.Model(req.Model)
 	known := r.findDepths(req)
 	home := r.home(snapshot, engines, req, knobs)
+	r.lookAround(snapshot, engines)
 	holder, held := r.holder(snapshot, engines, home, known, req)
 	for _, i := range engines {
 		state := &snapshot.Targets[i]
@@ -54,7 +55,7 @@
 			continue
 		}
 		e := estimateOf(state, r.own(i), r.daemons, knobs, now)
-		e.elsewhere(r, state, r.own(i), urgent(req))
+		e.elsewhere(r, i, state, urgent(req))
 		s := score{
 			target: i, role: state.Load.Role, slots: e.slots, occupied: e.occupied,
 			uncached: r.uncached(i, i == home, known, req, knobs, now), holder: -1,
--- a/pkg/routing/shared_test.go
+++ b/pkg/routing/shared_test.go
@@ -224,6 +224,39 @@
 	must.NoError(t, err)
 }
 
+// TestOverloadIsRefusedThoughFewDaemonsTell has every engine owe a second of
+// prompts to a large fleet, of which a daemon sees a fifth: most engines then
+// show nothing at all.
+func TestOverloadIsRefusedThoughFewDaemonsTell(t *testing.T) {
+	const owed = 2
+	p := newPattern(largeFleet)
+	random := rand.New(rand.NewPCG(3, 3))
+	sums := make(map[int]map[ident.Target]float64)
+	for i := range p.size.prefill + p.size.generate {
+		for range owed {
+			from := random.IntN(p.size.daemons)
+			if sums[from] == nil {
+				sums[from] = make(map[ident.Target]float64)
+			}
+			sums[from][ident.Target(fmt.Sprintf("e%02d", i))] += 17000
+		}
+	}
+	for from, owes := range sums {
+		var report backlog.Report
+		for target, tokens := range owes {
+			report.Outstanding = append(report.Outstanding, backlog.Outstanding{Target: target, Other: tokens})
+		}
+		p.reports[from] = report
+	}
+	placed := 0
+	for self, router := range p.routers {
+		if placement, err := router.Place(sharedPrompt(self, self), nil); err == nil && sums[self][placement.Target.Record.Target] == 0 {
+			placed++
+		}
+	}
+	must.LessEq(t, p.size.daemons/10, placed)
+}
+
 // TestShortPromptsStayWhereTheirAnswersAre places short and long prompts in an
 // idle fleet: a move costs more than a short prompt takes beside answers.
 func TestShortPromptsStayWhereTheirAnswersAre(t *testing.T) {
