Tell every daemon through the store which engines change their role

Before an order the keeper told only the sixteen daemons that it is linked to; the other sixty sent on, twice for each request. A daemon that had placed nothing yet forgot what it was told, since it kept no ledger of the engine.

Ruled out: engines without room (none of the rejections), a longer pause after a rejection (each daemon would still have to meet each engine once).

Change: where not all daemons are linked, the keeper writes one key that the watch brings to all (pkg/absence), waits for the watch's pause and then orders; where the write fails, no role changes. What is told is kept for engines that were not sent anything yet.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
+	"amaranthplank.example/amaranthplank/pkg/absence"
 	"amaranthplank.example/amaranthplank/pkg/admission"
 	"amaranthplank.example/amaranthplank/pkg/backlog"
 	"amaranthplank.example/amaranthplank/pkg/clock"
@@ -67,6 +68,7 @@
 	// links is nil until the links to other daemons are made.
 	links   atomic.Pointer[peer.Manager]
 	courier *tally.Courier
+	absence *absence.Board
 }
 
 // New returns a gateway that is ready to run.
@@ -88,9 +90,12 @@
 	})
 	g.courier = tally.NewCourier(opts.Store, opts.Log)
 	g.targets = registry.New(opts.Entries)
+	g.absence = absence.New(absence.Options{
+		Store: opts.Store, Heard: func(away []backlog.Away) { g.router.Models.LeaveOut(away) }, Log: opts.Log,
+	})
 	g.mirror = mirror.New(mirror.Options{
 		Store: opts.Store, Pause: mirror.PauseFor(opts.KnownWithin), Wait: mirror.DefaultWait, Log: opts.Log,
-	}, opts.Feed, g.targets, g.presence, g.counter)
+	}, opts.Feed, g.targets, g.presence, g.counter, g.absence)
 	g.backlog = backlog.New(backlog.Options{
 		Own:   func() backlog.Report { return g.router.Models.Report() },
 		Heard: func(report *backlog.Report) { g.router.Models.Heard(report) }, Daemons: g.presence.Daemons, Log: opts.Log,
--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -26,11 +26,9 @@
 	pendingFor = 14 * time.Second
 	// orderTimeout bounds one call.
 	orderTimeout = time.Second
-	// announceTime is how long before its order an engine gets nothing new, and
-	// awayMargin how much longer than a change it is left out unless its new
-	// role is seen.
-	announceTime = 150 * time.Millisecond
-	awayMargin   = 2 * time.Second
+	// awayMargin is how much longer than a change an engine is left out unless
+	// its new role is seen.
+	awayMargin = 2 * time.Second
 	// awayShare is the share of a model's engines that may change at once.
 	awayShare = 0.34
 )
@@ -42,8 +40,9 @@
 	// Share returns the share of a model's engines that compute prompts alone;
 	// negative leaves the roles as they are.
 	Share func(model ident.Model) float64
-	// Away has nothing sent to an engine for a while, at all daemons.
-	Away func(target ident.Target, d time.Duration)
+	// Away has nothing sent to engines for a while, at all daemons, and returns
+	// once they know. Where it fails they may not.
+	Away func(ctx context.Context, targets []ident.Target, d time.Duration) error
 	// SwitchTime returns how long an engine of a model is away to change.
 	SwitchTime func(model ident.Model) time.Duration
 	// Settled reports whether the engines are those that are to stay; until
@@ -127,7 +126,10 @@
 	}
 	room := max(1, int(awayShare*float64(len(engines)))) - away
 	changes = changes[:max(0, min(room, len(changes)))]
-	k.announce(ctx, model, changes)
+	if err := k.announce(ctx, model, changes); err != nil {
+		k.opts.Log.Info("role changes put off, not all daemons know of them", "model", model, "changes", len(changes), "error", err)
+		return err
+	}
 	for _, change := range changes {
 		if err := k.order(ctx, authority, snapshot.Target(change.Target), change.Role); err != nil {
 			return err
@@ -137,15 +139,16 @@
 }
 
 // announce has the daemons send nothing more to engines that are about to
-// change, and waits until they have heard of it.
-func (k *Keeper) announce(ctx context.Context, model ident.Model, changes []Change) {
+// change.
+func (k *Keeper) announce(ctx context.Context, model ident.Model, changes []Change) error {
 	if len(changes) == 0 {
-		return
+		return nil
 	}
-	for _, change := range changes {
-		k.opts.Away(change.Target, k.opts.SwitchTime(model)+awayMargin)
+	targets := make([]ident.Target, len(changes))
+	for i := range changes {
+		targets[i] = changes[i].Target
 	}
-	clock.Sleep(ctx, announceTime)
+	return k.opts.Away(ctx, targets, k.opts.SwitchTime(model)+awayMargin)
 }
 
 // engines returns a model's engines with the roles that they have or are
--- a/pkg/rolekeeper/keeper_test.go
+++ b/pkg/rolekeeper/keeper_test.go
@@ -24,6 +24,8 @@
 	roles map[ident.Target]fleet.Role
 	taken map[ident.Target]uint64
 	away  map[ident.Target]time.Time
+	// untold fails the announcements.
+	untold error
 	// err is what the next orders answer; late has them carried out all the
 	// same after a while.
 	err  error
@@ -106,7 +108,7 @@
 	change(p)
 	keeper := New(Options{
 		View: p, Orderer: p, Share: func(ident.Model) float64 { return share }, Settled: func() bool { return true },
-		Away:       func(target ident.Target, d time.Duration) { p.away[target] = time.Now().Add(d) },
+		Away:       p.leaveOut,
 		SwitchTime: func(ident.Model) time.Duration { return 3 * time.Second }, Log: slog.New(slog.DiscardHandler),
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), d)
@@ -116,6 +118,32 @@
 	return p
 }
 
+// noticeTime is how long daemons take to hear that engines are left out.
+const noticeTime = 1500 * time.Millisecond
+
+// leaveOut has nothing sent to engines from a while on.
+func (p *plant) leaveOut(_ context.Context, targets []ident.Target, d time.Duration) error {
+	if p.untold != nil {
+		return p.untold
+	}
+	time.Sleep(noticeTime)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, target := range targets {
+		p.away[target] = time.Now().Add(d)
+	}
+	return nil
+}
+
+// TestNoEngineChangesThatDaemonsWereNotToldOf has the announcements fail.
+func TestNoEngineChangesThatDaemonsWereNotToldOf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := keep(t, 0.7, &authority{}, 30*time.Second, func(p *plant) { p.untold = external.ErrStoreUnavailable })
+		must.Eq(t, 0, p.count())
+		must.Eq(t, 0, p.most)
+	})
+}
+
 // count returns how many engines compute prompts alone.
 func (p *plant) count() (n int) {
 	for _, role := range p.roles {
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -185,19 +185,31 @@
 	return report
 }
 
-// Away has nothing sent to an engine for a while, here and, by the next report,
-// at the other daemons. It ends once the engine shows another role.
-func (r *ModelRouter) Away(target ident.Target, d time.Duration) {
+// Away has nothing sent to engines for a while, here and, by the next report, at
+// the daemons that are told. It ends once an engine shows another role.
+func (r *ModelRouter) Away(away []backlog.Away) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.leaveOut(target, d)
-	r.away = append(r.away, backlog.Away{Target: target, Millis: d.Milliseconds()})
+	r.leaveOut(away)
+	r.away = append(r.away, away...)
 }
 
-// leaveOut has nothing sent to an engine for a while.
-func (r *ModelRouter) leaveOut(target ident.Target, d time.Duration) {
-	if own, ok := r.ledgers[target]; ok {
-		own.awayUntil = r.opts.Now().Add(d)
+// LeaveOut has nothing sent to engines for a while, here alone.
+func (r *ModelRouter) LeaveOut(away []backlog.Away) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaveOut(away)
+}
+
+// leaveOut has nothing sent to engines for a while. They may be new, so that the
+// newest view is taken in first.
+func (r *ModelRouter) leaveOut(away []backlog.Away) {
+	r.refresh()
+	now := r.opts.Now()
+	for _, a := range away {
+		if own, ok := r.ledgers[a.Target]; ok {
+			own.awayUntil = now.Add(time.Duration(a.Millis) * time.Millisecond)
+		}
 	}
 }
 
@@ -212,9 +224,7 @@
 			own.prompts.add(placed[i].Blocks, now, keep)
 		}
 	}
-	for _, away := range report.Away {
-		r.leaveOut(away.Target, time.Duration(away.Millis)*time.Millisecond)
-	}
+	r.leaveOut(report.Away)
 }
 
 // maxPlaced bounds the prompts that wait for the next report. Those beyond it
--- a/pkg/routing/shared_test.go
+++ b/pkg/routing/shared_test.go
@@ -257,6 +257,34 @@
 	must.LessEq(t, p.size.daemons/10, placed)
 }
 
+// TestEnginesThatAreAwayGetNothing has the store tell of engines that change
+// their role, until they show the new one.
+func TestEnginesThatAreAwayGetNothing(t *testing.T) {
+	p := newPattern(smallFleet)
+	router := p.routers[0]
+	var away []backlog.Away
+	for i := range p.size.prefill - 1 {
+		away = append(away, backlog.Away{Target: ident.Target(fmt.Sprintf("e%02d", i)), Millis: 5000})
+	}
+	router.LeaveOut(away)
+	for own := range 20 {
+		placement, err := router.Place(sharedPrompt(own, own), nil)
+		must.NoError(t, err)
+		must.Eq(t, "e07", string(placement.Target.Record.Target))
+		router.Done(sharedPrompt(own, own), placement.Target.Record.Target)
+	}
+	must.SliceEmpty(t, router.Report().Away, must.Sprint("the others hear it themselves"))
+	p.now = p.now.Add(6 * time.Second)
+	seen := make(map[ident.Target]bool)
+	for own := range 40 {
+		placement, err := router.Place(sharedPrompt(1000+own, own), nil)
+		must.NoError(t, err)
+		seen[placement.Target.Record.Target] = true
+		router.Done(sharedPrompt(1000+own, own), placement.Target.Record.Target)
+	}
+	must.Greater(t, 4, len(seen))
+}
+
 // TestShortPromptsStayWhereTheirAnswersAre places short and long prompts in an
 // idle fleet: a move costs more than a short prompt takes beside answers.
 func TestShortPromptsStayWhereTheirAnswersAre(t *testing.T) {
