Correct the true time of daemons that start with a stepped clock

Cause: usage windows are cut by a clock that never steps, but its start is the time of day.

Ruled out: the time to list 85 checkpoints, and the wait for the life that was killed (a window is closed 8 s after its end, due after 10 s).

--- a/pkg/backlog/exchange.go
+++ b/pkg/backlog/exchange.go
@@ -35,7 +35,7 @@
 	// Own returns the daemon's own report.
 	Own func() Report
 	// Heard takes in what another daemon tells besides its sums.
-	Heard func(report *Report)
+	Heard func(from ident.Host, report *Report)
 	// Daemons counts the daemons of the fleet, this one included.
 	Daemons func() int
 	Log     *slog.Logger
@@ -83,9 +83,7 @@
 		x.opts.Log.Debug("backlog message skipped", "peer", from, "error", err)
 		return
 	}
-	if len(report.Placed)+len(report.Away) > 0 {
-		x.opts.Heard(&report)
-	}
+	x.opts.Heard(from, &report)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.others[from] = told{at: time.Now(), sums: report.Outstanding}
--- a/pkg/backlog/exchange_test.go
+++ b/pkg/backlog/exchange_test.go
@@ -72,7 +72,7 @@
 	return report
 }
 
-func (s *source) hear(report *Report) {
+func (s *source) hear(_ ident.Host, report *Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.heard = append(s.heard, report.Placed...)
--- a/pkg/backlog/report.go
+++ b/pkg/backlog/report.go
@@ -4,6 +4,8 @@
 
 // Report is what a daemon tells the others.
 type Report struct {
+	// Time is the daemon's true time in milliseconds since 1970.
+	Time int64
 	// Outstanding are the daemon's sums, without empty ones.
 	Outstanding []Outstanding
 	// Placed are the prompts that it has sent to engines since its last report,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -57,6 +57,7 @@
 	// incarnation rises with each start of the host's process.
 	incarnation ident.Incarnation
 	time        *tally.TrueTime
+	agreement   *tally.Agreement
 	counter     *tally.Counter
 	presence    *presence.View
 	announcer   *presence.Announcer
@@ -80,6 +81,7 @@
 	g.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.incarnation = ident.Incarnation(time.Now().UnixNano())
 	g.time = tally.NewTrueTime(clock.Boot{})
+	g.agreement = tally.NewAgreement(g.time, opts.Log)
 	g.presence = presence.NewView(opts.Host, opts.Log)
 	g.announcer = presence.NewAnnouncer(opts.Store, presence.Record{
 		Host: opts.Host, FailureDomain: opts.FailureDomain, Incarnation: g.incarnation, Address: opts.PeerListener.Addr().String(),
@@ -97,8 +99,7 @@
 		Store: opts.Store, Pause: mirror.PauseFor(opts.KnownWithin), Wait: mirror.DefaultWait, Log: opts.Log,
 	}, opts.Feed, g.targets, g.presence, g.counter, g.absence)
 	g.backlog = backlog.New(backlog.Options{
-		Own:   func() backlog.Report { return g.router.Models.Report() },
-		Heard: func(report *backlog.Report) { g.router.Models.Heard(report) }, Daemons: g.presence.Daemons, Log: opts.Log,
+		Own: g.report, Heard: g.heard, Daemons: g.presence.Daemons, Log: opts.Log,
 	})
 	g.router = routing.New(routing.Options{
 		View: g.targets, Domain: opts.FailureDomain, Now: time.Now, Random: newRandom(),
--- a/pkg/gateway/away.go
+++ b/pkg/gateway/telling.go
@@ -18,6 +18,19 @@
 	followNotice = 300 * time.Millisecond
 )
 
+// report returns what the daemon tells those that it is linked to.
+func (g *Gateway) report() backlog.Report {
+	report := g.router.Models.Report()
+	report.Time = g.time.Now().UnixMilli()
+	return report
+}
+
+// heard takes in what a linked daemon tells.
+func (g *Gateway) heard(from ident.Host, report *backlog.Report) {
+	g.agreement.Heard(from, time.UnixMilli(report.Time))
+	g.router.Models.Heard(report)
+}
+
 // announceAway has nothing sent to engines for a while, at all daemons, and
 // returns once they know. Daemons that are not all linked are told through the
 // store; it fails where that can't be written.
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -217,6 +217,9 @@
 // Heard takes in what another daemon told.
 func (r *ModelRouter) Heard(report *backlog.Report) {
 	placed := report.Placed
+	if len(placed)+len(report.Away) == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, keep := r.opts.Now(), r.opts.Knobs().PromptMemory.D()
--- a/pkg/tally/window.go
+++ b/pkg/tally/window.go
@@ -1,6 +1,7 @@
 package tally
 
 import (
+	"sync/atomic"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
@@ -24,17 +25,22 @@
 // day at its start.
 type TrueTime struct {
 	clock clock.Clock
-	// offset is the time of day at the clock's zero.
-	offset time.Time
+	// zero is the time of day at the clock's zero, in nanoseconds since 1970.
+	zero atomic.Int64
 }
 
 // NewTrueTime returns a clock that starts from the present time of day.
 func NewTrueTime(c clock.Clock) *TrueTime {
-	return &TrueTime{clock: c, offset: time.Now().Add(-c.Now())}
+	t := &TrueTime{clock: c}
+	t.zero.Store(time.Now().UnixNano() - int64(c.Now()))
+	return t
 }
 
 // Now returns the time of day.
-func (t *TrueTime) Now() time.Time { return t.offset.Add(t.clock.Now()) }
+func (t *TrueTime) Now() time.Time { return time.Unix(0, t.zero.Load()+int64(t.clock.Now())) }
+
+// shift corrects the time of day.
+func (t *TrueTime) shift(by time.Duration) { t.zero.Add(int64(by)) }
 
 // windowOf returns the window that a time falls into.
 func windowOf(at time.Time, length time.Duration) Window {
