Split the making of a gateway by what its parts talk to

The function had grown to sixty lines. Checkpoints of another format are left alone instead of being told as unreadable.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -75,13 +75,30 @@
 // New returns a gateway that is ready to run.
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
-	opts.Store = storemeter.New(opts.Store, g.registry)
-	g.opts.Store = opts.Store
+	g.opts.Store = storemeter.New(opts.Store, g.registry)
 	g.ApplyLimits(opts.Limits)
 	g.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.incarnation = ident.Incarnation(time.Now().UnixNano())
 	g.time = tally.NewTrueTime(clock.Boot{})
 	g.agreement = tally.NewAgreement(g.time, opts.Log)
+	g.targets = registry.New(opts.Entries)
+	g.useStore()
+	g.usePeers()
+	g.route()
+	g.metrics = g.registerMetrics()
+	g.duties = g.newDuties()
+	g.callers = drain.New(drain.Options{
+		Server: entry.NewServer(g.newHandler()), Listener: opts.Listener, Log: opts.Log,
+		BalancerDelay: opts.StopGrace * balancerShare / graceParts, LatestClose: opts.StopGrace * closeShare / graceParts,
+		AtStart: []drain.Hook{{Name: "hand over the duties", Run: g.duties.handOver}},
+		AtEnd:   []drain.Hook{{Name: "write the last usage", Run: g.counter.Leave}},
+	})
+	return g
+}
+
+// useStore makes the parts that write to the store and those that follow it.
+func (g *Gateway) useStore() {
+	opts := &g.opts
 	g.presence = presence.NewView(opts.Host, opts.Log)
 	g.announcer = presence.NewAnnouncer(opts.Store, presence.Record{
 		Host: opts.Host, FailureDomain: opts.FailureDomain, Incarnation: g.incarnation, Address: opts.PeerListener.Addr().String(),
@@ -91,16 +108,24 @@
 		Daemons: g.presence.Daemons, HandOver: g.handOver, Log: opts.Log,
 	})
 	g.courier = tally.NewCourier(opts.Store, opts.Log)
-	g.targets = registry.New(opts.Entries)
 	g.absence = absence.New(absence.Options{
 		Store: opts.Store, Heard: func(away []backlog.Away) { g.router.Models.LeaveOut(away) }, Log: opts.Log,
 	})
 	g.mirror = mirror.New(mirror.Options{
 		Store: opts.Store, Pause: mirror.PauseFor(opts.KnownWithin), Wait: mirror.DefaultWait, Log: opts.Log,
 	}, opts.Feed, g.targets, g.presence, g.counter, g.absence)
+}
+
+// usePeers makes the part that talks to linked daemons. The links come later.
+func (g *Gateway) usePeers() {
 	g.backlog = backlog.New(backlog.Options{
-		Own: g.report, Heard: g.heard, Daemons: g.presence.Daemons, Log: opts.Log,
+		Own: g.report, Heard: g.heard, Daemons: g.presence.Daemons, Log: g.opts.Log,
 	})
+}
+
+// route makes the parts that choose targets and carry requests to them.
+func (g *Gateway) route() {
+	opts := &g.opts
 	g.router = routing.New(routing.Options{
 		View: g.targets, Domain: opts.FailureDomain, Now: time.Now, Random: newRandom(),
 		Knobs:   func() *config.RoutingKnobs { return &g.knobs(config.Selector{}).Routing },
@@ -112,15 +137,6 @@
 		Log: opts.Log, Registerer: g.registry, Began: g.counter.Begun,
 		Budget: g.retryBudget,
 	})
-	g.metrics = g.registerMetrics()
-	g.duties = g.newDuties()
-	g.callers = drain.New(drain.Options{
-		Server: entry.NewServer(g.newHandler()), Listener: opts.Listener, Log: opts.Log,
-		BalancerDelay: opts.StopGrace * balancerShare / graceParts, LatestClose: opts.StopGrace * closeShare / graceParts,
-		AtStart: []drain.Hook{{Name: "hand over the duties", Run: g.duties.handOver}},
-		AtEnd:   []drain.Hook{{Name: "write the last usage", Run: g.counter.Leave}},
-	})
-	return g
 }
 
 const (
--- a/pkg/gateway/handover.go
+++ b/pkg/gateway/handover.go
@@ -40,7 +40,7 @@
 
 // takeUsage takes in another daemon's checkpoint.
 func (g *Gateway) takeUsage(from ident.Host, message peer.Message) {
-	if message.Version > handoverVersion {
+	if message.Version != handoverVersion {
 		return
 	}
 	var parcel tally.Parcel
