Pass over targets that can't be connected to without counting an attempt

Cause: a request that may be sent to one target was given up when that target could not be connected to, though nothing had been sent.

Ruled out: the retries' budget (nothing is an arrival that does not arrive), and the pause after a failure, since each of 85 daemons has to meet each engine.

Change: up to three targets that can't be connected to are passed over; they count neither as attempts nor against the budget, for prompts too. Those beyond count.

--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -125,7 +125,7 @@
 		c.relay.opts.Router.Done(c.req, placement.Decode.Record.Target)
 		c.failedAt = append(c.failedAt, placement.Target.Record.Target)
 		failure := failureOf(err)
-		if failure == retry.CallerGone || failure == retry.DeadlinePassed || !c.run.Prompt(time.Now()) {
+		if failure == retry.CallerGone || failure == retry.DeadlinePassed || !c.run.Prompt(failure, time.Now()) {
 			return nil, notRunError(failure, err)
 		}
 	}
--- a/pkg/retry/run.go
+++ b/pkg/retry/run.go
@@ -8,8 +8,11 @@
 	allowed Allowed
 	limits  Limits
 	budget  *Budget
-	// attempts counts the attempts that were begun.
+	// attempts counts the attempts that were begun, but for unreached of them.
 	attempts int
+	// unreached counts targets that nothing was sent to, since they could not be
+	// connected to. At most maxUnreached are counted.
+	unreached int
 	// prompts counts the tries at a prompt that failed.
 	prompts int
 	// resumes counts the resumes since the last event.
@@ -43,17 +46,35 @@
 }
 
 // Prompt reports whether a prompt that failed to be computed apart may be tried
-// at one more target, and takes the try from the budget.
-func (r *Run) Prompt(now time.Time) bool {
-	r.prompts++
-	if r.prompts >= maxPrompts || now.Add(r.limits.LeastTime).After(r.limits.Deadline) {
+// at one more target, and takes the try from the budget unless nothing was sent.
+func (r *Run) Prompt(failure Failure, now time.Time) bool {
+	if now.Add(r.limits.LeastTime).After(r.limits.Deadline) {
 		return false
 	}
-	return r.budget.Withdraw()
+	if failure == ConnectFailed && r.mayPass() {
+		return true
+	}
+	r.prompts++
+	return r.prompts < maxPrompts && r.budget.Withdraw()
 }
 
-// maxPrompts bounds the targets that one request's prompt is tried at.
-const maxPrompts = 2
+const (
+	// maxPrompts bounds the targets that one request's prompt is sent to.
+	maxPrompts = 2
+	// maxUnreached bounds the targets that one request passes over because they
+	// can't be connected to. Those beyond it count as attempts.
+	maxUnreached = 3
+)
+
+// mayPass counts a target that could not be connected to, and reports whether
+// it may be passed over.
+func (r *Run) mayPass() bool {
+	if r.unreached >= maxUnreached {
+		return false
+	}
+	r.unreached++
+	return true
+}
 
 // Progress tells that the attempt has brought something new.
 func (r *Run) Progress() { r.resumes = 0 }
@@ -65,6 +86,9 @@
 // asks for more than the limits allow, the request ends.
 func (r *Run) Failed(phase Phase, failure Failure, now time.Time) Decision {
 	r.reached = r.reached || (phase != Unsent && failure != Rejected)
+	if phase == Unsent && failure == ConnectFailed && r.mayPass() {
+		r.attempts--
+	}
 	decision := Decide(r.allowed, phase, failure)
 	if decision == Resume && !r.mayResume(now) {
 		decision = Decide(r.allowed, phase, StreamGone)
