Free a stopping holder's duty also when the store returns late

Change: the release is repeated with a backoff until 13/16 of the time to stop. The planned stop no longer waits for it, so that callers are let go in time.

--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -25,21 +25,20 @@
 type duties struct {
 	leases *lease.Manager
 	works  map[ident.Duty]lease.Work
-	// stopping ends the competition; released is closed once every duty is.
+	// stopping ends the competition.
 	stopping context.Context
 	stop     context.CancelFunc
-	released chan struct{}
 }
 
 // newDuties returns the process's duties.
 func (g *Gateway) newDuties() *duties {
-	d := &duties{released: make(chan struct{})}
+	d := &duties{}
 	d.stopping, d.stop = context.WithCancel(context.Background())
 	d.leases = lease.NewManager(lease.Options{
 		Host: g.opts.Host, Incarnation: g.incarnation, FailureDomain: g.opts.FailureDomain,
 		Store: g.opts.Store, Clock: clock.Boot{}, Members: g.presence, Random: newRandom(),
 		Ready: func() bool { return g.ready() == nil },
-		Terms: terms(g.opts.LeaseTerm), Log: g.opts.Log, Registerer: g.registry,
+		Terms: terms(g.opts.LeaseTerm, g.opts.StopGrace), Log: g.opts.Log, Registerer: g.registry,
 	})
 	reporter := &tally.Reporter{
 		Store: g.opts.Store, Sink: g.opts.Sink, Time: g.time, Window: g.opts.UsageWindow, Due: g.opts.UsageDue, Log: g.opts.Log,
@@ -70,11 +69,12 @@
 )
 
 // terms returns the times that the duties' leases run by.
-func terms(leaseTerm time.Duration) lease.Terms {
+func terms(leaseTerm, stopGrace time.Duration) lease.Terms {
 	t := lease.DefaultTerms()
 	t.TTL = max(leastTerm, leaseTerm)
 	t.RenewEvery = t.TTL / leaseParts
 	t.PollEvery, t.RankWait, t.CallTimeout = dutyPoll, rankWait, dutyCall
+	t.ReleaseFor = stopGrace * releaseShare / graceParts
 	return t
 }
 
@@ -103,9 +103,9 @@
 	}
 }
 
-// run competes for the duties until ctx ends or they are handed over.
+// run competes for the duties until ctx ends or they are handed over, and returns
+// once they are released.
 func (d *duties) run(ctx context.Context) error {
-	defer close(d.released)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(d.stopping, cancel)()
@@ -116,13 +116,9 @@
 	return group.Wait()
 }
 
-// handOver releases the duties, so that other daemons take them at once.
-func (d *duties) handOver(ctx context.Context) error {
+// handOver has the duties released, so that other daemons take them at once. It
+// doesn't wait, since callers are to be let go also while the store is out.
+func (d *duties) handOver(context.Context) error {
 	d.stop()
-	select {
-	case <-d.released:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
+	return nil
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -141,10 +141,12 @@
 
 const (
 	// graceParts divides the time to stop; the balancer has looked away after
-	// balancerShare parts, and the listener closes after closeShare at the latest.
+	// balancerShare parts, the listener closes after closeShare at the latest, and
+	// duties that can't be released by releaseShare are left to lapse.
 	graceParts    = 16
 	balancerShare = 5
 	closeShare    = 10
+	releaseShare  = 13
 )
 
 // newHandler returns the callers' handler.
--- a/pkg/lease/contest.go
+++ b/pkg/lease/contest.go
@@ -38,7 +38,7 @@
 	case ActionAcquire:
 		c.acquire(ctx)
 	case ActionClear:
-		c.manager.remove(ctx, c.duty, version)
+		c.manager.clear(ctx, c.duty, version)
 		c.pause(ctx)
 	case ActionAdopt:
 		if t := c.manager.session.live(); t != nil && t.id == look.Lease {
--- a/pkg/lease/hold.go
+++ b/pkg/lease/hold.go
@@ -100,12 +100,14 @@
 
 // after releases the duty, or counts its loss.
 func (c *contest) after(ctx context.Context, end ending, version external.Version) {
-	if end == endingLost {
+	switch end {
+	case endingLost:
 		c.manager.metrics.losses.Inc()
-		return
-	}
-	c.manager.remove(ctx, c.duty, version)
-	if ctx.Err() == nil {
+	case endingStopped:
+		c.manager.release(c.duty, version)
+	case endingReturned:
+		// Where this fails, the next look adopts the duty again.
+		c.manager.clear(ctx, c.duty, version)
 		c.pause(ctx)
 	}
 }
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -7,8 +7,10 @@
 	"sync/atomic"
 	"time"
 
-	"amaranthplank.example/amaranthplank/pkg/clock"
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/duty"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
@@ -128,12 +130,50 @@
 	return entry.Version, nil
 }
 
+// release frees a duty of a process that stops. It goes on through an outage of
+// the store, since the key's lease may stand still meanwhile.
+func (m *Manager) release(d ident.Duty, version external.Version) {
+	ctx, cancel := context.WithTimeout(context.Background(), m.terms.ReleaseFor)
+	defer cancel()
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = firstReleaseRetry
+	retry.MaxInterval = longestReleaseRetry
+	for {
+		err := m.remove(ctx, d, version)
+		if err == nil {
+			return
+		}
+		clock.Sleep(ctx, retry.NextBackOff())
+		if ctx.Err() != nil {
+			m.opts.Log.Info("duty left to lapse", "duty", d, "error", err)
+			return
+		}
+	}
+}
+
+const (
+	// firstReleaseRetry and longestReleaseRetry bound the pauses between the tries
+	// to free a duty.
+	firstReleaseRetry   = 100 * time.Millisecond
+	longestReleaseRetry = 400 * time.Millisecond
+)
+
 // remove frees a duty's key if it still stands at the given version. The key's
 // lease frees it where this fails.
-func (m *Manager) remove(ctx context.Context, d ident.Duty, version external.Version) {
+func (m *Manager) remove(ctx context.Context, d ident.Duty, version external.Version) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), m.terms.CallTimeout)
 	defer cancel()
-	if err := m.opts.Store.Delete(ctx, KeyOf(d), version); err != nil {
-		m.opts.Log.Info("duty left to lapse", "duty", d, "error", err)
+	err := m.opts.Store.Delete(ctx, KeyOf(d), version)
+	if errors.Is(err, external.ErrVersionConflict) {
+		return nil
+	}
+	return err
+}
+
+// clear frees a duty's key once. Where that fails, the next look sees the key
+// again.
+func (m *Manager) clear(ctx context.Context, d ident.Duty, version external.Version) {
+	if err := m.remove(ctx, d, version); err != nil {
+		m.opts.Log.Info("duty not freed", "duty", d, "error", err)
 	}
 }
--- a/pkg/lease/manager_test.go
+++ b/pkg/lease/manager_test.go
@@ -200,3 +200,28 @@
 		must.MapEmpty(t, w.store.Counts())
 	})
 }
+
+// TestPlannedStopInAnOutageHandsOverAtItsEnd has the store be out when the holder
+// stops and for a while after it.
+func TestPlannedStopInAnOutageHandsOverAtItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		terms := lease.DefaultTerms()
+		w := newWorld(newStore(), 4, 1, terms, evenRate)
+		w.start()
+		w.advance(10 * time.Second)
+		first := w.holder()
+		w.store.Set(faultstore.Faults{Down: true})
+		first.cancel()
+		w.advance(terms.ReleaseFor / 3)
+		w.store.Set(faultstore.Faults{})
+		back := time.Now()
+		w.advance(terms.ReleaseFor / 3)
+		first.process.Kill()
+		w.advance(10 * time.Second)
+		w.stop()
+		list := w.acquired[w.duties[0]]
+		must.SliceLen(t, 2, list)
+		must.Less(t, terms.TTL/2, list[1].at.Sub(back))
+		must.NoError(t, w.violation())
+	})
+}
--- a/pkg/lease/terms.go
+++ b/pkg/lease/terms.go
@@ -27,6 +27,8 @@
 	MarginFixed time.Duration
 	// CallTimeout bounds one call to the store.
 	CallTimeout time.Duration
+	// ReleaseFor is how long a holder that stops goes on trying to free its duty.
+	ReleaseFor time.Duration
 }
 
 // DefaultTerms returns the terms of a production run.
@@ -42,6 +44,7 @@
 		ClockRate:   0.01,
 		MarginFixed: 50 * time.Millisecond,
 		CallTimeout: 2 * time.Second,
+		ReleaseFor:  6 * time.Second,
 	}
 }
 
