Close usage windows without waiting for daemons that are known to be gone

Cause: a killed daemon's checkpoint says nothing of the windows after it, so that each was held for 8.4 s of the 10 s to report in, for 20 s long.

Ruled out: forgetting silent daemons sooner, which would drop the counts of those that are cut off for a while and come back.

Change: a life is over where its host has a newer one, or where its key has been gone for six seconds while the store was followed. What it left with another daemon is written within 7.5 s of its last checkpoint and is still waited for. A window that is closed without some counts logs the hosts.

--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -41,7 +41,8 @@
 		Terms: terms(g.opts.LeaseTerm, g.opts.StopGrace), Log: g.opts.Log, Registerer: g.registry,
 	})
 	reporter := &tally.Reporter{
-		Store: g.opts.Store, Sink: g.opts.Sink, Time: g.time, Window: g.opts.UsageWindow, Due: g.opts.UsageDue, Log: g.opts.Log,
+		Store: g.opts.Store, Sink: g.opts.Sink, Time: g.time, Window: g.opts.UsageWindow, Due: g.opts.UsageDue,
+		Ended: g.presence.Ended, Log: g.opts.Log,
 	}
 	supply := supplykeeper.New(supplykeeper.Options{
 		View: g.targets, Orderer: g.opts.Supplier, Config: g.opts.Published, Log: g.opts.Log,
--- a/pkg/presence/presence_test.go
+++ b/pkg/presence/presence_test.go
@@ -193,3 +193,36 @@
 		must.Eq(t, 1, v.Daemons())
 	})
 }
+
+// TestEndedLivesAreTold has a daemon killed, another start again, and a view that
+// has only begun to follow the store.
+func TestEndedLivesAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := NewView("self", quiet)
+		must.False(t, v.Ended("one", 1), must.Sprint("nothing was read"))
+		entries := make([]external.Entry, 0, 2)
+		for _, host := range []ident.Host{"one", "two"} {
+			record := Record{Host: host, Incarnation: 5}
+			value, err := record.encode()
+			must.NoError(t, err)
+			entries = append(entries, external.Entry{Key: record.key(), Value: value})
+		}
+		v.Apply(entries, true, time.Now())
+		must.True(t, v.Ended("two", 4), must.Sprint("a newer life is there"))
+		must.False(t, v.Ended("two", 5))
+		must.False(t, v.Ended("three", 1), must.Sprint("its key may only be missing after an outage"))
+		time.Sleep(lingerFor + time.Second)
+		must.True(t, v.Ended("three", 1))
+		v.Apply([]external.Entry{{Key: entries[0].Key, Deleted: true}}, false, time.Now())
+		must.False(t, v.Ended("one", 5), must.Sprint("it lingers"))
+		time.Sleep(lingerFor + time.Second)
+		v.Apply(nil, false, time.Now())
+		must.True(t, v.Ended("one", 5))
+		v.Outage(time.Now(), time.Time{})
+		must.False(t, v.Ended("three", 1))
+		v.Outage(time.Now().Add(-time.Minute), time.Now())
+		must.False(t, v.Ended("three", 1))
+		time.Sleep(lingerFor + time.Second)
+		must.True(t, v.Ended("three", 1))
+	})
+}
--- a/pkg/presence/view.go
+++ b/pkg/presence/view.go
@@ -24,6 +24,9 @@
 	// outage says that the store can't be read, so that nobody is taken for
 	// gone.
 	outage bool
+	// followedSince is when the store was first read whole, or again after an
+	// outage; zero while it can't be read.
+	followedSince time.Time
 }
 
 // sighting is what is known of one life of a daemon.
@@ -48,6 +51,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.outage = ended.IsZero()
+	v.followedSince = ended
 	if !v.outage {
 		v.restartLinger(ended)
 	}
@@ -68,6 +72,9 @@
 func (v *View) Apply(entries []external.Entry, whole bool, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.followedSince.IsZero() {
+		v.followedSince = now
+	}
 	if whole {
 		for key := range v.hosts {
 			v.lost(key, now)
@@ -123,6 +130,25 @@
 	return !v.outage && !known.goneAt.IsZero() && now.Sub(known.goneAt) > lingerFor
 }
 
+// Ended reports whether a life of a daemon is over: the host has a newer one, or
+// its key has been gone for long. A view that has followed the store for a short
+// time can't tell, since daemons may have to write their keys again.
+func (v *View) Ended(host ident.Host, life ident.Incarnation) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	there := false
+	for _, known := range v.hosts {
+		if known.record.Host != host {
+			continue
+		}
+		if known.record.Incarnation > life {
+			return true
+		}
+		there = there || known.record.Incarnation == life
+	}
+	return !there && !v.outage && !v.followedSince.IsZero() && time.Since(v.followedSince) > lingerFor
+}
+
 // Members returns the other daemons that are there, each once.
 func (v *View) Members() []membership.Member {
 	v.mu.Lock()
--- a/pkg/tally/checkpoint.go
+++ b/pkg/tally/checkpoint.go
@@ -39,18 +39,37 @@
 // encode returns the checkpoint as the store keeps it.
 func encode(checkpoint *Checkpoint) ([]byte, error) { return json.Marshal(checkpoint) }
 
-// Sum adds up a window's counts over all checkpoints. Complete says that every
-// daemon that may still be alive has counted the whole window.
-func Sum(checkpoints []Checkpoint, window Window, end time.Time) (sum Counts, complete bool) {
-	sum, complete = make(Counts), true
+// Sum adds up a window's counts over all checkpoints.
+func Sum(checkpoints []Checkpoint, window Window) Counts {
+	sum := make(Counts)
 	for i := range checkpoints {
 		sum.add(checkpoints[i].Windows[window])
-		if !checkpoints[i].Left && checkpoints[i].Through.Before(end) && end.Sub(checkpoints[i].Through) < forgetAfter {
-			complete = false
+	}
+	return sum
+}
+
+// Awaited returns the hosts whose daemons may yet tell more of a window that
+// ended at the given time. Ended says of a life that it is known to be over; what
+// it left with another daemon is written within handOverTime.
+func Awaited(checkpoints []Checkpoint, end, now time.Time, ended func(host ident.Host, life ident.Incarnation) bool) []ident.Host {
+	var hosts []ident.Host
+	for i := range checkpoints {
+		checkpoint := &checkpoints[i]
+		if checkpoint.Left || !checkpoint.Through.Before(end) || end.Sub(checkpoint.Through) >= forgetAfter {
+			continue
+		}
+		if now.Sub(checkpoint.Through) >= handOverTime && ended(checkpoint.Host, checkpoint.Incarnation) {
+			continue
 		}
+		hosts = append(hosts, checkpoint.Host)
 	}
-	return sum, complete
+	return hosts
 }
 
-// forgetAfter is how long a daemon that writes no checkpoint is waited for.
-const forgetAfter = 20 * time.Second
+const (
+	// forgetAfter is how long a daemon that writes no checkpoint is waited for.
+	forgetAfter = 20 * time.Second
+	// handOverTime is how long after its last checkpoint a daemon that ended may
+	// still have another one write what it left there.
+	handOverTime = longestUnwritten + silentAfter + courierEvery
+)
--- a/pkg/tally/reporter.go
+++ b/pkg/tally/reporter.go
@@ -55,7 +55,10 @@
 	// it must be reported.
 	Window time.Duration
 	Due    time.Duration
-	Log    *slog.Logger
+	// Ended reports whether a life of a daemon is known to be over, so that
+	// nothing more of it is waited for.
+	Ended func(host ident.Host, life ident.Incarnation) bool
+	Log   *slog.Logger
 }
 
 // Work reports windows while the duty is held. It is a lease.Work.
@@ -134,11 +137,14 @@
 	if err != nil {
 		return nil, err
 	}
-	counts, complete := Sum(checkpoints, window, end)
-	if !complete && since < r.Due-reserve {
+	awaited := Awaited(checkpoints, end, r.Time.Now(), r.Ended)
+	if len(awaited) > 0 && since < r.Due-reserve {
 		return nil, nil
 	}
-	return &Closed{Window: window, Counts: counts}, nil
+	if len(awaited) > 0 {
+		r.Log.Warn("usage window closed without all counts", "window", window, "missing", awaited, "since", since)
+	}
+	return &Closed{Window: window, Counts: Sum(checkpoints, window)}, nil
 }
 
 // checkpoints reads all daemons' checkpoints. One that can't be read is left
--- a/pkg/tally/tally_test.go
+++ b/pkg/tally/tally_test.go
@@ -79,6 +79,14 @@
 	store *memstore.Store
 	time  *TrueTime
 	sink  *sink
+	// ended are the hosts whose daemons are known to be gone.
+	ended sync.Map
+}
+
+// over reports whether a daemon is known to be gone.
+func (w *world) over(host ident.Host, _ ident.Incarnation) bool {
+	_, ok := w.ended.Load(host)
+	return ok
 }
 
 // inWorld runs a test in fake time.
@@ -107,7 +115,8 @@
 // report runs a reporter until ctx ends.
 func (w *world) report(ctx context.Context, held *authority) {
 	reporter := &Reporter{
-		Store: w.store, Sink: w.sink, Time: w.time, Window: windowLength, Due: 10 * time.Second, Log: slog.New(slog.DiscardHandler),
+		Store: w.store, Sink: w.sink, Time: w.time, Window: windowLength, Due: 10 * time.Second,
+		Ended: w.over, Log: slog.New(slog.DiscardHandler),
 	}
 	_ = reporter.Work(ctx, held)
 }
@@ -196,6 +205,27 @@
 	})
 }
 
+// TestADaemonThatIsKnownToBeGoneIsNotWaitedFor kills a daemon whose end becomes
+// known: the windows after it are reported as soon as those of a whole fleet.
+func TestADaemonThatIsKnownToBeGoneIsNotWaitedFor(t *testing.T) {
+	inWorld(t, func(w *world) {
+		ctx, cancel := context.WithCancel(w.t.Context())
+		defer cancel()
+		dying, kill := context.WithCancel(ctx)
+		w.daemon(ctx, "one")
+		w.daemon(dying, "two")
+		go w.report(ctx, &authority{})
+		time.Sleep(6 * time.Second)
+		kill()
+		w.ended.Store(ident.Host("two"), true)
+		window := windowOf(w.time.Now(), windowLength) + 1
+		untilClosed := window.end(windowLength).Add(closeAfter + 2*reportEvery).Sub(w.time.Now())
+		time.Sleep(untilClosed)
+		reported, _ := w.sink.reported(window)
+		must.True(t, reported)
+	})
+}
+
 // TestALostWriteIsMadeGood has a write of the checkpoint take effect without an
 // answer.
 func TestALostWriteIsMadeGood(t *testing.T) {
