Give the reading of everything the time that it takes

Cause: a process that starts, or whose history was lost, reads the whole store in pages within the time of one watch, 0.7 s.

Ruled out: bounds for each page with tries of their own, which need more code in the adapter and let a store without keys block its followers.

Change: each further try to read everything gets twice the time, up to 10 s; watches keep theirs, on which leaving targets depend.

--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -23,6 +23,9 @@
 
 	// The rest belongs to the goroutine of Run.
 	cursor external.Cursor
+	// wait bounds the next call. It is longer than that of the options only while
+	// everything is read and that took too long before.
+	wait time.Duration
 	// failedAt is when the present outage was first met, or zero.
 	failedAt time.Time
 	retry    *backoff.ExponentialBackOff
@@ -33,7 +36,7 @@
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = firstRetry
 	retry.MaxInterval = longestRetry
-	return &Mirror{opts: opts, listeners: listeners, start: time.Now(), retry: retry}
+	return &Mirror{opts: opts, listeners: listeners, start: time.Now(), wait: opts.Wait, retry: retry}
 }
 
 // Run follows the store until ctx ends.
@@ -59,7 +62,7 @@
 
 // step makes one call and hands on what it brought.
 func (m *Mirror) step(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, m.opts.Wait)
+	call, cancel := context.WithTimeout(ctx, m.wait)
 	defer cancel()
 	sentAt := time.Now()
 	changes, err := m.opts.Store.Watch(call, m.opts.Prefix, m.cursor)
@@ -69,6 +72,7 @@
 	now := time.Now()
 	m.recovered(now)
 	m.cursor = changes.Next
+	m.wait = m.opts.Wait
 	m.retry.Reset()
 	for _, listener := range m.listeners {
 		m.feed(listener, changes, now)
@@ -98,6 +102,9 @@
 		m.cursor = external.StartCursor
 		return 0
 	}
+	if m.cursor == external.StartCursor && errors.Is(err, context.DeadlineExceeded) {
+		m.wait = min(longestLoad, loadGrowth*m.wait)
+	}
 	if m.failedAt.IsZero() {
 		m.failedAt = time.Now()
 		m.opts.Log.Warn("store lost", "error", err)
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -12,6 +12,7 @@
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
 )
 
@@ -241,3 +242,42 @@
 	cancel()
 	must.NoError(t, <-done)
 }
+
+// slowLoad takes a while to read everything, as a store does that is asked by a
+// whole fleet at once.
+type slowLoad struct {
+	external.Store
+	takes time.Duration
+	loads int
+}
+
+func (s *slowLoad) Watch(ctx context.Context, prefix external.Key, after external.Cursor) (external.Changes, error) {
+	if after == external.StartCursor {
+		s.loads++
+		clock.Sleep(ctx, s.takes)
+		if ctx.Err() != nil {
+			return external.Changes{}, fault.Wrap(ctx.Err(), fault.Unavailable, "the store can't be read", "try again later")
+		}
+	}
+	return s.Store.Watch(ctx, prefix, after)
+}
+
+// TestALargeStoreIsReadThoughThatTakesLong has everything take four times as long
+// to read as one watch may wait.
+func TestALargeStoreIsReadThoughThatTakesLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowLoad{Store: memstore.New(clock.NewRuntime()), takes: 4 * DefaultWait}
+		_, err := store.CompareAndSwap(t.Context(), external.Swap{Key: "a/1", Value: []byte("x")})
+		must.NoError(t, err)
+		r := &recorder{prefix: "a/", values: make(map[external.Key]string)}
+		m := New(Options{Store: store, Pause: 400 * time.Millisecond, Wait: DefaultWait, Log: slog.New(slog.DiscardHandler)}, r)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- m.Run(ctx) }()
+		pause(12 * DefaultWait)
+		must.Eq(t, "x", r.values["a/1"])
+		must.LessEq(t, 4, store.loads)
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
--- a/pkg/mirror/options.go
+++ b/pkg/mirror/options.go
@@ -14,7 +14,8 @@
 	Prefix external.Key
 	// Pause is the time between two calls, which gathers changes.
 	Pause time.Duration
-	// Wait bounds one call. A connection that went silent costs as much.
+	// Wait bounds one watch, and the first try to read everything. A connection
+	// that went silent costs as much.
 	Wait time.Duration
 	Log  *slog.Logger
 }
@@ -22,6 +23,11 @@
 const (
 	// DefaultWait bounds one call of a process on the platform.
 	DefaultWait = 700 * time.Millisecond
+	// longestLoad bounds each further try to read everything, which takes many
+	// calls where there are many keys.
+	longestLoad = 10 * time.Second
+	// loadGrowth is how much more time each further try gets.
+	loadGrowth = 2
 	// retryAllowance is the time of the pause and the call after one that went
 	// silent.
 	retryAllowance = 400 * time.Millisecond
