Tell daemons of large fleets what all others have outstanding

Cause: beyond 17 daemons each was told by sixteen neighbours alone and saw a fifth of what engines owed and held.

Ruled out: links to all (4,000 messages a second), a hub for each failure domain (a host on which all depend), slower reports to all (bytes between domains).

Change: cells within failure domains, whose daemons tell each other, and one source for each other cell by rendezvous hashing. Fleets of up to 17 are as they were. Engines that change their role are announced through the store wherever not all daemons hear this one's own reports.

--- a/pkg/backlog/exchange_test.go
+++ b/pkg/backlog/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -34,13 +35,20 @@
 func (e end) Send(to ident.Host, message peer.Message) error {
 	e.wire.mu.Lock()
 	defer e.wire.mu.Unlock()
+	handler, linked := e.wire.handlers[to]
+	if !linked {
+		return errUnlinked
+	}
 	e.wire.messages++
 	if !e.wire.cut {
-		e.wire.handlers[to](e.host, message)
+		handler(e.host, message)
 	}
 	return nil
 }
 
+// errUnlinked is why nothing reaches a host without a link.
+var errUnlinked = errors.New("no link")
+
 func (e end) Linked() (hosts []ident.Host) {
 	for host := range e.wire.handlers {
 		if host != e.host {
@@ -63,12 +71,12 @@
 	s.report = report
 }
 
-// take returns the report; what was placed is told once.
+// take returns the report; what was placed and who is away is told once.
 func (s *source) take() Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	report := s.report
-	s.report.Placed = nil
+	s.report.Placed, s.report.Away = nil, nil
 	return report
 }
 
@@ -92,13 +100,24 @@
 			x.Attach(end{w, ident.Host(fmt.Sprint(i))})
 			sources, exchanges = append(sources, s), append(exchanges, x)
 		}
-		for _, x := range exchanges {
+		for i, x := range exchanges {
+			x.SetCircle(nearAll(i, daemons))
 			go func() { _ = x.Run(ctx) }()
 		}
 		body(w, sources, exchanges)
 	})
 }
 
+// nearAll returns the circle of one daemon of a fleet that all tell each other.
+func nearAll(self, daemons int) (circle Circle) {
+	for i := range daemons {
+		if i != self {
+			circle.Near = append(circle.Near, ident.Host(fmt.Sprint(i)))
+		}
+	}
+	return circle
+}
+
 // let lets time pass, and what then runs come to rest.
 func let(d time.Duration) {
 	time.Sleep(d)
@@ -107,12 +126,12 @@
 
 func TestSumsOfTheOthersAreAddedUp(t *testing.T) {
 	talk(t, 3, func(_ *wire, sources []*source, exchanges []*Exchange) {
-		sources[0].set(Report{Outstanding: []Outstanding{{"e", 10, 100}}, Placed: []Placed{{"e", []uint64{1, 2}}}})
+		sources[0].set(Report{Outstanding: []Outstanding{{"e", 10, 100}}, Placed: []Placed{{Target: "e", Blocks: []uint64{1, 2}}}})
 		sources[1].set(Report{Outstanding: []Outstanding{{"e", 1, 2}, {"f", 0, 7}}})
 		let(100 * time.Millisecond)
 		must.Eq(t, Outstanding{"e", 11, 102}, exchanges[2].Elsewhere("e"))
 		must.Eq(t, Outstanding{"e", 1, 2}, exchanges[0].Elsewhere("e"), must.Sprint("a daemon's own are not the others'"))
-		must.Eq(t, []Placed{{"e", []uint64{1, 2}}}, sources[2].heard)
+		must.Eq(t, []Placed{{Target: "e", Blocks: []uint64{1, 2}}}, sources[2].heard)
 		sources[0].set(Report{})
 		let(100 * time.Millisecond)
 		must.Eq(t, Outstanding{"e", 1, 2}, exchanges[2].Elsewhere("e"))
@@ -155,6 +174,48 @@
 	})
 }
 
+// TestCellsTellEachOther plays 40 daemons in four failure domains, of which each
+// has something outstanding and places one prompt.
+func TestCellsTellEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &wire{handlers: make(map[ident.Host]peer.Handler)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		fleet := fleetOf(40, 4)
+		circles := circlesOf(fleet)
+		sources := make([]*source, len(fleet))
+		exchanges := make([]*Exchange, len(fleet))
+		for i, daemon := range fleet {
+			sources[i] = &source{}
+			sources[i].set(Report{Outstanding: []Outstanding{{"e", 1, 10}}, Placed: []Placed{{Target: "e", Blocks: []uint64{uint64(i)}}}, Away: []Away{{"f", 100}}})
+			exchanges[i] = New(Options{
+				Own: sources[i].take, Heard: sources[i].hear, Daemons: func() int { return len(fleet) }, Log: slog.New(slog.DiscardHandler),
+			})
+			exchanges[i].Attach(end{w, daemon.Host})
+			exchanges[i].SetCircle(circles[daemon.Host])
+		}
+		for _, x := range exchanges {
+			go func() { _ = x.Run(ctx) }()
+		}
+		let(time.Second)
+		for i, x := range exchanges {
+			must.Eq(t, Outstanding{"e", 39, 390}, x.Elsewhere("e"), must.Sprint(i))
+			must.Eq(t, 1, x.Told())
+			must.False(t, x.TellsAll())
+			must.Len(t, 39, sources[i].heard, must.Sprint("each prompt is told once"))
+		}
+		w.mu.Lock()
+		before := w.messages
+		w.mu.Unlock()
+		let(10 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		// Nothing changes: each tells its nine near daemons and its three sinks on
+		// the average as seldom as it may.
+		must.LessEq(t, 40*12*26, w.messages-before)
+	})
+}
+
 // BenchmarkSlopeReport shows the size of a report by the engines that owe
 // prompts, each report with one prompt of 33 blocks that was placed.
 func BenchmarkSlopeReport(b *testing.B) {
--- a/pkg/backlog/report.go
+++ b/pkg/backlog/report.go
@@ -14,6 +14,9 @@
 	// Away are the engines that take nothing for a while, such as those that
 	// change their role.
 	Away []Away
+	// Daemons is how many daemons the report is of where it is of a whole cell,
+	// and zero where it is the sender's own.
+	Daemons int
 }
 
 // Away is one engine that takes nothing for a while.
@@ -28,4 +31,7 @@
 	Target ident.Target
 	// Blocks are the prompt's hashes as request.Request has them.
 	Blocks []uint64
+	// Millis is how long from the report on until the engine is expected to have
+	// computed the prompt, so that others can fetch it.
+	Millis int64
 }
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"crypto/rand"
 	"slices"
@@ -9,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/backlog"
 	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -25,9 +25,6 @@
 	secretRetry = 500 * time.Millisecond
 	// linksEvery is the time between looks at which daemons there are.
 	linksEvery = time.Second
-	// neighbours is how many daemons on either side, in the order of their
-	// names, a daemon is linked to.
-	neighbours = 8
 )
 
 // runLinks keeps the links to other daemons until ctx ends. Without them the
@@ -51,26 +48,34 @@
 	return links.Run(ctx)
 }
 
-// keepPeers tells the links which daemons there are until ctx ends.
+// keepPeers tells the links and the exchange which daemons there are until ctx
+// ends.
 func (g *Gateway) keepPeers(ctx context.Context, links *peer.Manager) {
 	_ = clock.Every(ctx, linksEvery, func() error {
-		links.SetPeers(neighboursOf(g.opts.Host, g.presence.Members()))
+		members := g.presence.Members()
+		circle := circleOf(backlog.Daemon{Host: g.opts.Host, FailureDomain: g.opts.FailureDomain}, members)
+		g.backlog.SetCircle(circle)
+		links.SetPeers(addressesOf(circle.Hosts(), members))
 		return nil
 	})
 }
 
-// neighboursOf returns the daemons that one is linked to: those next to it in
-// the order of names, which close to a ring. Being a neighbour is mutual.
-func neighboursOf(self ident.Host, members []membership.Member) []peer.Address {
-	members = slices.DeleteFunc(members, func(m membership.Member) bool { return m.Address == "" })
-	slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(a.Host, b.Host) })
-	after, _ := slices.BinarySearchFunc(members, self, func(m membership.Member, host ident.Host) int {
-		return cmp.Compare(m.Host, host)
-	})
+// circleOf returns a daemon's circle among the members that take links.
+func circleOf(self backlog.Daemon, members []membership.Member) backlog.Circle {
+	others := make([]backlog.Daemon, 0, len(members))
+	for i := range members {
+		if members[i].Address != "" {
+			others = append(others, backlog.Daemon{Host: members[i].Host, FailureDomain: members[i].FailureDomain})
+		}
+	}
+	return backlog.CircleOf(self, others)
+}
+
+// addressesOf returns where hosts take links.
+func addressesOf(hosts []ident.Host, members []membership.Member) []peer.Address {
 	var peers []peer.Address
 	for i := range members {
-		ahead := (i - after + len(members)) % len(members)
-		if ahead < neighbours || len(members)-1-ahead < neighbours {
+		if slices.Contains(hosts, members[i].Host) {
 			peers = append(peers, peer.Address{Host: members[i].Host, Address: members[i].Address})
 		}
 	}
--- a/pkg/gateway/telling.go
+++ b/pkg/gateway/telling.go
@@ -27,7 +27,9 @@
 
 // heard takes in what a linked daemon tells.
 func (g *Gateway) heard(from ident.Host, report *backlog.Report) {
-	g.agreement.Heard(from, time.UnixMilli(report.Time))
+	if report.Daemons == 0 {
+		g.agreement.Heard(from, time.UnixMilli(report.Time))
+	}
 	g.router.Models.Heard(report)
 }
 
@@ -35,7 +37,7 @@
 // returns once they know. Daemons that are not all linked are told through the
 // store; it fails where that can't be written.
 func (g *Gateway) announceAway(ctx context.Context, targets []ident.Target, d time.Duration) error {
-	notice, linked := linkedNotice, g.backlog.Told() >= 1
+	notice, linked := linkedNotice, g.backlog.TellsAll()
 	if !linked {
 		notice = mirror.PauseFor(g.opts.KnownWithin) + followNotice
 	}
