Believe only engines that computed a prompt to hold it

Cause, from logs of a swing: an engine that was to generate an answer counted as holding the prompt from its placing on. Where the prompt never came, since its caller had left meanwhile, a second try was computed beside answers, for 0.6 to 1 s in which no other answer began there; 35 such in 27 s on 20 engines. And a beginning was fetched from engines that had not computed it yet, so that both computed it.

Change: what an engine was sent has a time by which it is reckoned to be computed, which is told with it; only then do others fetch from there, and homes are no longer fetched from on a guess. Engines that generate hold nothing.

--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -158,8 +158,9 @@
 		request: req.ID, at: now, prefill: s.uncached, reckoned: s.wait + s.own,
 		slowness: r.refs[s.target].assumedSlowness(), urgent: urgent(req),
 	})
-	r.refs[s.target].prompts.add(req.Prefix, now, keep)
-	r.note(placement.Target.Record.Target, req.Prefix)
+	takes := duration(s.wait + s.own)
+	r.refs[s.target].prompts.add(req.Prefix, now, takes, keep)
+	r.note(placement.Target.Record.Target, req.Prefix, takes)
 	if keep == 0 {
 		r.index.Expect(placement.Target.Record.Target, req.Prefix)
 	}
@@ -167,7 +168,6 @@
 		d := r.scores[decode].target
 		placement.Decode = &snapshot.Targets[d]
 		r.refs[d].sent(send{request: req.ID, at: now})
-		r.refs[d].prompts.add(req.Prefix, now, keep)
 	}
 	return placement, nil
 }
@@ -225,7 +225,7 @@
 	now, keep := r.opts.Now(), r.opts.Knobs().PromptMemory.D()
 	for i := range placed {
 		if own, ok := r.ledgers[placed[i].Target]; ok {
-			own.prompts.add(placed[i].Blocks, now, keep)
+			own.prompts.add(placed[i].Blocks, now, time.Duration(placed[i].Millis)*time.Millisecond, keep)
 		}
 	}
 	r.leaveOut(report.Away)
@@ -236,9 +236,9 @@
 const maxPlaced = 256
 
 // note has the others told of a prompt that was placed.
-func (r *ModelRouter) note(target ident.Target, blocks []uint64) {
+func (r *ModelRouter) note(target ident.Target, blocks []uint64, takes time.Duration) {
 	if r.opts.Elsewhere != nil && len(blocks) > 0 && len(r.placed) < maxPlaced {
-		r.placed = append(r.placed, backlog.Placed{Target: target, Blocks: blocks})
+		r.placed = append(r.placed, backlog.Placed{Target: target, Blocks: blocks, Millis: takes.Milliseconds()})
 	}
 }
 
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -48,7 +48,7 @@
 	known := r.findDepths(req)
 	home := r.home(snapshot, engines, req, knobs)
 	r.lookAround(snapshot, engines)
-	holder, held := r.holder(snapshot, engines, home, known, req)
+	holder, lacks := r.holder(snapshot, engines, req)
 	for _, i := range engines {
 		state := &snapshot.Targets[i]
 		if !takesNew(state, knobs, now) || slices.Contains(exclude, state.Record.Target) {
@@ -60,7 +60,7 @@
 			target: i, role: state.Load.Role, slots: e.slots, occupied: e.occupied,
 			uncached: r.uncached(i, i == home, known, req, knobs, now), holder: -1,
 		}
-		s.fetch(holder, held, knobs)
+		s.fetch(holder, lacks, knobs)
 		s.wait, s.own = e.prefill(s.uncached)
 		s.own += s.fetched / knobs.FetchRate
 		s.prefill = s.own*(knobs.PrefillWeight+knobs.InterferenceWeight*e.decoding) + r.penalty(state, req, knobs)
@@ -78,10 +78,10 @@
 	r.dropEjected()
 }
 
-// holder returns the index of the engine that is taken to hold the most of the
-// prompt, and the tokens that it lacks; the index is negative where none can be
-// fetched from.
-func (r *ModelRouter) holder(snapshot *fleet.Snapshot, engines []int, home int, known bool, req *request.Request) (best int, lacks float64) {
+// holder returns the index of the engine that has computed the most of the prompt
+// as far as is known, and the tokens that it lacks; the index is negative where
+// none can be fetched from.
+func (r *ModelRouter) holder(snapshot *fleet.Snapshot, engines []int, req *request.Request) (best int, lacks float64) {
 	knobs, now := r.opts.Knobs(), r.opts.Now()
 	best, lacks = -1, float64(req.PromptTokens)
 	if knobs.FetchLeast <= 0 {
@@ -91,8 +91,9 @@
 		if !takesNew(&snapshot.Targets[i], knobs, now) || r.refs[i].ejectedUntil.After(now) {
 			continue
 		}
-		if left := r.uncached(i, i == home, known, req, knobs, now); left < lacks {
-			best, lacks = i, left
+		depth := max(r.indexed(i, knobs), float64(r.refs[i].prompts.computed(req.Prefix, now, knobs.PromptMemory.D())))
+		if left := float64(req.PromptTokens) - depth*request.PrefixBlockTokens; left < lacks {
+			best, lacks = i, max(0, left)
 		}
 	}
 	return best, lacks
@@ -156,21 +157,27 @@
 
 // uncached returns how many prompt tokens the engine is expected to compute.
 func (r *ModelRouter) uncached(i int, home, known bool, req *request.Request, knobs *config.RoutingKnobs, now time.Time) float64 {
-	own := r.refs[i]
-	cached := 0.0
-	if own.slot >= 0 {
-		cached = float64(r.depths[own.slot])
-		if r.index.Stale(own.slot) {
-			cached *= knobs.StaleCredit
-		}
-	}
-	cached = max(cached, float64(own.prompts.depth(req.Prefix, now, knobs.PromptMemory.D())))
+	cached := max(r.indexed(i, knobs), float64(r.refs[i].prompts.depth(req.Prefix, now, knobs.PromptMemory.D())))
 	if home && !known {
 		cached = max(cached, r.homeCredit(knobs)*float64(len(req.Prefix)))
 	}
 	return max(0, float64(req.PromptTokens)-cached*request.PrefixBlockTokens)
 }
 
+// indexed returns how many leading blocks of the prompt whose depths were looked
+// up the engine holds by the index.
+func (r *ModelRouter) indexed(i int, knobs *config.RoutingKnobs) float64 {
+	slot := r.refs[i].slot
+	if slot < 0 {
+		return 0
+	}
+	depth := float64(r.depths[slot])
+	if r.index.Stale(slot) {
+		depth *= knobs.StaleCredit
+	}
+	return depth
+}
+
 // homeCredit returns the share of a prompt that its home engine is taken to
 // hold where nothing tells. Daemons that don't tell where they place prompts
 // send them to the same home, so that it holds them the more likely the fewer
