Tell prompts by the ends of their parts, and refuse none that is in time

Cause: each report carried all of a prompt's hashes, some 33 of a long one, though prompts part only where their parts end. And a prompt whose only holder was busy was refused where other engines could compute all of it within the objective, since the bound counted from the holder's time. A daemon that had not placed anything forgot what it was told before.

Ruled out: telling shared parts alone, as the last part may be a session's.

Change: a prompt is known by the last block within each part, where the parts are known. The longest time to the prompt's end is never below the objective. What is told is taken in with the newest view.

The test of the bound failed before.

--- a/pkg/entry/format.go
+++ b/pkg/entry/format.go
@@ -36,8 +36,8 @@
 	Stream          bool
 	PromptTokens    int
 	MaxOutputTokens int
-	// Prefix holds the prompt's hashes as request.Request does.
-	Prefix         []uint64
+	// Prefix and Ends hold the prompt's hashes as request.Request does.
+	Prefix, Ends   []uint64
 	IdempotencyKey string
 	// Wait is how long the caller waits, or zero where it does not say.
 	Wait time.Duration
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -35,6 +35,9 @@
 	// Prefix holds the hashes of the prompt's successive whole blocks of
 	// PrefixBlockTokens. Each hash covers all blocks up to its own.
 	Prefix []uint64
+	// Ends are those of Prefix at which parts of the prompt end, so that other
+	// prompts may go on differently. Nil means that any of Prefix may be one.
+	Ends   []uint64
 	Method string
 	// Host is the host that the caller named.
 	Host string
@@ -57,3 +60,12 @@
 	Header http.Header
 	Body   []byte
 }
+
+// Marks returns the hashes by which prompts that begin alike are known: those
+// where parts end, or all where the parts are not known.
+func (r *Request) Marks() []uint64 {
+	if r.Ends != nil {
+		return r.Ends
+	}
+	return r.Prefix
+}
--- a/pkg/routing/best.go
+++ b/pkg/routing/best.go
@@ -36,7 +36,7 @@
 // for the answer, which are the same where one does both. Both are negative
 // where no engine may take the request in time.
 func (r *ModelRouter) best(req *request.Request, apart bool) (prefill, decode int) {
-	limits := bounds{wait: r.patience(req) + r.leastOwn(), prompt: math.Inf(1)}
+	limits := bounds{wait: r.longest(req), prompt: math.Inf(1)}
 	p, d := -1, -1
 	if apart {
 		p, d = r.least(taskPrompt, limits), r.least(taskAnswer, limits)
@@ -60,6 +60,13 @@
 	return whole, whole
 }
 
+// longest returns the longest time until its prompt is computed, in seconds, at
+// which a request is still placed. One that is expected to be in time is placed
+// also where the engine that holds the prompt would be quicker but for its queue.
+func (r *ModelRouter) longest(req *request.Request) float64 {
+	return max(r.patience(req)+r.leastOwn(), req.FirstPart.Seconds())
+}
+
 // patience returns the longest wait, in seconds, at which a request is still
 // placed.
 func (r *ModelRouter) patience(req *request.Request) float64 {
@@ -109,7 +116,7 @@
 		return fault.New(fault.Unavailable, "no engine takes new work for the model",
 			"try again after the time in Retry-After").After(retryAfter)
 	}
-	over := duration(shortest - r.patience(req) - r.leastOwn())
+	over := duration(shortest - r.longest(req))
 	return fault.New(fault.Unavailable, "the request would wait too long at every engine",
 		"try again after the time in Retry-After").After(min(longestReturn, max(shortestReturn, over)))
 }
--- a/pkg/routing/held_test.go
+++ b/pkg/routing/held_test.go
@@ -8,6 +8,7 @@
 
 	"amaranthplank.example/amaranthplank/pkg/backlog"
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/request"
 )
 
 // TestLongPromptsAreNeverComputedBesideAnswers sends a caller's request again
@@ -72,3 +73,39 @@
 	off.add(blocks, now, 0, 0)
 	must.Eq(t, 0, off.depth(blocks, now, keep))
 }
+
+// TestPromptsOfKnownPartsAreToldByTheirEnds has a prompt's report be short, and
+// another daemon's prompt that shares the beginning go to the engine that holds it.
+func TestPromptsOfKnownPartsAreToldByTheirEnds(t *testing.T) {
+	p := newPattern(smallFleet)
+	req := sharedPrompt(1, 1)
+	req.Ends = []uint64{req.Prefix[sharedBlocks-1], req.Prefix[sharedBlocks+ownBlocks-1]}
+	placement, err := p.routers[0].Place(req, nil)
+	must.NoError(t, err)
+	p.routers[0].Done(req, placement.Target.Record.Target)
+	report := p.routers[0].Report()
+	must.Len(t, 1, report.Placed)
+	must.Len(t, 2, report.Placed[0].Blocks)
+	p.routers[1].Heard(&report)
+	p.now = p.now.Add(time.Second)
+	next := sharedPrompt(1, 2)
+	next.Ends = []uint64{next.Prefix[sharedBlocks-1]}
+	again, err := p.routers[1].Place(next, nil)
+	must.NoError(t, err)
+	must.Eq(t, placement.Target.Record.Target, again.Target.Record.Target)
+	must.Eq(t, ownBlocks*request.PrefixBlockTokens, again.Expected.Uncached)
+}
+
+// TestAnAnswerThatIsExpectedInTimeIsNotRefused has the engine that holds a prompt be
+// busy for long, while the others could compute all of it within the objective.
+func TestAnAnswerThatIsExpectedInTimeIsNotRefused(t *testing.T) {
+	const busy = ident.Target("e03")
+	p := newPattern(smallFleet)
+	req := sharedPrompt(1, 1)
+	p.routers[0].Heard(&backlog.Report{Placed: []backlog.Placed{{Target: busy, Blocks: req.Prefix}}})
+	p.reports[1] = backlog.Report{Outstanding: []backlog.Outstanding{{Target: busy, Other: 64000}}}
+	placement, err := p.routers[0].Place(req, nil)
+	must.NoError(t, err)
+	must.NotEq(t, busy, placement.Target.Record.Target)
+	must.LessEq(t, req.FirstPart, placement.Expected.Wait+placement.Expected.Own)
+}
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -159,8 +159,8 @@
 		slowness: r.refs[s.target].assumedSlowness(), urgent: urgent(req),
 	})
 	takes := duration(s.wait + s.own)
-	r.refs[s.target].prompts.add(req.Prefix, now, takes, keep)
-	r.note(placement.Target.Record.Target, req.Prefix, takes)
+	r.refs[s.target].prompts.add(req.Marks(), now, takes, keep)
+	r.note(placement.Target.Record.Target, req.Marks(), takes)
 	if keep == 0 {
 		r.index.Expect(placement.Target.Record.Target, req.Prefix)
 	}
@@ -222,6 +222,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.refresh()
 	now, keep := r.opts.Now(), r.opts.Knobs().PromptMemory.D()
 	for i := range placed {
 		if own, ok := r.ledgers[placed[i].Target]; ok {
