Name a cell's digest for what it is, and share a test's start

Cause: the type relay in pkg/backlog read like pkg/relay; two tests of the tally began with the same eight lines; a daemon that is nobody's source any more could have told what it had gathered long ago once it was one again.

Change: renamed, the start of the tests shared, and the digest emptied while it has no sinks.

--- a/pkg/backlog/exchange.go
+++ b/pkg/backlog/exchange.go
@@ -60,8 +60,8 @@
 	// linked is the part of the other daemons that is linked, or whose cell's
 	// source is, from 0 to 1.
 	linked float64
-	// relayed is what near daemons told that the sinks are still to be told.
-	relayed relay
+	// news is what the cell's daemons told that the sinks are still to be told.
+	news digest
 	// own and cell belong to the goroutine of Run.
 	own, cell cadence
 }
@@ -85,11 +85,15 @@
 	x.links = links
 }
 
-// SetCircle replaces who tells whom. What others said counts no more.
+// SetCircle replaces who tells whom. What daemons said that are in it no more no
+// longer counts.
 func (x *Exchange) SetCircle(circle Circle) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.circle = circle
+	if len(circle.Sinks) == 0 {
+		x.news = digest{}
+	}
 	maps.DeleteFunc(x.others, func(host ident.Host, _ told) bool { return !x.listensTo(host) })
 	x.addUp()
 }
@@ -117,7 +121,7 @@
 		return
 	}
 	if report.Daemons == 0 && len(x.circle.Sinks) > 0 {
-		x.relayed.add(&report)
+		x.news.add(&report)
 	}
 	x.others[from] = told{at: time.Now(), sums: report.Outstanding}
 	x.addUp()
@@ -179,7 +183,7 @@
 		x.own.lookedAt = now
 		report := x.opts.Own()
 		if len(sinks) > 0 {
-			x.relay(&report)
+			x.gather(&report)
 		}
 		if x.own.due(&report, now) {
 			x.send(links, near, &report)
@@ -194,11 +198,11 @@
 	}
 }
 
-// relay has the sinks be told of an own report too.
-func (x *Exchange) relay(own *Report) {
+// gather has the sinks be told of an own report too.
+func (x *Exchange) gather(own *Report) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.relayed.addOwn(own)
+	x.news.addOwn(own)
 }
 
 // cellReport returns what the cell has outstanding, and what it told since the
@@ -206,7 +210,7 @@
 func (x *Exchange) cellReport() Report {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	report := x.relayed.take()
+	report := x.news.take()
 	report.Daemons = 1
 	totals := make(map[ident.Target]Outstanding)
 	addTo(totals, report.Outstanding)
--- a/pkg/tally/tally_test.go
+++ b/pkg/tally/tally_test.go
@@ -183,18 +183,24 @@
 	})
 }
 
+// loseOne runs two daemons and a reporter, and kills one of the daemons after a
+// while. It returns what ends the others.
+func (w *world) loseOne() (stop func()) {
+	ctx, cancel := context.WithCancel(w.t.Context())
+	dying, kill := context.WithCancel(ctx)
+	w.daemon(ctx, "one")
+	w.daemon(dying, "two")
+	go w.report(ctx, &authority{})
+	time.Sleep(6 * time.Second)
+	kill()
+	return cancel
+}
+
 // TestASilentDaemonIsWaitedForNoLongerThanItMay kills a daemon: the windows
 // after it are still reported in time.
 func TestASilentDaemonIsWaitedForNoLongerThanItMay(t *testing.T) {
 	inWorld(t, func(w *world) {
-		ctx, cancel := context.WithCancel(w.t.Context())
-		defer cancel()
-		dying, kill := context.WithCancel(ctx)
-		w.daemon(ctx, "one")
-		w.daemon(dying, "two")
-		go w.report(ctx, &authority{})
-		time.Sleep(6 * time.Second)
-		kill()
+		defer w.loseOne()()
 		for range 30 {
 			time.Sleep(time.Second)
 			last := windowOf(w.time.Now(), windowLength) - 3
@@ -209,14 +215,7 @@
 // known: the windows after it are reported as soon as those of a whole fleet.
 func TestADaemonThatIsKnownToBeGoneIsNotWaitedFor(t *testing.T) {
 	inWorld(t, func(w *world) {
-		ctx, cancel := context.WithCancel(w.t.Context())
-		defer cancel()
-		dying, kill := context.WithCancel(ctx)
-		w.daemon(ctx, "one")
-		w.daemon(dying, "two")
-		go w.report(ctx, &authority{})
-		time.Sleep(6 * time.Second)
-		kill()
+		defer w.loseOne()()
 		w.ended.Store(ident.Host("two"), true)
 		window := windowOf(w.time.Now(), windowLength) + 1
 		untilClosed := window.end(windowLength).Add(closeAfter + 2*reportEvery).Sub(w.time.Now())
