--- a/pkg/absence/board_test.go
+++ b/pkg/absence/board_test.go
@@ -38,6 +38,15 @@
 	return append([]ident.Target(nil), h.heard...)
 }
 
+// storeWithAKey returns a store that its followers can read whole at once.
+func storeWithAKey(ctx context.Context, t *testing.T) external.Store {
+	t.Helper()
+	store := memstore.New(clock.NewRuntime())
+	_, err := store.CompareAndSwap(ctx, external.Swap{Key: "other"})
+	must.NoError(t, err)
+	return store
+}
+
 // follow starts a daemon's board over a store.
 func follow(ctx context.Context, host ident.Host, store external.Store) (*Board, *hearer) {
 	log := slog.New(slog.DiscardHandler)
@@ -55,9 +64,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		store := memstore.New(clock.NewRuntime())
-		_, err := store.CompareAndSwap(ctx, external.Swap{Key: "other"})
-		must.NoError(t, err)
+		store := storeWithAKey(ctx, t)
 		one, atOne := follow(ctx, "one", store)
 		two, atTwo := follow(ctx, "two", store)
 		time.Sleep(time.Second)
@@ -92,9 +99,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		store := memstore.New(clock.NewRuntime())
-		_, err := store.CompareAndSwap(ctx, external.Swap{Key: "other"})
-		must.NoError(t, err)
+		store := storeWithAKey(ctx, t)
 		_, heard := follow(ctx, "two", store)
 		time.Sleep(time.Second)
 		first := New(Options{Host: "one", Store: store, Heard: func([]backlog.Away) {}, Log: slog.New(slog.DiscardHandler)})
--- a/pkg/lease/manager_test.go
+++ b/pkg/lease/manager_test.go
@@ -167,21 +167,34 @@
 	return nil
 }
 
+// held returns four processes of which one holds their duty, and that one.
+func held(terms lease.Terms) (w *world, first *node) {
+	w = newWorld(newStore(), 4, 1, terms, evenRate)
+	w.start()
+	w.advance(10 * time.Second)
+	return w, w.holder()
+}
+
+// afterKill kills the first holder, ends the world a while later and returns who
+// held the duty, of whom there must be two.
+func (w *world) afterKill(t *testing.T, first *node) []acquisition {
+	t.Helper()
+	first.process.Kill()
+	w.advance(10 * time.Second)
+	w.stop()
+	list := w.acquired[w.duties[0]]
+	must.SliceLen(t, 2, list)
+	return list
+}
+
 func TestPlannedStopHandsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		terms := lease.DefaultTerms()
-		w := newWorld(newStore(), 4, 1, terms, evenRate)
-		w.start()
-		w.advance(10 * time.Second)
-		first := w.holder()
+		w, first := held(terms)
 		first.cancel()
 		first.work.Wait()
 		released := time.Now()
-		first.process.Kill()
-		w.advance(10 * time.Second)
-		w.stop()
-		list := w.acquired[w.duties[0]]
-		must.SliceLen(t, 2, list)
+		list := w.afterKill(t, first)
 		// A released duty is free at once; nobody waits for the lease to lapse.
 		must.Less(t, terms.TTL/2, list[1].at.Sub(released))
 		must.NoError(t, w.violation())
@@ -206,21 +219,14 @@
 func TestPlannedStopInAnOutageHandsOverAtItsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		terms := lease.DefaultTerms()
-		w := newWorld(newStore(), 4, 1, terms, evenRate)
-		w.start()
-		w.advance(10 * time.Second)
-		first := w.holder()
+		w, first := held(terms)
 		w.store.Set(faultstore.Faults{Down: true})
 		first.cancel()
 		w.advance(terms.ReleaseFor / 3)
 		w.store.Set(faultstore.Faults{})
 		back := time.Now()
 		w.advance(terms.ReleaseFor / 3)
-		first.process.Kill()
-		w.advance(10 * time.Second)
-		w.stop()
-		list := w.acquired[w.duties[0]]
-		must.SliceLen(t, 2, list)
+		list := w.afterKill(t, first)
 		must.Less(t, terms.TTL/2, list[1].at.Sub(back))
 		must.NoError(t, w.violation())
 	})
