Compute a prompt apart only once for a request

Cause: when the engine for the answer could not be reached, had no room or was silent, the next attempt was placed anew and the prompt computed once more, outside of every budget. Ruled out: failed prefills, which the budget already covered. Change: the KV cache stays with the request while no engine can have taken it over (nothing was sent, or the engine had no room), and only another engine for the answer is chosen. Otherwise the next attempt runs at one engine, which fetches what was computed; such attempts now name the cache holder that routing reckoned with.

--- a/pkg/fleet/loadreport.go
+++ b/pkg/fleet/loadreport.go
@@ -52,3 +52,7 @@
 	// TakenAt is when the figures were taken, by the target's clock.
 	TakenAt time.Time `json:"takenAt"`
 }
+
+// Full reports whether the target has no free slot. A target that reports no slots
+// is never full.
+func (l *LoadReport) Full() bool { return l.Slots > 0 && l.Running+l.Queued >= l.Slots }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -40,6 +40,8 @@
 	lastData []byte
 	// usage is the token usage that the target reported.
 	usage request.TokenUsage
+	// load is the load that came with the target's last response, or zero.
+	load fleet.LoadReport
 	// refusal is the response by which the target refused the request, or nil.
 	refusal *bufferedResponse
 	// idleResumes counts the resumes since the last event.
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
-	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
 	"amaranthplank.example/amaranthplank/pkg/retry"
@@ -34,6 +33,11 @@
 	// failedTargets are the targets at which attempts failed.
 	failedTargets []ident.Target
 	prefillInfo   prefillInfo
+	// prefilled is set once an engine has computed the prompt apart.
+	prefilled bool
+	// source is the KV cache of the prompt that no engine has taken over yet, or
+	// empty.
+	source KVSource
 	// lastEvent is the ID of the last event that was written to the caller, or
 	// that the caller had received before it sent the request.
 	lastEvent uint64
@@ -103,62 +107,11 @@
 		if decision != retry.Again {
 			return c.finish(a, decision, err)
 		}
+		c.keepSource(a, err)
 		c.failedTargets = append(c.failedTargets, a.target)
 	}
 }
 
-// nextAttempt places the next attempt. If the placement has separate engines for
-// prefill and decode and the protocol supports it, the prompt is computed first.
-// A failed prefill may be retried at another target; the retry is taken from the
-// retry budget.
-func (c *call) nextAttempt(ctx context.Context) (*attempt, error) {
-	prefiller, canPrefill := c.relay.protocol.(Prefiller)
-	for {
-		placement, err := c.place()
-		if err != nil {
-			return nil, err
-		}
-		if !canPrefill || placement.Decode == nil {
-			return c.startAttempt(placement.Target, placement.Decode, KVSource{}), nil
-		}
-		source, err := c.prefill(ctx, prefiller, placement)
-		if err == nil {
-			return c.decodeAttempt(placement.Decode, source)
-		}
-		c.relay.opts.Router.Done(c.req, placement.Decode.Record.Target)
-		c.failedTargets = append(c.failedTargets, placement.Target.Record.Target)
-		failure := failureOf(err)
-		if failure == retry.CallerGone || failure == retry.DeadlinePassed || !c.retries.RetryPrefill(failure, time.Now()) {
-			return nil, notRunError(failure, err)
-		}
-	}
-}
-
-// decodeAttempt returns the attempt that generates the answer after prefill. If
-// the decode engine no longer accepts new work, another is chosen.
-func (c *call) decodeAttempt(decode *fleet.TargetState, source KVSource) (*attempt, error) {
-	checker, ok := c.relay.opts.Router.(routing.AvailabilityChecker)
-	if !ok || checker.AcceptsNewWork(decode.Record.Target) {
-		return c.startAttempt(decode, nil, source), nil
-	}
-	c.relay.opts.Router.Done(c.req, decode.Record.Target)
-	state, err := c.relay.opts.Router.Choose(c.req, append(c.failedTargets, decode.Record.Target))
-	if err != nil {
-		return nil, err
-	}
-	return c.startAttempt(state, nil, source), nil
-}
-
-// startAttempt returns a new attempt at a target, after counting it.
-func (c *call) startAttempt(target, decode *fleet.TargetState, source KVSource) *attempt {
-	a := newAttempt(c, target)
-	a.decode, a.source = decode, source
-	c.retries.BeginAttempt()
-	c.result.Attempts++
-	c.result.Target = a.target
-	return a
-}
-
 // reportResult reports an attempt's result to a router that implements
 // routing.ResultObserver, unless the caller's disconnect, the deadline or the size
 // limit ended the attempt.
@@ -181,32 +134,6 @@
 	observer.ObserveResult(c.req, name, outcome)
 }
 
-// place returns where the next attempt runs. Only a stream of a model request
-// can change its engine, so every other request gets a single target.
-func (c *call) place() (routing.Placement, error) {
-	placer, ok := c.relay.opts.Router.(routing.Placer)
-	_, canPrefill := c.relay.protocol.(Prefiller)
-	if !ok || (c.relay.opts.StreamMover == nil && !canPrefill) || !c.req.Stream || c.req.Model == "" {
-		state, err := c.choose()
-		return routing.Placement{Target: state}, err
-	}
-	placement, err := placer.Place(c.req, c.failedTargets)
-	if err != nil && len(c.failedTargets) > 0 {
-		return placer.Place(c.req, nil)
-	}
-	return placement, err
-}
-
-// choose returns a target at which no attempt failed or, if there is none, any
-// target.
-func (c *call) choose() (*fleet.TargetState, error) {
-	state, err := c.relay.opts.Router.Choose(c.req, c.failedTargets)
-	if err != nil && len(c.failedTargets) > 0 {
-		return c.relay.opts.Router.Choose(c.req, nil)
-	}
-	return state, err
-}
-
 // endWithoutTarget ends a request that no target accepts.
 func (c *call) endWithoutTarget(err error) Result {
 	c.result.Outcome = request.NotRun
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -96,9 +96,10 @@
 	return err
 }
 
-// reportLoad reports a target's load to a router that implements
+// reportLoad records a target's load and reports it to a router that implements
 // routing.LoadObserver.
 func (a *attempt) reportLoad(load fleet.LoadReport) {
+	a.load = load
 	if observer, ok := a.call.relay.opts.Router.(routing.LoadObserver); ok {
 		observer.ObserveLoad(a.call.req, a.target, load)
 	}
--- /dev/null
+++ b/pkg/relay/next.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/request"
+	"amaranthplank.example/amaranthplank/pkg/retry"
+	"amaranthplank.example/amaranthplank/pkg/routing"
+)
+
+// nextAttempt places the next attempt. If the placement has separate engines for
+// prefill and decode and the protocol supports it, the prompt is computed first. A
+// failed prefill may be retried at another target; the retry is taken from the
+// retry budget. A prompt is computed apart only once: after that, an attempt either
+// takes over the KV cache or runs at one engine.
+func (c *call) nextAttempt(ctx context.Context) (*attempt, error) {
+	prefiller, canPrefill := c.relay.protocol.(Prefiller)
+	for {
+		if c.source != (KVSource{}) {
+			return c.takeOverAttempt()
+		}
+		placement, err := c.place(canPrefill && !c.prefilled)
+		if err != nil {
+			return nil, err
+		}
+		if placement.Decode == nil || !canPrefill {
+			return c.wholeAttempt(placement), nil
+		}
+		source, err := c.prefill(ctx, prefiller, placement)
+		if err == nil {
+			c.prefilled = true
+			return c.decodeAttempt(placement.Decode, source)
+		}
+		c.relay.opts.Router.Done(c.req, placement.Decode.Record.Target)
+		c.failedTargets = append(c.failedTargets, placement.Target.Record.Target)
+		failure := failureOf(err)
+		if failure == retry.CallerGone || failure == retry.DeadlinePassed || !c.retries.RetryPrefill(failure, time.Now()) {
+			return nil, notRunError(failure, err)
+		}
+	}
+}
+
+// wholeAttempt returns the attempt that computes the prompt and the answer at one
+// engine, or that starts there and moves to the engine for decode.
+func (c *call) wholeAttempt(placement routing.Placement) *attempt {
+	a := c.startAttempt(placement.Target, placement.Decode, KVSource{})
+	if placement.CacheHolder != nil {
+		a.cacheHolder = placement.CacheHolder.Record.Address
+	}
+	return a
+}
+
+// decodeAttempt returns the attempt that generates the answer after prefill. If
+// the decode engine no longer accepts new work, another is chosen.
+func (c *call) decodeAttempt(decode *fleet.TargetState, source KVSource) (*attempt, error) {
+	checker, ok := c.relay.opts.Router.(routing.AvailabilityChecker)
+	if !ok || checker.AcceptsNewWork(decode.Record.Target) {
+		return c.startAttempt(decode, nil, source), nil
+	}
+	c.relay.opts.Router.Done(c.req, decode.Record.Target)
+	c.failedTargets = append(c.failedTargets, decode.Record.Target)
+	c.source = source
+	return c.takeOverAttempt()
+}
+
+// takeOverAttempt returns the attempt that generates the answer from the kept KV
+// cache at another engine.
+func (c *call) takeOverAttempt() (*attempt, error) {
+	source := c.source
+	c.source = KVSource{}
+	state, err := c.chooseDecode()
+	if err != nil {
+		return nil, err
+	}
+	return c.startAttempt(state, nil, source), nil
+}
+
+// keepSource keeps the KV cache that a failed attempt was to take over, if it is
+// still at the engine that computed it: the attempt sent nothing, or its target had
+// no room.
+func (c *call) keepSource(a *attempt, err error) {
+	if a.phase == retry.Unsent || (failureOf(err) == retry.Rejected && a.load.Full()) {
+		c.source = a.source
+	}
+}
+
+// startAttempt returns a new attempt at a target, after counting it.
+func (c *call) startAttempt(target, decode *fleet.TargetState, source KVSource) *attempt {
+	a := newAttempt(c, target)
+	a.decode, a.source = decode, source
+	c.retries.BeginAttempt()
+	c.result.Attempts++
+	c.result.Target = a.target
+	return a
+}
+
+// place returns where the next attempt runs; apart permits separate engines for
+// prefill and decode. Only a stream of a model request can change its engine, so
+// every other request gets a single target.
+func (c *call) place(apart bool) (routing.Placement, error) {
+	placer, ok := c.relay.opts.Router.(routing.Placer)
+	if !ok || !c.req.Stream || c.req.Model == "" {
+		state, err := c.choose()
+		return routing.Placement{Target: state}, err
+	}
+	place := placer.PlaceWhole
+	if apart || c.relay.opts.StreamMover != nil {
+		place = placer.Place
+	}
+	placement, err := place(c.req, c.failedTargets)
+	if err != nil && len(c.failedTargets) > 0 {
+		return place(c.req, nil)
+	}
+	return placement, err
+}
+
+// choose returns a target at which no attempt failed or, if there is none, any
+// target.
+func (c *call) choose() (*fleet.TargetState, error) {
+	return c.chooseBy(c.relay.opts.Router.Choose)
+}
+
+// chooseDecode returns an engine that generates the answer after prefill.
+func (c *call) chooseDecode() (*fleet.TargetState, error) {
+	if placer, ok := c.relay.opts.Router.(routing.Placer); ok {
+		return c.chooseBy(placer.ChooseDecode)
+	}
+	return c.choose()
+}
+
+// chooseBy chooses a target by the given function, with the targets excluded at
+// which an attempt failed unless there are no others.
+func (c *call) chooseBy(choose func(*request.Request, []ident.Target) (*fleet.TargetState, error)) (*fleet.TargetState, error) {
+	state, err := choose(c.req, c.failedTargets)
+	if err != nil && len(c.failedTargets) > 0 {
+		return choose(c.req, nil)
+	}
+	return state, err
+}
--- a/pkg/routing/combinedrouter.go
+++ b/pkg/routing/combinedrouter.go
@@ -40,12 +40,31 @@
 // Place returns where the request's next attempt runs.
 func (c *CombinedRouter) Place(req *request.Request, exclude []ident.Target) (Placement, error) {
 	if req.Service != "" {
-		state, err := c.Services.Choose(req, exclude)
-		return Placement{Target: state}, err
+		return c.placeCall(req, exclude)
 	}
 	return c.Models.Place(req, exclude)
 }
 
+// PlaceWhole returns the one target that runs the request's next attempt.
+func (c *CombinedRouter) PlaceWhole(req *request.Request, exclude []ident.Target) (Placement, error) {
+	if req.Service != "" {
+		return c.placeCall(req, exclude)
+	}
+	return c.Models.PlaceWhole(req, exclude)
+}
+
+// placeCall returns the replica that runs a service call.
+func (c *CombinedRouter) placeCall(req *request.Request, exclude []ident.Target) (Placement, error) {
+	state, err := c.Services.Choose(req, exclude)
+	return Placement{Target: state}, err
+}
+
+// ChooseDecode returns the engine that generates the answer of a request whose
+// prompt was computed by another engine.
+func (c *CombinedRouter) ChooseDecode(req *request.Request, exclude []ident.Target) (*fleet.TargetState, error) {
+	return c.Models.ChooseDecode(req, exclude)
+}
+
 // Done records that an attempt has ended.
 func (c *CombinedRouter) Done(req *request.Request, target ident.Target) {
 	if req.Service != "" {
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -55,7 +55,7 @@
 // Choose returns the engine that runs the whole request, and counts the request
 // there.
 func (r *ModelRouter) Choose(req *request.Request, exclude []ident.Target) (*fleet.TargetState, error) {
-	placement, err := r.place(req, exclude, false)
+	placement, err := r.PlaceWhole(req, exclude)
 	return placement.Target, err
 }
 
@@ -66,6 +66,28 @@
 	return r.place(req, exclude, !r.opts.Disabled.Disaggregation)
 }
 
+// PlaceWhole returns the engine that runs the whole request, and counts the request
+// there.
+func (r *ModelRouter) PlaceWhole(req *request.Request, exclude []ident.Target) (Placement, error) {
+	return r.place(req, exclude, false)
+}
+
+// ChooseDecode returns the engine that generates the answer of a request whose
+// prompt was computed by another engine, and counts the request there.
+func (r *ModelRouter) ChooseDecode(req *request.Request, exclude []ident.Target) (*fleet.TargetState, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	snapshot := r.refresh()
+	r.scoreEngines(snapshot, req, exclude)
+	decode := r.cheapest(taskDecode, taskLimits{})
+	if decode < 0 {
+		return nil, r.placementError(req)
+	}
+	i := r.scores[decode].targetIndex
+	r.trackersByIndex[i].recordSend(sentRequest{id: req.ID, sentAt: r.opts.Now()})
+	return &snapshot.Targets[i], nil
+}
+
 // Done removes a request from the target's count.
 func (r *ModelRouter) Done(req *request.Request, target ident.Target) {
 	r.mu.Lock()
--- a/pkg/routing/placement.go
+++ b/pkg/routing/placement.go
@@ -45,4 +45,9 @@
 	// Place returns where the next attempt of a request runs, as Choose does.
 	// Done must be called for each engine of the placement.
 	Place(req *request.Request, exclude []ident.Target) (Placement, error)
+	// PlaceWhole returns the one target that runs the next attempt of a request.
+	PlaceWhole(req *request.Request, exclude []ident.Target) (Placement, error)
+	// ChooseDecode returns the engine that generates the answer of a request whose
+	// prompt was computed by another engine.
+	ChooseDecode(req *request.Request, exclude []ident.Target) (*fleet.TargetState, error)
 }
