Refuse requests that a stopping daemon might not finish

Ruled out: the listener's closing, which was in time; new connections. Change: once a stop is requested, a request is taken only if the longest recent answer of its route, or its deadline, fits into the time that is left.

--- a/pkg/drain/options.go
+++ b/pkg/drain/options.go
@@ -21,6 +21,9 @@
 	// this long after the request to stop, unless BalancerDelay or the OnStop hooks
 	// take longer. Zero means 1 + maxExtraBalancerDelays times BalancerDelay.
 	MaxCloseDelay time.Duration
+	// Grace is the time after which the process is killed once a stop is requested;
+	// zero means never.
+	Grace time.Duration
 	// OnStop hooks run as soon as a stop is requested, for example to release
 	// leases to other daemons.
 	OnStop []Hook
--- a/pkg/drain/server.go
+++ b/pkg/drain/server.go
@@ -20,6 +20,9 @@
 	stopRequested chan struct{}
 	done          chan struct{}
 	once          sync.Once
+	// killedAt is when the process is killed, or nil as long as no stop is requested
+	// or if it never is.
+	killedAt atomic.Pointer[time.Time]
 	// running is how many requests are being served.
 	running atomic.Int64
 	// lastRequestAt is when the last request arrived, as Unix time in
@@ -66,7 +69,25 @@
 }
 
 // Stop requests a graceful shutdown and returns immediately.
-func (s *Server) Stop() { s.once.Do(func() { close(s.stopRequested) }) }
+func (s *Server) Stop() {
+	s.once.Do(func() {
+		if s.opts.Grace > 0 {
+			killedAt := time.Now().Add(s.opts.Grace)
+			s.killedAt.Store(&killedAt)
+		}
+		close(s.stopRequested)
+	})
+}
+
+// TimeLeft returns how much time requests have until the process is killed, or false
+// if it is not known to be.
+func (s *Server) TimeLeft() (time.Duration, bool) {
+	killedAt := s.killedAt.Load()
+	if killedAt == nil {
+		return 0, false
+	}
+	return time.Until(*killedAt), true
+}
 
 // Done returns a channel that is closed once Run has returned.
 func (s *Server) Done() <-chan struct{} { return s.done }
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/request"
@@ -9,15 +10,16 @@
 
 // Handler serves callers' requests.
 type Handler struct {
-	opts    Options
-	metrics *metrics
+	opts      Options
+	metrics   *metrics
+	durations *durations
 }
 
 var _ http.Handler = (*Handler)(nil)
 
 // New returns a handler.
 func New(opts Options) *Handler {
-	return &Handler{opts: opts.withDefaults(), metrics: newMetrics(opts.Registerer)}
+	return &Handler{opts: opts.withDefaults(), metrics: newMetrics(opts.Registerer), durations: newDurations()}
 }
 
 // ServeHTTP serves one request. If a response fails after it has begun, ServeHTTP
@@ -34,6 +36,10 @@
 		s.fail(request.NotRun, err)
 		return
 	}
+	if err := s.checkTimeLeft(); err != nil {
+		s.fail(request.NotRun, err)
+		return
+	}
 	if err := s.admit(); err != nil {
 		s.fail(request.NotRun, err)
 		return
@@ -41,5 +47,13 @@
 	s.run()
 }
 
+// stoppingRetryAfter is the Retry-After delay of requests that a stopping daemon
+// refuses. Another daemon serves them at once.
+const stoppingRetryAfter = 50 * time.Millisecond
+
+// errStopping is returned for requests that may not end before the daemon does.
+var errStopping = fault.New(fault.Unavailable, "the daemon is stopping and might not finish the request",
+	"send the request again on a new connection").WithRetryAfter(stoppingRetryAfter)
+
 // errNoConfig is returned while a newly started daemon has no configuration.
 var errNoConfig = fault.New(fault.Unavailable, "the daemon has not loaded a configuration yet", "send the request again after the time in Retry-After").WithRetryAfter(notReadyRetryAfter)
--- a/pkg/entry/options.go
+++ b/pkg/entry/options.go
@@ -28,6 +28,10 @@
 	// example because its configuration may be out of date. A nil Ready means
 	// always ready.
 	Ready func() error
+	// TimeLeft returns how much time requests have until the process is killed, or
+	// false if it is not known to be. A request that may take longer is refused. A nil
+	// TimeLeft means that the process is never killed.
+	TimeLeft func() (time.Duration, bool)
 	// Claims makes a request with an idempotency key run at most once in the
 	// fleet. If nil, idempotency keys are left to the targets.
 	Claims *claims.Registry
@@ -75,6 +79,9 @@
 	if o.Ready == nil {
 		o.Ready = func() error { return nil }
 	}
+	if o.TimeLeft == nil {
+		o.TimeLeft = func() (time.Duration, bool) { return 0, false }
+	}
 	if o.Observer == nil {
 		o.Observer = noObserver{}
 	}
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -106,6 +106,28 @@
 	return err
 }
 
+// endingMargin is the time before the process is killed by which a request must have
+// ended, so that the end of its answer still reaches the caller.
+const endingMargin = 250 * time.Millisecond
+
+// checkTimeLeft returns an error if the daemon is stopping and may be killed before the
+// request ends: it may take as long as the longest recent request of its route, or
+// until its deadline if there was none.
+func (s *session) checkTimeLeft() error {
+	left, stopping := s.handler.opts.TimeLeft()
+	if !stopping {
+		return nil
+	}
+	need := time.Until(s.req.Deadline)
+	if expected, ok := s.handler.durations.expected(s.req.Route); ok {
+		need = min(need, expected)
+	}
+	if need+endingMargin > left {
+		return errStopping
+	}
+	return nil
+}
+
 // admit waits for admission and then checks the key again, since it may have been
 // revoked while the request was queued.
 func (s *session) admit() error {
@@ -182,6 +204,7 @@
 		s.handler.metrics.firstPart.WithLabelValues(class).Observe(observation.FirstPart.Seconds())
 	}
 	if result.Outcome == request.Answered {
+		s.handler.durations.observe(s.req.Route, observation.Total)
 		s.handler.metrics.duration.WithLabelValues(class).Observe(observation.Total.Seconds())
 	}
 	s.handler.opts.Observer.Observe(observation)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -92,7 +92,7 @@
 	g.duties = g.newDutyManager()
 	g.callers = drain.New(drain.Options{
 		Server: entry.NewServer(g.newHandler()), Listener: opts.Listener, Log: opts.Log,
-		BalancerDelay: opts.StopGrace * balancerShare / graceParts, MaxCloseDelay: opts.StopGrace * closeShare / graceParts,
+		Grace: opts.StopGrace, BalancerDelay: opts.StopGrace * balancerShare / graceParts, MaxCloseDelay: opts.StopGrace * closeShare / graceParts,
 		OnStop:    []drain.Hook{{Name: "release the duties", Run: g.duties.release}},
 		OnDrained: []drain.Hook{{Name: "write the last usage checkpoint", Run: g.counter.Leave}},
 	})
@@ -158,10 +158,14 @@
 func (g *Gateway) newHandler() http.Handler {
 	return entry.New(entry.Options{
 		Format: g.opts.Format, Config: g.opts.Published, Admission: admission.UnlimitedController{}, Relay: g.relay,
-		Recorder: noRecorder{}, Log: g.opts.Log, Registerer: g.registry, Ready: g.checkServing, MaxBodyBytes: maxBodyBytes,
+		Recorder: noRecorder{}, Log: g.opts.Log, Registerer: g.registry, Ready: g.checkServing, TimeLeft: g.timeLeft, MaxBodyBytes: maxBodyBytes,
 	})
 }
 
+// timeLeft returns how much time requests have until the process is killed, or false if
+// no stop was requested.
+func (g *Gateway) timeLeft() (time.Duration, bool) { return g.callers.TimeLeft() }
+
 // noRecorder discards usage records.
 type noRecorder struct{}
 
