Replace reclaimed engines in other failure domains

Ruled out: ordering dependable engines in their place, at several times the price. Tests: TestReplaceLostWithinBounds, TestReclaimedDomainIsReplacedElsewhere. Orders refused in both places are repeated less often.

--- a/pkg/supplykeeper/keeper.go
+++ b/pkg/supplykeeper/keeper.go
@@ -27,6 +27,9 @@
 	// retryDelay is the time before an order is repeated if the platform could
 	// not provide the engines.
 	retryDelay = 3 * time.Second
+	// replacementRetryDelay is that time for engines that replace those lost in
+	// another failure domain, which is asked again too.
+	replacementRetryDelay = 12 * time.Second
 	// orderTimeout limits one call of the Orderer.
 	orderTimeout = time.Second
 )
@@ -46,7 +49,9 @@
 	opts Options
 	// waitUntil is the time until which no further order is sent for a group.
 	waitUntil map[group]time.Time
-	settled   atomic.Bool
+	// supplied holds the groups that have had all wanted engines.
+	supplied map[group]bool
+	settled  atomic.Bool
 }
 
 // group identifies a model's engines of one kind in one failure domain.
@@ -58,7 +63,7 @@
 
 // New returns a keeper that has not ordered anything yet.
 func New(opts Options) *Keeper {
-	return &Keeper{opts: opts, waitUntil: make(map[group]time.Time)}
+	return &Keeper{opts: opts, waitUntil: make(map[group]time.Time), supplied: make(map[group]bool)}
 }
 
 // Settled reports whether every failure domain has a reclaimable engine and no
@@ -90,8 +95,8 @@
 		if !ok {
 			continue
 		}
-		for _, domain := range slices.Sorted(maps.Keys(model.Scaling.Prices)) {
-			done, err := k.reconcileDomain(ctx, authority, model, domain, want)
+		for _, domain := range k.domains(model, want) {
+			done, err := k.reconcileDomain(ctx, authority, model, domain)
 			if err != nil {
 				return err
 			}
@@ -102,10 +107,26 @@
 	return nil
 }
 
+// domains returns the state of a model's failure domains. Engines that are lost in
+// one are wanted in the others.
+func (k *Keeper) domains(model *config.Model, want Counts) []Domain {
+	var domains []Domain
+	for _, name := range slices.Sorted(maps.Keys(model.Scaling.Prices)) {
+		have := k.count(model.Name, name)
+		key := group{model: model.Name, domain: name, kind: external.Reclaimable}
+		k.supplied[key] = k.supplied[key] || have.Reclaimable >= want.Reclaimable
+		domains = append(domains, Domain{
+			Name: name, Price: model.Scaling.Prices[name], Have: have, Want: want, Supplied: k.supplied[key],
+		})
+	}
+	ReplaceLost(domains, model.Scaling.Maximum)
+	return domains
+}
+
 // reconcileDomain sends the order that is due for a model in one failure domain,
 // and reports whether the engines there are settled, see Settled.
-func (k *Keeper) reconcileDomain(ctx context.Context, authority lease.Authority, model *config.Model, domain ident.FailureDomain, want Counts) (bool, error) {
-	have := k.count(model.Name, domain)
+func (k *Keeper) reconcileDomain(ctx context.Context, authority lease.Authority, model *config.Model, state Domain) (bool, error) {
+	domain, have, want := state.Name, state.Have, state.Want
 	kind, count, due := NextOrder(have, want, model.Scaling.Maximum)
 	key := group{model: model.Name, domain: domain, kind: kind}
 	now := time.Now()
@@ -124,7 +145,7 @@
 		"have", have, "fencing", order.Fencing, "error", err)
 	k.waitUntil[key] = now.Add(model.Scaling.Boot.D() + arrivalGrace)
 	if fault.KindOf(err) == fault.Conflict || fault.KindOf(err) == fault.Unavailable || fault.KindOf(err) == fault.Limited {
-		k.waitUntil[key] = now.Add(retryDelay)
+		k.waitUntil[key] = now.Add(state.retryDelay())
 	}
 	return settled, nil
 }
--- a/pkg/supplykeeper/keeper_test.go
+++ b/pkg/supplykeeper/keeper_test.go
@@ -30,7 +30,10 @@
 	// only if applyOnError is set.
 	err          error
 	applyOnError bool
-	orderCalls   int
+	// refused holds the errors of orders for some failure domains, which are not
+	// carried out.
+	refused    map[ident.FailureDomain]error
+	orderCalls int
 	// fewest is the lowest total count of engines since the start.
 	fewest int
 }
@@ -63,6 +66,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.orderCalls++
+	if err := p.refused[order.Domain]; err != nil {
+		return err
+	}
 	if p.err == nil || p.applyOnError {
 		key := group{order.Model, order.Domain, order.Kind}
 		if order.Count < p.have[key] {
@@ -78,6 +84,9 @@
 	return p.err
 }
 
+// sleepBoots sleeps for the time in which ordered engines are there, several times.
+func sleepBoots(n int) { time.Sleep(time.Duration(n) * bootTime) }
+
 // set changes a group's count.
 func (p *fakePlatform) set(key group, count int) {
 	p.have[key] = count
--- /dev/null
+++ b/pkg/supplykeeper/replace_test.go
@@ -0,0 +1,69 @@
+package supplykeeper
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// TestReplaceLostWithinBounds checks that no more engines are replaced than are lost,
+// that no domain exceeds its maximum or falls below its own wanted count, that as many
+// are replaced as fit, and that a domain which never had its engines loses none.
+func TestReplaceLostWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		maximum := rapid.IntRange(1, 12).Draw(t, "maximum")
+		want := Counts{Dependable: rapid.IntRange(0, maximum).Draw(t, "dependable")}
+		want.Reclaimable = rapid.IntRange(0, maximum-want.Dependable).Draw(t, "reclaimable")
+		domains := make([]Domain, rapid.IntRange(1, 6).Draw(t, "domains"))
+		lost, room, intact := 0, 0, make([]bool, len(domains))
+		for i := range domains {
+			domains[i] = Domain{
+				Name: ident.FailureDomain(fmt.Sprint(i)), Price: rapid.Float64Range(0.5, 2).Draw(t, "price"), Want: want,
+				Have: Counts{Reclaimable: rapid.IntRange(0, want.Reclaimable).Draw(t, "present")}, Supplied: rapid.Bool().Draw(t, "supplied"),
+			}
+			lost += domains[i].lost()
+			intact[i] = domains[i].lost() == 0
+			if intact[i] {
+				room += maximum - want.Dependable - want.Reclaimable
+			}
+		}
+		ReplaceLost(domains, maximum)
+		replaced := 0
+		for i := range domains {
+			must.LessEq(t, maximum, domains[i].Want.Dependable+domains[i].Want.Reclaimable)
+			must.Eq(t, want.Reclaimable+domains[i].Replaces, domains[i].Want.Reclaimable)
+			must.True(t, domains[i].Replaces == 0 || intact[i])
+			replaced += domains[i].Replaces
+		}
+		must.Eq(t, min(lost, room), replaced)
+	})
+}
+
+// TestReclaimedDomainIsReplacedElsewhere removes the reclaimable engines of one failure
+// domain, where there are no others. The other domain must supply what it can until
+// they are back, and return it then.
+func TestReclaimedDomainIsReplacedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		runKeeper(t, p, func() {
+			p.mu.Lock()
+			p.set(group{"m", "a", external.Reclaimable}, 0)
+			p.refused = map[ident.FailureDomain]error{"a": fault.New(fault.Conflict, "no engines available", "order later")}
+			p.mu.Unlock()
+			sleepBoots(2)
+			must.Eq(t, 5, p.count("b", external.Reclaimable))
+			p.mu.Lock()
+			p.refused = nil
+			p.mu.Unlock()
+		})
+		must.Eq(t, 4, p.count("a", external.Reclaimable))
+		must.Eq(t, 4, p.count("b", external.Reclaimable))
+	})
+}
