Route answers by the requests that all daemons have at an engine

Cause: a daemon of a large fleet knew how full an engine is from the engine's last answer to itself, seconds old, and took an engine with fewer than 16 slots to have 16. Answers queued at full engines while others were idle; a long queue was taken for silence, and no one was refused for it. Ruled out: too few engines for the answers alone; slow links between daemons. Change: daemons report their requests at each engine beside the prompt tokens, and routing takes the sum. Slots are those that the engine reports. A request whose answer would wait beyond its objective for a slot is refused at once, as one was whose prompt would. Speeds of prompts and answers are learned for all engines of a model by a median, so that an engine without a history has them too. Numbers in messages take as few bytes as keep their value. The simulation of shared prefixes now ends the answers that it places, since requests that never end now fill engines; its bounds stay.

--- a/pkg/backlog/exchange.go
+++ b/pkg/backlog/exchange.go
@@ -148,6 +148,7 @@
 		total.Target = sum.Target
 		total.Urgent += sum.Urgent
 		total.Other += sum.Other
+		total.Requests += sum.Requests
 		totals[sum.Target] = total
 	}
 }
--- a/pkg/backlog/exchange_test.go
+++ b/pkg/backlog/exchange_test.go
@@ -129,23 +129,23 @@
 
 func TestOutstandingOfOtherDaemonsIsSummed(t *testing.T) {
 	runExchanges(t, 3, func(_ *network, fakes []*fakeDaemon, exchanges []*Exchange) {
-		fakes[0].set(Report{Outstanding: []Outstanding{{"e", 10, 100}}, Placed: []PlacedPrompt{{Target: "e", Blocks: []uint64{1, 2}}}})
-		fakes[1].set(Report{Outstanding: []Outstanding{{"e", 1, 2}, {"f", 0, 7}}})
+		fakes[0].set(Report{Outstanding: []Outstanding{{"e", 10, 100, 110}}, Placed: []PlacedPrompt{{Target: "e", Blocks: []uint64{1, 2}}}})
+		fakes[1].set(Report{Outstanding: []Outstanding{{"e", 1, 2, 3}, {"f", 0, 7, 7}}})
 		advance(100 * time.Millisecond)
-		must.Eq(t, Outstanding{"e", 11, 102}, exchanges[2].RemoteOutstanding("e"))
-		must.Eq(t, Outstanding{"e", 1, 2}, exchanges[0].RemoteOutstanding("e"), must.Sprint("the daemon's own sums are not included"))
+		must.Eq(t, Outstanding{"e", 11, 102, 113}, exchanges[2].RemoteOutstanding("e"))
+		must.Eq(t, Outstanding{"e", 1, 2, 3}, exchanges[0].RemoteOutstanding("e"), must.Sprint("the daemon's own sums are not included"))
 		must.Eq(t, []PlacedPrompt{{Target: "e", Blocks: []uint64{1, 2}}}, fakes[2].placed)
 		fakes[0].set(Report{})
 		advance(100 * time.Millisecond)
-		must.Eq(t, Outstanding{"e", 1, 2}, exchanges[2].RemoteOutstanding("e"))
+		must.Eq(t, Outstanding{"e", 1, 2, 3}, exchanges[2].RemoteOutstanding("e"))
 	})
 }
 
 func TestSumsOfSilentDaemonExpire(t *testing.T) {
 	runExchanges(t, 3, func(n *network, fakes []*fakeDaemon, exchanges []*Exchange) {
-		fakes[0].set(Report{Outstanding: []Outstanding{{"e", 10, 100}}})
+		fakes[0].set(Report{Outstanding: []Outstanding{{"e", 10, 100, 110}}})
 		advance(time.Second)
-		must.Eq(t, Outstanding{"e", 10, 100}, exchanges[2].RemoteOutstanding("e"))
+		must.Eq(t, Outstanding{"e", 10, 100, 110}, exchanges[2].RemoteOutstanding("e"))
 		n.mu.Lock()
 		n.dropAll = true
 		n.mu.Unlock()
@@ -158,10 +158,10 @@
 func TestCoverageOfPartlyLinkedFleet(t *testing.T) {
 	runExchanges(t, 11, func(_ *network, fakes []*fakeDaemon, exchanges []*Exchange) {
 		for _, d := range fakes[:2] {
-			d.set(Report{Outstanding: []Outstanding{{"e", 1, 2}}})
+			d.set(Report{Outstanding: []Outstanding{{"e", 1, 2, 3}}})
 		}
 		advance(100 * time.Millisecond)
-		must.Eq(t, Outstanding{"e", 2, 4}, exchanges[2].RemoteOutstanding("e"))
+		must.Eq(t, Outstanding{"e", 2, 4, 6}, exchanges[2].RemoteOutstanding("e"))
 		must.Eq(t, 0.2, exchanges[2].Coverage())
 	})
 }
@@ -172,7 +172,7 @@
 	runExchanges(t, 3, func(n *network, fakes []*fakeDaemon, _ []*Exchange) {
 		advance(10 * time.Second)
 		must.Eq(t, 0, n.messages)
-		fakes[0].set(Report{Outstanding: []Outstanding{{"e", 1, 2}}})
+		fakes[0].set(Report{Outstanding: []Outstanding{{"e", 1, 2, 3}}})
 		advance(10 * time.Second)
 		must.LessEq(t, 2*26, n.messages)
 	})
@@ -191,7 +191,7 @@
 		exchanges := make([]*Exchange, len(fleet))
 		for i, daemon := range fleet {
 			fakes[i] = &fakeDaemon{}
-			fakes[i].set(Report{Outstanding: []Outstanding{{"e", 1, 10}}, Placed: []PlacedPrompt{{Target: "e", Blocks: []uint64{uint64(i)}}}, Away: []Exclusion{{"f", 100}}})
+			fakes[i].set(Report{Outstanding: []Outstanding{{"e", 1, 10, 11}}, Placed: []PlacedPrompt{{Target: "e", Blocks: []uint64{uint64(i)}}}, Away: []Exclusion{{"f", 100}}})
 			exchanges[i] = New(Options{
 				LocalReport: fakes[i].localReport, OnReport: fakes[i].receive, Daemons: func() int { return len(fleet) }, Log: slog.New(slog.DiscardHandler),
 			})
@@ -203,7 +203,7 @@
 		}
 		advance(time.Second)
 		for i, x := range exchanges {
-			must.Eq(t, Outstanding{"e", 39, 390}, x.RemoteOutstanding("e"), must.Sprint(i))
+			must.Eq(t, Outstanding{"e", 39, 390, 429}, x.RemoteOutstanding("e"), must.Sprint(i))
 			must.Eq(t, 1, x.Coverage())
 			must.False(t, x.ReachesAllDirectly())
 			must.Len(t, 39, fakes[i].placed, must.Sprint("each prompt arrives once"))
@@ -230,7 +230,7 @@
 				report.Placed[0].Blocks[i] = uint64(i+1) * 0x9e3779b97f4a7c15
 			}
 			for i := range engines {
-				report.Outstanding = append(report.Outstanding, Outstanding{ident.Target(fmt.Sprintf("i-%010d", i)), 300, 17000})
+				report.Outstanding = append(report.Outstanding, Outstanding{ident.Target(fmt.Sprintf("i-%010d", i)), 300, 17000, 4})
 			}
 			size := 0
 			for b.Loop() {
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -15,7 +15,8 @@
 )
 
 // namedHandle encodes structs as maps, so that fields may be added and removed.
-// arrayHandle encodes them as arrays, so that fields may only be appended.
+// arrayHandle encodes them as arrays, so that fields may only be appended, and
+// numbers in as few bytes as keep their value.
 var (
 	namedHandle = newHandle(false)
 	arrayHandle = newHandle(true)
@@ -26,6 +27,7 @@
 	handle := new(codec.CborHandle)
 	handle.Canonical = true
 	handle.StructToArray = arrays
+	handle.OptimumSize = arrays
 	handle.MaxInitLen = maxInitLength
 	handle.MaxDepth = maxDepth
 	return handle
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -113,6 +113,21 @@
 	}
 }
 
+// reportWork reports how long the attempt occupied its target, and another engine
+// before that with the prompt, to a router that implements routing.WorkObserver. err
+// is the attempt's error; a target that rejected the request was not occupied.
+func (a *attempt) reportWork(err error) {
+	observer, ok := a.call.relay.opts.Router.(routing.WorkObserver)
+	if !ok || a.phase == retry.Unsent || (err != nil && failureOf(err) == retry.Rejected) {
+		return
+	}
+	prompt := time.Duration(0)
+	if a.source != (KVSource{}) {
+		prompt = a.call.prefillInfo.expected.Own
+	}
+	observer.ObserveWork(a.call.req, a.target, prompt, time.Since(a.began))
+}
+
 // drainRejection ends an exchange whose target reported that it did not run the
 // request. The connection is kept for reuse.
 func (a *attempt) drainRejection(response *http.Response) error {
--- a/pkg/routing/best.go
+++ b/pkg/routing/best.go
@@ -52,6 +52,9 @@
 		}
 		return full, full
 	}
+	if prompt, answer := &r.scores[p], &r.scores[d]; prompt.wait+prompt.compute+answer.slotWait > limits.maxPromptTime {
+		return full, full
+	}
 	knobs := r.opts.Knobs()
 	moveTime := knobs.MoveSetup.D().Seconds() + float64(req.PromptTokens)/knobs.MoveRate
 	splitCost := r.scores[p].prefill + moveTime + r.scores[d].decode
@@ -111,10 +114,7 @@
 // placementError returns why no engine can take the request: either no engine
 // accepts new work, or even the shortest expected prompt time is too long.
 func (r *ModelRouter) placementError(req *request.Request) error {
-	shortest := math.Inf(1)
-	for i := range r.scores {
-		shortest = min(shortest, r.scores[i].wait+r.scores[i].slotWait+r.scores[i].compute)
-	}
+	shortest := r.shortestTime()
 	if math.IsInf(shortest, 1) {
 		return fault.New(fault.Unavailable, "no engine of the model accepts new requests",
 			"send the request again after the time in Retry-After").WithRetryAfter(retryAfter)
@@ -124,6 +124,26 @@
 		"send the request again after the time in Retry-After").WithRetryAfter(min(maxRetryAfter, max(minRetryAfter, excess)))
 }
 
+// shortestTime returns the shortest expected time, in seconds, until an answer begins
+// at one engine, or at one after another has computed the prompt. It is infinite if
+// there are no engines.
+func (r *ModelRouter) shortestTime() float64 {
+	apart, slot, whole := math.Inf(1), math.Inf(1), math.Inf(1)
+	for i := range r.scores {
+		s := &r.scores[i]
+		if s.role == fleet.Prefill {
+			apart = min(apart, s.wait+s.compute)
+			continue
+		}
+		slot = min(slot, s.slotWait)
+		whole = min(whole, s.wait+s.slotWait+s.compute)
+	}
+	if math.IsInf(slot, 1) {
+		return apart
+	}
+	return min(apart+slot, whole)
+}
+
 const (
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a request that
 	// would wait too long.
--- a/pkg/routing/estimate.go
+++ b/pkg/routing/estimate.go
@@ -46,11 +46,14 @@
 	load := &state.Load
 	e := estimate{prefillRate: load.PrefillRate, decodeRate: load.DecodeRate, slots: float64(load.Slots)}
 	if load.Sequence == 0 || e.prefillRate <= 0 || e.decodeRate <= 0 || e.slots <= 0 {
-		e = estimate{prefillRate: knobs.PrefillRate, decodeRate: knobs.DecodeRate, slots: max(float64(load.Slots), defaultSlots)}
+		e = estimate{prefillRate: knobs.PrefillRate, decodeRate: knobs.DecodeRate, slots: slotsOf(state)}
 		if load.Role != fleet.Prefill {
 			e.prefillRate *= knobs.MixedPrefillShare
 		}
 		e.prefillRate /= tracker.assumedSlowness()
+		if tracker.decodeSlowness != nil {
+			e.decodeRate /= tracker.decodeSlowness.valueOr(1)
+		}
 	}
 	switch {
 	case tracker.answerLoadAt.After(state.LoadAt):
@@ -67,6 +70,15 @@
 	return e
 }
 
+// slotsOf returns the number of an engine's slots, or defaultSlots if it reports
+// none.
+func slotsOf(state *fleet.TargetState) float64 {
+	if state.Load.Slots <= 0 {
+		return defaultSlots
+	}
+	return float64(state.Load.Slots)
+}
+
 // useAnswerLoad takes the number of requests from the load that came with the
 // engine's answers, and the backlog from the daemon's own pending prompts.
 func (e *estimate) useAnswerLoad(tracker *targetTracker, now time.Time) {
--- a/pkg/routing/fleetbacklog.go
+++ b/pkg/routing/fleetbacklog.go
@@ -39,13 +39,21 @@
 	return &b.otherMean
 }
 
-// expected returns the prompt tokens that all daemons together are expected to
-// have outstanding at an engine.
-func (b *fleetBacklog) expected(i int, role fleet.Role) (urgent, other float64) {
+// expected returns what all daemons together are expected to have outstanding at an
+// engine.
+func (b *fleetBacklog) expected(i int, role fleet.Role) backlog.Outstanding {
 	known, mean := &b.known[i], b.mean(role)
-	urgent = known.Urgent + b.unreportedRatio*(knownBacklogWeight*known.Urgent+(1-knownBacklogWeight)*mean.Urgent)
-	other = known.Other + b.unreportedRatio*(knownBacklogWeight*known.Other+(1-knownBacklogWeight)*mean.Other)
-	return urgent, other
+	return backlog.Outstanding{
+		Urgent:   b.withUnreported(known.Urgent, mean.Urgent),
+		Other:    b.withUnreported(known.Other, mean.Other),
+		Requests: b.withUnreported(known.Requests, mean.Requests),
+	}
+}
+
+// withUnreported adds to a known sum what the daemons that don't report are expected
+// to have. mean is the mean of the known sums over the engines of the group.
+func (b *fleetBacklog) withUnreported(known, mean float64) float64 {
+	return known + b.unreportedRatio*(knownBacklogWeight*known+(1-knownBacklogWeight)*mean)
 }
 
 // updateFleetBacklog recomputes the fleet backlog if other daemons report
@@ -63,22 +71,32 @@
 	for _, i := range engines {
 		state, tracker := &snapshot.Targets[i], r.trackerAt(i)
 		sum := r.opts.PeerBacklog(state.Record.Target)
-		sum.Urgent += tracker.urgentTokens
-		sum.Other += tracker.otherTokens
+		own := tracker.sums(state.Record.Target)
+		addSums(&sum, &own)
 		b.known[i] = sum
-		mean := b.mean(state.Load.Role)
-		mean.Urgent += sum.Urgent
-		mean.Other += sum.Other
+		addSums(b.mean(state.Load.Role), &sum)
 		if state.Load.Role == fleet.Prefill {
 			prefillEngines++
 		} else {
 			otherEngines++
 		}
 	}
-	b.prefillMean.Urgent /= max(1, prefillEngines)
-	b.prefillMean.Other /= max(1, prefillEngines)
-	b.otherMean.Urgent /= max(1, otherEngines)
-	b.otherMean.Other /= max(1, otherEngines)
+	divideSums(&b.prefillMean, max(1, prefillEngines))
+	divideSums(&b.otherMean, max(1, otherEngines))
+}
+
+// addSums adds sums to a total.
+func addSums(total, sums *backlog.Outstanding) {
+	total.Urgent += sums.Urgent
+	total.Other += sums.Other
+	total.Requests += sums.Requests
+}
+
+// divideSums divides sums by a number.
+func divideSums(sums *backlog.Outstanding, by float64) {
+	sums.Urgent /= by
+	sums.Other /= by
+	sums.Requests /= by
 }
 
 // unreportedRatio returns the number of daemons that don't report to this one,
@@ -92,18 +110,30 @@
 	return (others - reporting) / (1 + reporting)
 }
 
-// useFleetBacklog replaces the backlog with the expected backlog of all daemons
-// at the engine. It applies if daemons report to each other and the engine
-// sends no load reports. Urgent requests wait for other urgent ones, and for at
-// most one chunk of another prompt that has already been started.
+// useFleetBacklog replaces the backlog and, if most daemons report, the number of
+// requests with what all daemons are expected to have at the engine. It applies if
+// daemons report to each other and the engine sends no load reports. Urgent requests
+// wait for other urgent ones, and for at most one chunk of another prompt that has
+// already been started.
 func (e *estimate) useFleetBacklog(r *ModelRouter, i int, state *fleet.TargetState, urgent bool) {
 	if r.opts.PeerBacklog == nil || state.Load.Sequence != 0 {
 		return
 	}
-	urgentTokens, otherTokens := r.fleetBacklog.expected(i, state.Load.Role)
+	sums := r.fleetBacklog.expected(i, state.Load.Role)
+	if r.fleetBacklog.unreportedRatio <= maxUnreportedRatio {
+		e.occupied = sums.Requests
+		if state.Load.Role != fleet.Prefill {
+			e.decoding = e.occupied
+		}
+	}
 	if urgent {
-		e.backlog = urgentTokens + min(otherTokens, prefillChunkTokens)
+		e.backlog = sums.Urgent + min(sums.Other, prefillChunkTokens)
 		return
 	}
-	e.backlog = urgentTokens + otherTokens
+	e.backlog = sums.Urgent + sums.Other
 }
+
+// maxUnreportedRatio is the largest number of daemons that don't report, for each
+// daemon whose requests are known, at which the number of requests is taken from the
+// reports rather than from the engine's last answers.
+const maxUnreportedRatio = 1
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -39,6 +39,8 @@
 	// unsentExclusions are the exclusions of engines that have not been sent to other
 	// daemons yet.
 	unsentExclusions []backlog.Exclusion
+	// meters meter the work of models by name.
+	meters map[ident.Model]*workMeter
 	// fleetBacklog, scores and depths are reused by each decision.
 	fleetBacklog fleetBacklog
 	scores       []score
@@ -49,7 +51,7 @@
 
 // NewModelRouter returns a router without outstanding requests.
 func NewModelRouter(opts Options) *ModelRouter {
-	return &ModelRouter{opts: opts, trackers: make(map[ident.Target]*targetTracker), index: prefix.New()}
+	return &ModelRouter{opts: opts, trackers: make(map[ident.Target]*targetTracker), meters: make(map[ident.Model]*workMeter), index: prefix.New()}
 }
 
 // Choose returns the engine that runs the whole request, and counts the request
@@ -273,13 +275,13 @@
 	}
 }
 
-// outstanding returns the uncached tokens of the daemon's own pending prompts,
-// summed by engine.
+// outstanding returns the uncached tokens of the daemon's own pending prompts and
+// its running requests, summed by engine.
 func (r *ModelRouter) outstanding() []backlog.Outstanding {
 	var sums []backlog.Outstanding
 	for name, tracker := range r.trackers {
-		if len(tracker.pending) > 0 {
-			sums = append(sums, backlog.Outstanding{Target: name, Urgent: tracker.urgentTokens, Other: tracker.otherTokens})
+		if tracker.outstanding > 0 {
+			sums = append(sums, tracker.sums(name))
 		}
 	}
 	slices.SortFunc(sums, func(a, b backlog.Outstanding) int { return cmp.Compare(a.Target, b.Target) })
@@ -320,6 +322,10 @@
 		r.trackers[name] = tracker
 	}
 	load := &state.Load
+	if model := state.Record.Model; model != "" {
+		meter := r.meter(model)
+		tracker.typicalSlowness, tracker.decodeSlowness = meter.slowness(load.Role), &meter.decodeSlowness
+	}
 	if tracker.sequence != 0 && load.Incarnation != tracker.incarnation {
 		r.index.Restart(name)
 	}
--- a/pkg/routing/sharedprefix_test.go
+++ b/pkg/routing/sharedprefix_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -39,6 +40,8 @@
 	// reportRadius is the number of neighbors on either side, in a ring of
 	// daemons, that a daemon reports to.
 	reportRadius int
+	// slots is the number of slots of an engine; zero means 64.
+	slots int
 }
 
 var (
@@ -81,7 +84,7 @@
 			kind = external.Dependable
 		}
 		states = append(states, fleet.TargetState{
-			Record: external.TargetRecord{Target: name, Model: "m", Kind: kind}, Load: fleet.LoadReport{Role: role, Slots: 64},
+			Record: external.TargetRecord{Target: name, Model: "m", Kind: kind}, Load: fleet.LoadReport{Role: role, Slots: cmp.Or(size.slots, 64)},
 		})
 		sim.lastSent[name] = make(map[int]time.Time)
 	}
@@ -112,6 +115,7 @@
 			if sim.reportsTo(other, self) && sum.Target == target {
 				total.Urgent += sum.Urgent
 				total.Other += sum.Other
+				total.Requests += sum.Requests
 			}
 		}
 	}
@@ -156,6 +160,9 @@
 		recomputed += sim.recordSend(placement.Target.Record.Target, prefix)
 		sim.routers[self].ObservePromptTime(req, placement.Target.Record.Target, 120*time.Millisecond)
 		sim.routers[self].Done(req, placement.Target.Record.Target)
+		if placement.Decode != nil {
+			sim.routers[self].Done(req, placement.Decode.Record.Target)
+		}
 		sim.sendReport(self)
 	}
 	must.Greater(t, 900, placed)
--- a/pkg/routing/targettracker.go
+++ b/pkg/routing/targettracker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/backlog"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
@@ -37,6 +38,12 @@
 	// slowness is how many times longer prompts take at the target than
 	// estimated without it; zero before the first prompt.
 	slowness float64
+	// typicalSlowness is the median slowness of the engines of its model and role,
+	// or nil for other targets.
+	typicalSlowness *medianTracker
+	// decodeSlowness is how many times longer answers of its model take than at the
+	// configured rate, or nil for other targets.
+	decodeSlowness *medianTracker
 	// pending holds the sent prompts that may not have been computed yet.
 	pending map[ident.Request]sentRequest
 	// urgentTokens and otherTokens are the uncached tokens of the pending
@@ -73,7 +80,7 @@
 	// slownessWeight is the weight of the newest prompt in the slowness, which
 	// stays between minSlowness and maxSlowness.
 	slownessWeight = 0.2
-	minSlowness    = 0.5
+	minSlowness    = 0.125
 	maxSlowness    = 16
 	// answerLoadDecay is the time constant with which the load from an answer
 	// decays to the mean, since other daemons send to the target too.
@@ -89,13 +96,16 @@
 	return max(0, t.meanLoad+(reported-t.meanLoad)*decay+float64(len(t.unreportedSends)-t.unreportedEnds))
 }
 
-// assumedSlowness returns the slowness that prompt times are estimated with:
-// one before the first prompt.
+// assumedSlowness returns the slowness that prompt times are estimated with: that
+// of other engines before the first prompt, and one if there are none.
 func (t *targetTracker) assumedSlowness() float64 {
-	if t.slowness == 0 {
-		return 1
+	switch {
+	case t.slowness > 0:
+		return t.slowness
+	case t.typicalSlowness != nil:
+		return t.typicalSlowness.valueOr(1)
 	}
-	return t.slowness
+	return 1
 }
 
 // observePromptTime updates the slowness with the seconds that a prompt took.
@@ -107,6 +117,9 @@
 		return
 	}
 	observed := min(maxSlowness, max(minSlowness, s.assumedSlowness*actual/s.expectedTime))
+	if t.typicalSlowness != nil {
+		t.typicalSlowness.add(observed)
+	}
 	assumed := t.assumedSlowness()
 	t.slowness = assumed + (observed-assumed)*slownessWeight
 }
@@ -115,6 +128,14 @@
 // observePromptTime updates the slowness.
 const minObservedPromptTime = 0.05
 
+// sums returns what the daemon has outstanding at the target. Tokens are whole
+// numbers, which take fewer bytes in a message.
+func (t *targetTracker) sums(name ident.Target) backlog.Outstanding {
+	return backlog.Outstanding{
+		Target: name, Urgent: math.Round(t.urgentTokens), Other: math.Round(t.otherTokens), Requests: float64(t.outstanding),
+	}
+}
+
 // recordSend records that a request was sent.
 func (t *targetTracker) recordSend(s sentRequest) {
 	t.outstanding++
