Order engines at once that are lost after others arrived

Change: the wait ends once the ordered count is there, and does not hold for a higher one. Test: TestLossAfterArrivalIsOrderedAtOnce.

--- a/pkg/supplykeeper/keeper.go
+++ b/pkg/supplykeeper/keeper.go
@@ -47,8 +47,10 @@
 // the one that runs Work.
 type Keeper struct {
 	opts Options
-	// waitUntil is the time until which no further order is sent for a group.
+	// waitUntil is the time until which an order for a group is not repeated.
 	waitUntil map[group]time.Time
+	// ordered is the last count ordered for a group, until it is there.
+	ordered map[group]int
 	// supplied holds the groups that have had all wanted engines.
 	supplied map[group]bool
 	settled  atomic.Bool
@@ -63,7 +65,7 @@
 
 // New returns a keeper that has not ordered anything yet.
 func New(opts Options) *Keeper {
-	return &Keeper{opts: opts, waitUntil: make(map[group]time.Time), supplied: make(map[group]bool)}
+	return &Keeper{opts: opts, waitUntil: make(map[group]time.Time), ordered: make(map[group]int), supplied: make(map[group]bool)}
 }
 
 // Settled reports whether every failure domain has a reclaimable engine and no
@@ -131,9 +133,11 @@
 	key := group{model: model.Name, domain: domain, kind: kind}
 	now := time.Now()
 	settled := have.Dependable <= want.Dependable && have.Reclaimable > 0 || want.Reclaimable == 0
-	if !due || now.Before(k.waitUntil[key]) {
+	k.forgetArrived(model.Name, domain, have)
+	if !due || (now.Before(k.waitUntil[key]) && count <= k.ordered[key]) {
 		return settled, nil
 	}
+	k.ordered[key] = count
 	order := Order{Model: model.Name, Domain: domain, Kind: kind, Count: count, Fencing: authority.Fencing()}
 	if err := authority.Check(); err != nil {
 		return settled, err
@@ -150,6 +154,19 @@
 	return settled, nil
 }
 
+// forgetArrived forgets the last orders of a domain whose counts are there, so that the
+// next ones are sent at once.
+func (k *Keeper) forgetArrived(model ident.Model, domain ident.FailureDomain, have Counts) {
+	present := map[external.TargetKind]int{external.Dependable: have.Dependable, external.Reclaimable: have.Reclaimable}
+	for kind, count := range present {
+		key := group{model: model, domain: domain, kind: kind}
+		if ordered, ok := k.ordered[key]; ok && count == ordered {
+			delete(k.ordered, key)
+			delete(k.waitUntil, key)
+		}
+	}
+}
+
 // count counts a model's engines in a failure domain that are not leaving.
 func (k *Keeper) count(model ident.Model, domain ident.FailureDomain) Counts {
 	var have Counts
--- a/pkg/supplykeeper/replace_test.go
+++ b/pkg/supplykeeper/replace_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -67,3 +68,27 @@
 		must.Eq(t, 4, p.count("b", external.Reclaimable))
 	})
 }
+
+// TestLossAfterArrivalIsOrderedAtOnce loses engines as soon as ordered ones have come.
+// The time for which an order is not repeated must not delay the next one.
+func TestLossAfterArrivalIsOrderedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		runKeeper(t, p, func() {
+			lose := func() {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				p.set(group{"m", "a", external.Reclaimable}, 0)
+				p.orderCalls = 0
+			}
+			lose()
+			time.Sleep(bootTime + 2*pollInterval)
+			must.Eq(t, 4, p.count("a", external.Reclaimable))
+			lose()
+			time.Sleep(2 * pollInterval)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			must.Positive(t, p.orderCalls)
+		})
+	})
+}
