Keep fewer engines for prompts where the answers need them

Cause: a fixed share of 0.7 of the engines computes prompts only, on every deployment. Ruled out: prompt memory and speeds; more engines alone. Change: the share of the policy is the largest. It falls as soon as the answers of the whole fleet, by the requests that daemons report, take more than 0.8 of the slots left to them, but not below the part of the work that prompts are; it rises late and in large steps, so that swings within seconds change no roles.

--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -52,6 +52,7 @@
 		View: g.targets, Orderer: g.opts.RoleOrderer, Log: g.opts.Log, Settled: supply.Settled,
 		Exclude: g.announceExclusion, SwitchTime: g.switchTime,
 		Share: func(model ident.Model) float64 { return g.knobs(config.Selector{Model: model}).Roles.PrefillShare },
+		Work:  g.modelWork,
 	})
 	d.work = map[ident.Duty]lease.Work{dutyUsage: reporter.Work, dutyEngines: combineWork(supply.Work, roles.Work)}
 	return d
@@ -95,6 +96,12 @@
 	return 0
 }
 
+// modelWork returns how a model's work divides into prompts and answers.
+func (g *Gateway) modelWork(model ident.Model) (rolekeeper.Work, bool) {
+	work, known := g.router.Models.Work(model)
+	return rolekeeper.Work(work), known
+}
+
 // combineWork returns a Work that runs several others concurrently under one
 // authority.
 func combineWork(works ...lease.Work) lease.Work {
--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -39,9 +39,12 @@
 type Options struct {
 	View    fleet.View
 	Orderer Orderer
-	// Share returns the share of a model's engines that have the prefill role.
-	// A negative share leaves the roles as they are.
+	// Share returns the largest share of a model's engines that have the prefill
+	// role. A negative share leaves the roles as they are.
 	Share func(model ident.Model) float64
+	// Work returns how a model's work divides into prompts and answers, or false
+	// if that is not known. If Work is nil, the share is always the largest.
+	Work func(model ident.Model) (Work, bool)
 	// Exclude excludes the targets from new requests at all daemons for d, and
 	// returns once all of them apply the exclusion. If it fails, some may not.
 	Exclude func(ctx context.Context, targets []ident.Target, d time.Duration) error
@@ -63,6 +66,8 @@
 	accepted map[engineIncarnation]uint64
 	// neededSince is when each model that needs a change began to need it.
 	neededSince map[ident.Model]time.Time
+	// shares are the shares that models are kept at.
+	shares map[ident.Model]*shareTracker
 }
 
 // engineIncarnation identifies one run of an engine's process.
@@ -81,7 +86,7 @@
 func New(opts Options) *Keeper {
 	return &Keeper{
 		opts: opts, pending: make(map[engineIncarnation]pendingChange), accepted: make(map[engineIncarnation]uint64),
-		neededSince: make(map[ident.Model]time.Time),
+		neededSince: make(map[ident.Model]time.Time), shares: make(map[ident.Model]*shareTracker),
 	}
 }
 
@@ -111,13 +116,13 @@
 // reconcileModel orders the changes that one model needs, as far as
 // maxChangingShare allows. It fails if the exclusion or an order fails.
 func (k *Keeper) reconcileModel(ctx context.Context, authority lease.Authority, snapshot *fleet.Snapshot, model ident.Model) error {
-	share := k.opts.Share(model)
-	if share < 0 {
+	largest := k.opts.Share(model)
+	if largest < 0 {
 		return nil
 	}
 	now := time.Now()
 	engines, changing := k.engines(snapshot, model, now)
-	changes := ChooseChanges(engines, share)
+	changes := ChooseChanges(engines, k.share(model, len(engines), largest, now))
 	if len(changes) == 0 {
 		delete(k.neededSince, model)
 		return nil
@@ -142,6 +147,29 @@
 	return nil
 }
 
+// share returns the share of a model's engines that are to have the prefill role.
+func (k *Keeper) share(model ident.Model, engines int, largest float64, now time.Time) float64 {
+	if k.opts.Work == nil {
+		return largest
+	}
+	tracker, ok := k.shares[model]
+	if !ok {
+		tracker = &shareTracker{share: largest}
+		k.shares[model] = tracker
+	}
+	work, known := k.opts.Work(model)
+	if !known {
+		return min(tracker.share, largest)
+	}
+	before := tracker.share
+	tracker.update(work, engines, largest, now)
+	if tracker.share != before {
+		k.opts.Log.Info("prefill share changed", "model", model, "from", before, "to", tracker.share, "engines", engines,
+			"decodeLoad", work.DecodeLoad, "prefillPart", work.PrefillPart)
+	}
+	return tracker.share
+}
+
 // excludeTargets excludes the engines that are about to change from new requests
 // at all daemons.
 func (k *Keeper) excludeTargets(ctx context.Context, model ident.Model, changes []Change) error {
--- a/pkg/rolekeeper/keeper_test.go
+++ b/pkg/rolekeeper/keeper_test.go
@@ -27,6 +27,8 @@
 	excludedUntil map[ident.Target]time.Time
 	// excludeErr is the error that exclude returns.
 	excludeErr error
+	// work returns the Work of the keeper's Options; nil means that none is set.
+	work func() Work
 	// err is the error that Order returns. If lateBy is positive, the orders
 	// are carried out nevertheless, that much later.
 	err    error
@@ -109,11 +111,15 @@
 		f.roles[ident.Target(fmt.Sprintf("e%02d", i))] = fleet.Mixed
 	}
 	change(f)
-	keeper := New(Options{
+	opts := Options{
 		View: f, Orderer: f, Share: func(ident.Model) float64 { return share }, Settled: func() bool { return true },
 		Exclude:    f.exclude,
 		SwitchTime: func(ident.Model) time.Duration { return 3 * time.Second }, Log: slog.New(slog.DiscardHandler),
-	})
+	}
+	if f.work != nil {
+		opts.Work = func(ident.Model) (Work, bool) { return f.work(), true }
+	}
+	keeper := New(opts)
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
 	_ = keeper.Work(ctx, held)
--- a/pkg/routing/work.go
+++ b/pkg/routing/work.go
@@ -56,7 +56,8 @@
 }
 
 // Work returns how the model's work divides, or false as long as this daemon has had
-// no answer or too few daemons report their requests.
+// no answer or too few daemons report their requests. A request whose prompt is being
+// computed apart is reported at both engines and occupies only that of the prompt.
 func (r *ModelRouter) Work(model ident.Model) (Work, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -71,11 +72,13 @@
 	load := 0.0
 	for _, i := range engines {
 		state := &snapshot.Targets[i]
-		if state.Load.Role != fleet.Prefill {
-			load += r.fleetBacklog.expected(i, state.Load.Role).Requests / slotsOf(state)
+		share := r.fleetBacklog.expected(i, state.Load.Role).Requests / slotsOf(state)
+		if state.Load.Role == fleet.Prefill {
+			share = -share
 		}
+		load += share
 	}
-	return Work{DecodeLoad: load, PrefillPart: prefill / (prefill + decode)}, true
+	return Work{DecodeLoad: max(0, load), PrefillPart: prefill / (prefill + decode)}, true
 }
 
 // meter returns the meter of a model's work.
--- a/pkg/routing/work_test.go
+++ b/pkg/routing/work_test.go
@@ -63,6 +63,14 @@
 	must.True(t, known)
 	must.InDelta(t, 5, work.DecodeLoad, 1e-9, must.Sprint("60 answers in batches of 12"))
 	must.InDelta(t, 0.5, work.PrefillPart, 1e-9)
+	for id := range 4 {
+		placement, err := sim.routers[id].Place(sharedPrompt(100+id, 100+id), nil)
+		must.NoError(t, err)
+		must.NotNil(t, placement.Decode)
+		sim.reports[id] = sim.routers[id].TakeReport()
+	}
+	work, _ = sim.routers[0].Work("m")
+	must.InDelta(t, 5, work.DecodeLoad, 1e-9, must.Sprint("prompts that are being computed are no answers yet"))
 	prefill := sim.routers[0].opts.View.Snapshot().Targets[0]
 	must.Eq(t, fleet.Prefill, prefill.Load.Role)
 	sim.routers[0].ObserveWork(sharedPrompt(1, 1), prefill.Record.Target, time.Second, time.Second)
