Contain unexpected failures of message handlers and store listeners

Cause: operators of similar systems saw one malformed message end a process. Here a panic in a handler of a message between daemons, or in what follows the store, ended it too, and a bad key in the store would have ended every daemon, again after each restart. None of the present handlers is known to fail so. Change: such a failure is logged with its stack and ends only that call. Tests: TestHandlerFailureEndsNeitherProcessNorLink, TestFailingListenerDoesNotStopOthers; both test binaries were ended by the panic before.

--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/fault"
 )
 
 // Mirror follows the store and passes changes to its listeners.
@@ -82,7 +84,8 @@
 	return nil
 }
 
-// notify passes a listener the changes of the keys that it follows.
+// notify passes a listener the changes of the keys that it follows. A listener that
+// fails on them keeps neither the others nor later changes from being passed.
 func (m *Mirror) notify(listener Listener, changes external.Changes, now time.Time) {
 	var matching []external.Entry
 	for _, entry := range changes.Entries {
@@ -90,7 +93,9 @@
 			matching = append(matching, entry)
 		}
 	}
-	listener.Apply(matching, changes.Whole, now)
+	fault.Contain(m.opts.Log, fmt.Sprintf("applying %d changes to %T", len(matching), listener), func() {
+		listener.Apply(matching, changes.Whole, now)
+	})
 }
 
 // handleFailure handles a failed call and returns the pause before the next one.
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -283,3 +283,28 @@
 		must.NoError(t, <-done)
 	})
 }
+
+// failingListener panics on every change.
+type failingListener struct{ recorder }
+
+func (f *failingListener) Apply([]external.Entry, bool, time.Time) { panic("unexpected value") }
+
+// TestFailingListenerDoesNotStopOthers checks that an entry which one listener fails on
+// reaches the others, and that later changes do too.
+func TestFailingListenerDoesNotStopOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(clock.Boot{})
+		sound := &recorder{prefix: "a/", values: make(map[external.Key]string)}
+		m := New(Options{Store: store, Pause: time.Second, CallTimeout: DefaultCallTimeout, Log: slog.New(slog.DiscardHandler)}, &failingListener{}, sound)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- m.Run(ctx) }()
+		for _, value := range []string{"1", "2"} {
+			put(t, store, external.Key("a/"+value), value, external.NoVersion)
+			advance(3 * time.Second)
+			must.Eq(t, value, sound.values[external.Key("a/"+value)])
+		}
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
--- a/pkg/peer/manager.go
+++ b/pkg/peer/manager.go
@@ -119,12 +119,15 @@
 }
 
 // deliver passes a message to the handler of its kind. It skips kinds without a
-// handler and newer versions.
+// handler and newer versions, and messages that the handler fails on.
 func (m *Manager) deliver(from ident.Host, message Message, size int) {
 	if int(message.Kind) >= kindCount || message.Version > KnownVersion || m.handlers[message.Kind] == nil {
 		m.metrics.skipped.Inc()
 		return
 	}
 	m.metrics.received.WithLabelValues(message.Kind.label()).Add(float64(size))
-	m.handlers[message.Kind](from, message)
+	handle := func() { m.handlers[message.Kind](from, message) }
+	if !fault.Contain(m.opts.Log, "handling a message of kind "+message.Kind.label()+" from "+string(from), handle) {
+		m.metrics.skipped.Inc()
+	}
 }
--- a/pkg/peer/manager_test.go
+++ b/pkg/peer/manager_test.go
@@ -17,6 +17,9 @@
 // waitTimeout is how long a test waits for a condition before it fails.
 const waitTimeout = 20 * time.Second
 
+// unhandledText is the payload on which the handler of a runningManager panics.
+const unhandledText = "unhandled"
+
 // runningManager is a running manager with the KindState messages that it
 // received.
 type runningManager struct {
@@ -36,7 +39,12 @@
 	})
 	must.NoError(t, err)
 	running := &runningManager{Manager: m, address: listener.Addr().String(), received: make(chan Message, 100)}
-	m.Handle(KindState, func(_ ident.Host, message Message) { running.received <- message })
+	m.Handle(KindState, func(_ ident.Host, message Message) {
+		if string(message.Payload) == unhandledText {
+			panic("unexpected payload")
+		}
+		running.received <- message
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- m.Run(ctx) }()
@@ -123,6 +131,21 @@
 	must.Eq(t, "still", string((<-c.received).Payload))
 }
 
+// TestHandlerFailureEndsNeitherProcessNorLink sends a message on which the handler
+// panics, and then another one over the same link.
+func TestHandlerFailureEndsNeitherProcessNorLink(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, c := startManager(t, "a", 1, "127.0.0.1:0", "s"), startManager(t, "c", 1, "127.0.0.1:0", "s")
+	defer a.stop()
+	defer c.stop()
+	a.SetPeers([]Address{{"c", c.address}})
+	eventually(t, "link", func() bool { return len(c.Linked()) == 1 })
+	must.NoError(t, a.Send("c", stateMessage(unhandledText)))
+	must.NoError(t, a.Send("c", stateMessage("next")))
+	must.Eq(t, "next", string((<-c.received).Payload))
+	must.Eq(t, 1, len(c.Linked()))
+}
+
 func TestOutboxDropsOldestMessageWhenFull(t *testing.T) {
 	out := newOutbox(2)
 	must.False(t, out.push(stateMessage("1")))
