Let dependable engines stand in when two failure domains are lost

Change: as long as more reclaimable engines are lost than the largest domain has, and the others can't supply them, dependable ones are ordered for the excess in the lost domains, the cheapest first. They are returned when the others are back.

--- a/pkg/supplykeeper/keeper.go
+++ b/pkg/supplykeeper/keeper.go
@@ -125,33 +125,44 @@
 	return domains
 }
 
-// reconcileDomain sends the order that is due for a model in one failure domain,
+// reconcileDomain sends the orders that are due for a model in one failure domain,
 // and reports whether the engines there are settled, see Settled.
 func (k *Keeper) reconcileDomain(ctx context.Context, authority lease.Authority, model *config.Model, state Domain) (bool, error) {
-	domain, have, want := state.Name, state.Have, state.Want
-	kind, count, due := NextOrder(have, want, model.Scaling.Maximum)
-	key := group{model: model.Name, domain: domain, kind: kind}
-	now := time.Now()
+	have, want := state.Have, state.Want
 	settled := have.Dependable <= want.Dependable && have.Reclaimable > 0 || want.Reclaimable == 0
-	k.forgetArrived(model.Name, domain, have)
-	if !due || (now.Before(k.waitUntil[key]) && count <= k.ordered[key]) {
-		return settled, nil
+	k.forgetArrived(model.Name, state.Name, have)
+	for _, due := range state.Due(model.Scaling.Maximum) {
+		key := group{model: model.Name, domain: state.Name, kind: due.Kind}
+		if time.Now().Before(k.waitUntil[key]) && due.Count <= k.ordered[key] {
+			continue
+		}
+		if err := k.order(ctx, authority, model, &state, due); err != nil {
+			return settled, err
+		}
 	}
-	k.ordered[key] = count
-	order := Order{Model: model.Name, Domain: domain, Kind: kind, Count: count, Fencing: authority.Fencing()}
+	return settled, nil
+}
+
+// order sends one order and notes when it may be repeated. It fails only if the
+// authority is lost.
+func (k *Keeper) order(ctx context.Context, authority lease.Authority, model *config.Model, state *Domain, due Due) error {
+	order := Order{Model: model.Name, Domain: state.Name, Kind: due.Kind, Count: due.Count, Fencing: authority.Fencing()}
 	if err := authority.Check(); err != nil {
-		return settled, err
+		return err
 	}
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := k.opts.Orderer.OrderEngines(callCtx, order)
-	k.opts.Log.Info("engines ordered", "model", order.Model, "failureDomain", domain, "kind", order.Kind, "count", order.Count,
-		"have", have, "fencing", order.Fencing, "error", err)
-	k.waitUntil[key] = now.Add(model.Scaling.Boot.D() + arrivalGrace)
+	sentAt := time.Now()
+	err := k.opts.Orderer.OrderEngines(ctx, order)
+	k.opts.Log.Info("engines ordered", "model", order.Model, "failureDomain", order.Domain, "kind", order.Kind, "count", order.Count,
+		"have", state.Have, "fencing", order.Fencing, "error", err)
+	key := group{model: order.Model, domain: order.Domain, kind: order.Kind}
+	k.ordered[key] = due.Count
+	k.waitUntil[key] = sentAt.Add(model.Scaling.Boot.D() + arrivalGrace)
 	if fault.KindOf(err) == fault.Conflict || fault.KindOf(err) == fault.Unavailable || fault.KindOf(err) == fault.Limited {
-		k.waitUntil[key] = now.Add(state.retryDelay())
+		k.waitUntil[key] = sentAt.Add(state.retryDelay())
 	}
-	return settled, nil
+	return nil
 }
 
 // forgetArrived forgets the last orders of a domain whose counts are there, so that the
--- a/pkg/supplykeeper/keeper_test.go
+++ b/pkg/supplykeeper/keeper_test.go
@@ -32,8 +32,11 @@
 	applyOnError bool
 	// refused holds the errors of orders for some failure domains, which are not
 	// carried out.
-	refused    map[ident.FailureDomain]error
-	orderCalls int
+	refused map[ident.FailureDomain]error
+	// refusesReclaimable is the error of orders for reclaimable engines, which are not
+	// carried out, unless it is nil.
+	refusesReclaimable error
+	orderCalls         int
 	// fewest is the lowest total count of engines since the start.
 	fewest int
 }
@@ -69,6 +72,9 @@
 	if err := p.refused[order.Domain]; err != nil {
 		return err
 	}
+	if order.Kind == external.Reclaimable && p.refusesReclaimable != nil {
+		return p.refusesReclaimable
+	}
 	if p.err == nil || p.applyOnError {
 		key := group{order.Model, order.Domain, order.Kind}
 		if order.Count < p.have[key] {
--- a/pkg/supplykeeper/replace.go
+++ b/pkg/supplykeeper/replace.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
@@ -22,6 +23,9 @@
 	// Replaces is the part of Want.Reclaimable that replaces engines lost in other
 	// domains.
 	Replaces int
+	// Substitutes is the part of Want.Dependable that stands in for lost reclaimable
+	// engines.
+	Substitutes int
 }
 
 // retryDelay returns the time before a refused order is repeated.
@@ -67,4 +71,50 @@
 		domain.Replaces = more
 		lost -= more
 	}
+	substituteLost(domains, maximum, lost)
+}
+
+// substituteLost raises the wanted dependable engines of the domains that have lost
+// their reclaimable ones, the cheapest domains first, if more are lost than the
+// largest domain has. The fleet bears the loss of one domain without them.
+func substituteLost(domains []Domain, maximum, lost int) {
+	borne := 0
+	for i := range domains {
+		borne = max(borne, domains[i].Want.Reclaimable-domains[i].Replaces)
+	}
+	missing := max(0, lost-borne)
+	byPrice := make([]*Domain, 0, len(domains))
+	for i := range domains {
+		if domains[i].lost() > 0 {
+			byPrice = append(byPrice, &domains[i])
+		}
+	}
+	slices.SortStableFunc(byPrice, func(a, b *Domain) int { return cmp.Compare(a.Price, b.Price) })
+	for _, domain := range byPrice {
+		room := max(0, maximum-domain.Want.Dependable-domain.Have.Reclaimable)
+		more := min(missing, room)
+		domain.Want.Dependable += more
+		domain.Substitutes = more
+		missing -= more
+	}
+}
+
+// Due is an order that is due for one kind of engines in a domain.
+type Due struct {
+	Kind  external.TargetKind
+	Count int
+}
+
+// Due returns the orders that are due in the domain. Substitutes are ordered while the
+// reclaimable engines may be ordered in vain.
+func (d *Domain) Due(maximum int) []Due {
+	var orders []Due
+	kind, count, due := NextOrder(d.Have, d.Want, maximum)
+	if due {
+		orders = append(orders, Due{Kind: kind, Count: count})
+	}
+	if kind != external.Dependable && d.Substitutes > 0 && d.Have.Dependable < d.Want.Dependable {
+		orders = append(orders, Due{Kind: external.Dependable, Count: d.Want.Dependable})
+	}
+	return orders
 }
