Mark periodic checkpoints after the last one, and close the test rig without a race

The test rig waited on a WaitGroup to which an arriving request still added. Change: once a checkpoint was marked, all later ones are. The rig counts no request once it closes.

--- a/pkg/standin/rig/rig.go
+++ b/pkg/standin/rig/rig.go
@@ -55,7 +55,11 @@
 	group   errgroup.Group
 	// running counts the requests in progress on all servers.
 	running sync.WaitGroup
-	stop    context.CancelFunc
+	// mu guards closed, which is set before Close waits for running: no request may
+	// be added after that.
+	mu     sync.Mutex
+	closed bool
+	stop   context.CancelFunc
 }
 
 // DaemonAddress is the address at which the daemon accepts callers' connections.
@@ -140,7 +144,9 @@
 	listener := r.Network.Listen(address)
 	inner := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		r.running.Add(1)
+		if !r.begin() {
+			panic(http.ErrAbortHandler)
+		}
 		defer r.running.Done()
 		inner.ServeHTTP(w, req)
 	})
@@ -148,6 +154,16 @@
 	r.group.Go(func() error { return server.Serve(listener) })
 }
 
+// begin counts a running request, and reports false once Close waits for them.
+func (r *Rig) begin() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.closed {
+		r.running.Add(1)
+	}
+	return !r.closed
+}
+
 // Control returns a client that sends orders to the engines.
 func (r *Rig) Control() *target.Control { return target.NewControl(r.client, "system") }
 
@@ -167,6 +183,9 @@
 	for _, e := range r.Engines {
 		e.DropStreams()
 	}
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
 	r.running.Wait()
 	_ = r.group.Wait()
 }
--- a/pkg/tally/counter.go
+++ b/pkg/tally/counter.go
@@ -57,6 +57,8 @@
 	windows map[Window]Counts
 	// closed is the newest window known to be closed.
 	closed Window
+	// left is set once a checkpoint was marked as the last.
+	left bool
 
 	// publishing serializes the writes and guards version, the version of the
 	// checkpoint in the store.
@@ -179,7 +181,8 @@
 }
 
 // checkpoint drops the counts of closed and old windows, and returns the current
-// checkpoint in its stored form with its key.
+// checkpoint in its stored form with its key. Once one was marked as the last, those of
+// periodic writes that come after it are too.
 func (c *Counter) checkpoint(left bool) (external.Key, []byte, error) {
 	now := c.opts.Time.Now()
 	oldest := windowOf(now, c.opts.Window) - maxWindows
@@ -191,8 +194,9 @@
 			delete(c.windows, window)
 		}
 	}
+	c.left = c.left || left
 	checkpoint := Checkpoint{
-		Host: c.opts.Host, Incarnation: c.opts.Incarnation, Through: now, Left: left, Windows: c.windows,
+		Host: c.opts.Host, Incarnation: c.opts.Incarnation, Through: now, Left: c.left, Windows: c.windows,
 	}
 	value, err := encode(&checkpoint)
 	return checkpoint.key(), value, err
--- a/pkg/tally/tally_test.go
+++ b/pkg/tally/tally_test.go
@@ -249,6 +249,23 @@
 	})
 }
 
+// TestWriteAfterTheLastCheckpointKeepsItsMark lets a periodic write come just after a
+// graceful shutdown has written the last checkpoint. Without the mark, the daemon's
+// windows would be waited for although it has left.
+func TestWriteAfterTheLastCheckpointKeepsItsMark(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		counter := NewCounter(f.options("one"))
+		counter.RequestStarted("a")
+		must.NoError(t, counter.Leave(f.t.Context()))
+		must.NoError(t, counter.publish(f.t.Context(), false))
+		entries, err := f.store.List(f.t.Context(), CheckpointPrefix)
+		must.NoError(t, err)
+		checkpoint, err := DecodeCheckpoint(entries[0].Value)
+		must.NoError(t, err)
+		must.True(t, checkpoint.Left)
+	})
+}
+
 // TestSteadyWallClockDoesNotStep checks that SteadyWallClock advances with the given
 // clock and not with the time of day.
 func TestSteadyWallClockDoesNotStep(t *testing.T) {
