--- a/pkg/peer/manager_test.go
+++ b/pkg/peer/manager_test.go
@@ -55,7 +55,19 @@
 	return running
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
+// startLinkedPair starts two managers that are linked to each other, of which the first
+// dials. stop stops them.
+func startLinkedPair(t testing.TB) (a, c *runningManager, stop func()) {
+	a, c = startManager(t, "a", 1, "127.0.0.1:0", "s"), startManager(t, "c", 1, "127.0.0.1:0", "s")
+	a.SetPeers([]Address{{"c", c.address}})
+	eventually(t, "link", func() bool { return len(c.Linked()) == 1 })
+	return a, c, func() {
+		c.stop()
+		a.stop()
+	}
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if ok() {
@@ -109,11 +121,8 @@
 
 func TestMalformedOversizedAndSilentPeersLoseOnlyTheirLink(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, c := startManager(t, "a", 1, "127.0.0.1:0", "s"), startManager(t, "c", 1, "127.0.0.1:0", "s")
-	defer a.stop()
-	defer c.stop()
-	a.SetPeers([]Address{{"c", c.address}})
-	eventually(t, "link", func() bool { return len(c.Linked()) == 1 })
+	a, c, stop := startLinkedPair(t)
+	defer stop()
 	for name, data := range map[string][]byte{"malformed": {0xff, 0x00}, "oversized": make([]byte, MaxFrameBytes+1), "silent": nil} {
 		conn, _, err := websocket.Dial(context.Background(), "ws://"+c.address+linkPath, nil)
 		must.NoError(t, err)
@@ -135,11 +144,8 @@
 // panics, and then another one over the same link.
 func TestHandlerFailureEndsNeitherProcessNorLink(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	a, c := startManager(t, "a", 1, "127.0.0.1:0", "s"), startManager(t, "c", 1, "127.0.0.1:0", "s")
-	defer a.stop()
-	defer c.stop()
-	a.SetPeers([]Address{{"c", c.address}})
-	eventually(t, "link", func() bool { return len(c.Linked()) == 1 })
+	a, c, stop := startLinkedPair(t)
+	defer stop()
 	must.NoError(t, a.Send("c", stateMessage(unhandledText)))
 	must.NoError(t, a.Send("c", stateMessage("next")))
 	must.Eq(t, "next", string((<-c.received).Payload))
--- /dev/null
+++ b/pkg/supplykeeper/domain.go
@@ -0,0 +1,68 @@
+package supplykeeper
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// Domain is the state of a model's engines in one failure domain.
+type Domain struct {
+	Name ident.FailureDomain
+	// Price is the price of a dependable engine there, relative to that in other
+	// domains.
+	Price float64
+	Have  Counts
+	Want  Counts
+	// Supplied reports whether all wanted reclaimable engines have been there
+	// before, so that missing ones are lost and not only on their way.
+	Supplied bool
+	// Replaces is the part of Want.Reclaimable that replaces engines lost in other
+	// domains.
+	Replaces int
+	// Substitutes is the part of Want.Dependable that stands in for lost reclaimable
+	// engines.
+	Substitutes int
+}
+
+// retryDelay returns the time before a refused order is repeated.
+func (d *Domain) retryDelay() time.Duration {
+	if d.Replaces > 0 {
+		return replacementRetryDelay
+	}
+	return retryDelay
+}
+
+// lostShare is the least share of a domain's reclaimable engines whose loss is made
+// up for elsewhere. Fewer are replaced where they were.
+const lostShare = 0.34
+
+// lost returns how many reclaimable engines the domain has lost.
+func (d *Domain) lost() int {
+	missing := d.Want.Reclaimable - d.Have.Reclaimable
+	if !d.Supplied || float64(missing) < lostShare*float64(d.Want.Reclaimable) {
+		return 0
+	}
+	return missing
+}
+
+// Due is an order that is due for one kind of engines in a domain.
+type Due struct {
+	Kind  external.TargetKind
+	Count int
+}
+
+// Due returns the orders that are due in the domain. Substitutes are ordered while the
+// reclaimable engines may be ordered in vain.
+func (d *Domain) Due(maximum int) []Due {
+	var orders []Due
+	kind, count, due := NextOrder(d.Have, d.Want, maximum)
+	if due {
+		orders = append(orders, Due{Kind: kind, Count: count})
+	}
+	if kind != external.Dependable && d.Substitutes > 0 && d.Have.Dependable < d.Want.Dependable {
+		orders = append(orders, Due{Kind: external.Dependable, Count: d.Want.Dependable})
+	}
+	return orders
+}
