Let the losses of a supply test fall between polls

Loss, arrival and poll fell on the same instants of fake time, whose order is not fixed; where the second loss came before the poll, no poll had seen the arrival, and the order rightly waited. Change: the losses come a quarter of a poll later, and the arrival is seen before the second. The assertion is the same, and fails without the change that it tests. Measured: 60 runs under the race detector beside load without a failure.

--- a/pkg/supplykeeper/replace_test.go
+++ b/pkg/supplykeeper/replace_test.go
@@ -113,8 +113,11 @@
 				p.set(group{"m", "a", external.Reclaimable}, 0)
 				p.orderCalls = 0
 			}
+			// The losses fall between two of the keeper's polls, which must have seen
+			// the arrival before the second.
+			time.Sleep(pollInterval / 4)
 			lose()
-			time.Sleep(bootTime + 2*pollInterval)
+			time.Sleep(bootTime + 3*pollInterval)
 			must.Eq(t, 4, p.count("a", external.Reclaimable))
 			lose()
 			time.Sleep(2 * pollInterval)
