Expect an urgent request to get the next free slot

Change: such a request is expected to wait for one slot to become free. Test: TestFullBatchesRefuseAtOnce, extended.

--- a/pkg/routing/estimate.go
+++ b/pkg/routing/estimate.go
@@ -121,12 +121,14 @@
 }
 
 // decode returns the seconds that a request waits for a slot, and the seconds
-// that its output then takes.
-func (e *estimate) decode(output float64) (wait, generate float64) {
+// that its output then takes. An urgent one gets the next slot that becomes free.
+func (e *estimate) decode(output float64, urgent bool) (wait, generate float64) {
 	generate = output / e.decodeRate
-	if over := e.occupied + 1 - e.slots; over > 0 {
-		wait = over * generate / e.slots
+	over := max(0, e.occupied+1-e.slots)
+	if urgent {
+		over = min(1, over)
 	}
+	wait = over * generate / e.slots
 	busy := min(1, e.backlog/e.prefillRate)
 	return wait, generate * (1 + decodeInterference*busy)
 }
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -67,7 +67,7 @@
 		s.wait, s.compute = e.prefill(s.uncached)
 		s.compute += s.fetched / knobs.FetchRate
 		s.prefill = s.compute*(knobs.PrefillWeight+knobs.InterferenceWeight*e.decoding) + r.penalty(state, req, knobs)
-		s.slotWait, s.decode = e.decode(float64(req.MaxOutputTokens))
+		s.slotWait, s.decode = e.decode(float64(req.MaxOutputTokens), urgent(req))
 		s.decode *= 1 + knobs.CrowdWeight*e.crowding()
 		if req.Class == ident.ClassLookup {
 			s.wait *= lookupBacklogShare
--- a/pkg/routing/work_test.go
+++ b/pkg/routing/work_test.go
@@ -43,7 +43,7 @@
 	sim := newFleetSim(smallBatches)
 	state := sim.routers[0].opts.View.Snapshot().Targets[smallBatches.prefill]
 	e := estimateEngine(&state, &targetTracker{outstanding: smallBatches.slots}, 1, &sim.knobs, sim.now)
-	wait, _ := e.decode(120)
+	wait, _ := e.decode(120, false)
 	must.Positive(t, wait)
 }
 
@@ -112,4 +112,8 @@
 	must.True(t, ok)
 	must.Eq(t, fault.Unavailable, refusal.Kind)
 	must.Positive(t, refusal.RetryAfter)
+	urgentReq := sharedPrompt(3, 3)
+	urgentReq.Urgency = 0
+	_, err = sim.routers[0].Place(urgentReq, nil)
+	must.NoError(t, err, must.Sprint("engines give an urgent request the next free slot"))
 }
