--- a/pkg/supplykeeper/domain.go
+++ b/pkg/supplykeeper/domain.go
@@ -47,22 +47,22 @@
 	return missing
 }
 
-// Due is an order that is due for one kind of engines in a domain.
-type Due struct {
+// DueOrder is an order that is due for one kind of engines in a domain.
+type DueOrder struct {
 	Kind  external.TargetKind
 	Count int
 }
 
 // Due returns the orders that are due in the domain. Substitutes are ordered while the
 // reclaimable engines may be ordered in vain.
-func (d *Domain) Due(maximum int) []Due {
-	var orders []Due
+func (d *Domain) Due(maximum int) []DueOrder {
+	var orders []DueOrder
 	kind, count, due := NextOrder(d.Have, d.Want, maximum)
 	if due {
-		orders = append(orders, Due{Kind: kind, Count: count})
+		orders = append(orders, DueOrder{Kind: kind, Count: count})
 	}
 	if kind != external.Dependable && d.Substitutes > 0 && d.Have.Dependable < d.Want.Dependable {
-		orders = append(orders, Due{Kind: external.Dependable, Count: d.Want.Dependable})
+		orders = append(orders, DueOrder{Kind: external.Dependable, Count: d.Want.Dependable})
 	}
 	return orders
 }
--- a/pkg/supplykeeper/keeper.go
+++ b/pkg/supplykeeper/keeper.go
@@ -145,7 +145,7 @@
 
 // order sends one order and notes when it may be repeated. It fails only if the
 // authority is lost.
-func (k *Keeper) order(ctx context.Context, authority lease.Authority, model *config.Model, state *Domain, due Due) error {
+func (k *Keeper) order(ctx context.Context, authority lease.Authority, model *config.Model, state *Domain, due DueOrder) error {
 	order := Order{Model: model.Name, Domain: state.Name, Kind: due.Kind, Count: due.Count, Fencing: authority.Fencing()}
 	if err := authority.Check(); err != nil {
 		return err
--- a/pkg/supplykeeper/replace.go
+++ b/pkg/supplykeeper/replace.go
@@ -14,13 +14,13 @@
 // The rest is replaced by dependable engines in the domains that have lost theirs.
 func ReplaceLost(domains []Domain, maximum int) {
 	lost, borne := 0, 0
-	var hit, intact []*Domain
+	var affected, intact []*Domain
 	for i := range domains {
 		domain := &domains[i]
 		borne = max(borne, domain.Want.Reclaimable)
 		if missing := domain.lost(); missing > 0 {
 			lost += missing
-			hit = append(hit, domain)
+			affected = append(affected, domain)
 			continue
 		}
 		intact = append(intact, domain)
@@ -30,7 +30,7 @@
 		domain.Want.Reclaimable += domain.Replaces
 		return domain.Replaces
 	})
-	spread(hit, max(0, lost-borne), func(domain *Domain, wanted int) int {
+	spread(affected, max(0, lost-borne), func(domain *Domain, wanted int) int {
 		domain.Substitutes = min(wanted, max(0, maximum-domain.Want.Dependable-domain.Have.Reclaimable))
 		domain.Want.Dependable += domain.Substitutes
 		return domain.Substitutes
