Log whether an answer had begun when its request failed

Cause: the line 'request not answered' was the same for a request that got an error response and for one whose connection was closed within its answer, so that a report of lost requests could not be traced. Change: the line has 'begun' and 'left', the time until the deadline.

--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -38,6 +38,9 @@
 	// target is the target of the last attempt, attempts the number of attempts.
 	target   ident.Target
 	attempts int
+	// begun reports whether a part of the answer was sent, so that a failure closes the
+	// caller's connection instead of being reported.
+	begun bool
 	// tokenUsage is reported when the ticket is released.
 	tokenUsage request.TokenUsage
 }
@@ -156,7 +159,7 @@
 	}
 	s.lifecycle.TransitionTo(request.Attempting)
 	result := s.handler.opts.Relay.Do(s.httpReq.Context(), s.req, s.writer)
-	s.target, s.attempts = result.Target, result.Attempts
+	s.target, s.attempts, s.begun = result.Target, result.Attempts, result.ResponseStarted
 	s.recordResult(result)
 	s.settleClaim(result.Outcome)
 	switch {
@@ -232,7 +235,16 @@
 	s.handler.metrics.requestEnded(route, outcome, string(fault.KindOf(err)))
 	s.handler.opts.Log.Log(s.httpReq.Context(), logLevel(fault.KindOf(err)), "request not answered",
 		"request", s.id, "workspace", s.caller.workspace, "route", route, "outcome", outcome,
-		"target", s.target, "attempts", s.attempts, "after", time.Since(s.startedAt), "error", err)
+		"target", s.target, "attempts", s.attempts, "begun", s.begun, "after", time.Since(s.startedAt), "left", s.timeLeft(), "error", err)
+}
+
+// timeLeft returns the time until the request's deadline, or zero if the request was
+// not matched to a route.
+func (s *session) timeLeft() time.Duration {
+	if s.req == nil {
+		return 0
+	}
+	return time.Until(s.req.Deadline)
 }
 
 // logLevel returns the level at which a failure is logged. Errors that callers
