Do not end an answer because its target is silent

What callers saw: a request that was accepted ended without an answer, its connection closed up to seconds before its deadline; others got 502. Cause: the watchdog of an exchange took a silence of retry.silenceTimeout for a failure of the target. A stream that another target may continue was given up at once, also where no attempt, budget or target was left to continue it, and a continuation that failed or was silent too cut the answer of a target that was sound. The class is a failure detector whose wrong verdict can't be taken back. Change: silence only asks whether the request may be sent elsewhere. Before the answer begins it is sent elsewhere if another target would take it now and a retry is reserved; otherwise, and once the answer has begun, the exchange waits on. The transport finds a lost host. The line 'target silent' and a metric say what was decided. Why it works: no exchange is left any more without something to take its place, and none at all once a part of the answer was sent.

--- a/pkg/config/knobs_retry.go
+++ b/pkg/config/knobs_retry.go
@@ -8,7 +8,9 @@
 	Timeout Duration `json:"timeout" default:"5m" unit:"duration" min:"100ms" max:"24h"`
 	// SilenceTimeout is how long a stream, or the response to an idempotent
 	// lookup, may deliver nothing before the stream is resumed on a new
-	// connection or the request is retried.
+	// connection or the request is sent to another target. A request that can't
+	// be sent elsewhere waits on, and so does a stream that its target does not
+	// keep once the caller has a part of it.
 	SilenceTimeout Duration `json:"silenceTimeout" default:"5s" unit:"duration" min:"100ms" max:"10m"`
 	// BudgetRatio limits retries to a share of a route's requests.
 	BudgetRatio float64 `json:"budgetRatio" default:"0.1" unit:"ratio" min:"0" max:"1"`
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -28,6 +29,11 @@
 	// cacheHolder is the address from which a part of the prompt's KV cache is
 	// fetched, or empty.
 	cacheHolder string
+	// excluded are the targets at which the request failed before, and the attempt's
+	// own.
+	excluded []ident.Target
+	// silenceLogged is set once the attempt has logged that its target is silent.
+	silenceLogged bool
 	// began is when the attempt was created.
 	began time.Time
 	// phase is how far the attempt has progressed; it never decreases.
@@ -62,7 +68,8 @@
 func newAttempt(c *call, state *fleet.TargetState) *attempt {
 	return &attempt{
 		call: c, id: ident.Attempt(uuid.NewString()), target: state.Record.Target,
-		address: state.Record.Address, record: state.Record, resumeBackoff: newResumeBackoff(), lastEvent: c.lastEvent, began: time.Now(),
+		excluded: append(slices.Clone(c.failedTargets), state.Record.Target),
+		address:  state.Record.Address, record: state.Record, resumeBackoff: newResumeBackoff(), lastEvent: c.lastEvent, began: time.Now(),
 	}
 }
 
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -12,6 +12,7 @@
 	events   prometheus.Counter
 	cancels  *prometheus.CounterVec
 	moves    prometheus.Counter
+	silences *prometheus.CounterVec
 }
 
 // newMetrics returns the metrics, registered unless registerer is nil.
@@ -30,9 +31,13 @@
 		moves: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "amaranthplank_relay_moves_total", Help: "Streams that another engine took over.",
 		}),
+		silences: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "amaranthplank_relay_silences_total",
+			Help: "Silence timeouts of exchanges that could be sent elsewhere, by what was decided.",
+		}, []string{"decision"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.failures, m.events, m.cancels, m.moves)
+		registerer.MustRegister(m.failures, m.events, m.cancels, m.moves, m.silences)
 	}
 	return m
 }
@@ -41,3 +46,12 @@
 func (m *metrics) exchangeFailed(phase retry.Phase, failure retry.Failure, decision retry.Decision) {
 	m.failures.WithLabelValues(phase.String(), failure.String(), decision.String()).Inc()
 }
+
+// silenceDecided counts one silence timeout.
+func (m *metrics) silenceDecided(sendElsewhere bool) {
+	decision := "wait"
+	if sendElsewhere {
+		decision = "send_elsewhere"
+	}
+	m.silences.WithLabelValues(decision).Inc()
+}
--- a/pkg/relay/next.go
+++ b/pkg/relay/next.go
@@ -117,6 +117,17 @@
 	return placement, err
 }
 
+// hasAlternative reports whether the request could now be sent to a target other than
+// the excluded ones. It may be called while an exchange is in progress.
+func (c *call) hasAlternative(excluded []ident.Target) bool {
+	checker, ok := c.relay.opts.Router.(routing.AlternativeChecker)
+	if !ok {
+		return true
+	}
+	_, canPrefill := c.relay.protocol.(Prefiller)
+	return checker.HasAlternative(c.req, excluded, canPrefill && !c.prefilled)
+}
+
 // choose returns a target at which no attempt failed or, if there is none, any
 // target.
 func (c *call) choose() (*fleet.TargetState, error) {
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -20,7 +20,7 @@
 		if err != nil {
 			return a.call.classify(w.ctx, err)
 		}
-		w.reset()
+		a.watchNext(w, event)
 		a.call.markRan()
 		if event.ID == 0 && !event.Last {
 			continue
@@ -47,6 +47,17 @@
 	}
 }
 
+// watchNext restarts the silence timeout after an event. A stream that its target does
+// not keep is not left once its answer begins, because the continuation might fail.
+func (a *attempt) watchNext(w *watchdog, event Event) {
+	keepAlive := event.ID == 0 && !event.Last
+	if a.keptByTarget() || keepAlive {
+		w.reset()
+		return
+	}
+	w.disarm()
+}
+
 // writeEvent writes one event to the caller.
 func (a *attempt) writeEvent(response *http.Response, event Event) error {
 	if !a.call.result.ResponseStarted {
@@ -81,7 +92,7 @@
 // failure here only closes the connection.
 func (a *attempt) finishStream(w *watchdog, events EventReader) error {
 	a.readUsage(a.lastData)
-	w.resetTo(drainTimeout)
+	w.limitTo(drainTimeout)
 	if events.Drain() != nil {
 		w.cancel(nil)
 	}
--- a/pkg/relay/watchdog.go
+++ b/pkg/relay/watchdog.go
@@ -2,53 +2,120 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
-// watchdog ends an exchange that receives no data for too long.
+// watchdog limits how long an exchange may receive no data before it may be left for
+// another one. Silence does not show that a target has failed: a sound one may pause,
+// or have the request in its queue.
 type watchdog struct {
 	// ctx ends with the exchange. Its cause is errSilence if the watchdog ended
 	// it.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// timer is nil for responses without a silence timeout.
-	timer   *time.Timer
+	// silence is zero for exchanges that are never left.
 	silence time.Duration
+	// mayLeave reports whether the exchange may be left. If not, it is asked again
+	// after another silence.
+	mayLeave func() bool
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// stopped is set once the watchdog must not end the exchange any more.
+	stopped bool
 }
 
-// startWatchdog starts an exchange's watchdog. Streams that can be resumed or
-// continued and idempotent lookups are subject to the silence timeout; other
-// responses may take until the deadline. Each consecutive resume without an
-// event doubles the timeout.
+// startWatchdog starts an exchange's watchdog. A stream that its target keeps is left
+// after each silence, since it is resumed at the same target; each consecutive resume
+// without an event doubles the timeout. Other streams that may be continued, and
+// idempotent lookups, are left only before their answer has begun and if they can be
+// sent elsewhere. All others may take until the deadline.
 func (a *attempt) startWatchdog(ctx context.Context) *watchdog {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watchdog{ctx: ctx, cancel: cancel}
-	req := a.call.req
-	kept := a.call.relay.protocol.Resumer() != nil && req.Stream && req.Model != ""
-	if kept || req.Resumable || (req.Idempotent && req.Class == ident.ClassLookup) {
-		w.silence = a.call.knobs.SilenceTimeout.D() << a.idleResumes
-		w.timer = time.AfterFunc(w.silence, func() { cancel(errSilence) })
+	req, silence := a.call.req, a.call.knobs.SilenceTimeout.D()
+	switch {
+	case a.keptByTarget():
+		w.start(silence<<a.idleResumes, func() bool { return true })
+	case a.call.result.ResponseStarted:
+	case req.Resumable, req.Idempotent && req.Class == ident.ClassLookup:
+		w.start(silence, a.maySendElsewhere)
 	}
 	return w
 }
 
-// reset restarts the timeout after data was received.
-func (w *watchdog) reset() { w.resetTo(w.silence) }
+// keptByTarget reports whether the target keeps the stream if its connection breaks.
+func (a *attempt) keptByTarget() bool {
+	return a.call.relay.protocol.Resumer() != nil && a.call.req.Stream && a.call.req.Model != ""
+}
 
-// resetTo restarts the timer with the given timeout.
-func (w *watchdog) resetTo(d time.Duration) {
+// maySendElsewhere reports whether the request can be sent to another target, and if
+// so reserves the retry. It may be called while the exchange is in progress.
+func (a *attempt) maySendElsewhere() bool {
+	may := a.call.hasAlternative(a.excluded) && a.call.retries.Reserve(time.Now())
+	a.call.relay.metrics.silenceDecided(may)
+	if !a.silenceLogged {
+		a.silenceLogged = true
+		a.call.relay.opts.Log.Info("target silent", "request", a.call.req.ID, "target", a.target,
+			"after", time.Since(a.began), "sendElsewhere", may)
+	}
+	return may
+}
+
+// start sets the timeout and starts the timer.
+func (w *watchdog) start(silence time.Duration, mayLeave func() bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silence, w.mayLeave = silence, mayLeave
+	w.timer = time.AfterFunc(silence, w.expire)
+}
+
+// expire ends the exchange if it may be left.
+func (w *watchdog) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	if !w.mayLeave() {
+		w.timer.Reset(w.silence)
+		return
+	}
+	w.stopped = true
+	w.cancel(errSilence)
+}
+
+// reset restarts the timeout after data was received.
+func (w *watchdog) reset() {
 	if w.timer != nil {
-		w.timer.Reset(d)
+		w.timer.Reset(w.silence)
 	}
 }
 
-// disarm stops the timer, so that silence no longer ends the exchange.
+// limitTo ends the exchange after the given time.
+func (w *watchdog) limitTo(d time.Duration) {
+	if w.timer == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mayLeave, w.stopped = func() bool { return true }, false
+	w.timer.Reset(d)
+}
+
+// disarm stops the timer, so that silence no longer ends the exchange. It waits for a
+// decision in progress.
 func (w *watchdog) disarm() {
-	if w.timer != nil {
-		w.timer.Stop()
+	if w.timer == nil {
+		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
 }
 
 // stop ends the exchange.
--- a/pkg/retry/controller.go
+++ b/pkg/retry/controller.go
@@ -1,16 +1,24 @@
 package retry
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // Controller decides how one request continues after each failed attempt. It
-// does no I/O and is not safe for concurrent use.
+// does no I/O. Reserve may be called concurrently with the other methods, which must
+// not be called concurrently with each other.
 type Controller struct {
+	// mu guards the fields that Reserve uses: attempts, reserved and the budget.
+	mu     sync.Mutex
 	caps   Capabilities
 	limits Limits
 	budget *Budget
 	// attempts counts the attempts that were begun, except those that failed to
 	// connect and are counted in unreachable.
 	attempts int
+	// reserved is set if the next retry was taken from the budget in advance.
+	reserved bool
 	// unreachable counts targets that could not be connected to, so that nothing
 	// was sent to them, up to maxUnreachable.
 	unreachable int
@@ -33,6 +41,13 @@
 
 // BeginAttempt counts a new attempt.
 func (c *Controller) BeginAttempt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beginAttempt()
+}
+
+// beginAttempt counts a new attempt; c.mu must be held.
+func (c *Controller) beginAttempt() {
 	c.attempts++
 	c.resumes = 0
 }
@@ -40,17 +55,30 @@
 // TryHedge counts a second attempt, made while the first has not been answered.
 // It reports false if none is allowed. Only idempotent requests may be hedged.
 func (c *Controller) TryHedge(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.caps.Idempotent || !c.mayRetry(Sent, now) {
 		return false
 	}
-	c.BeginAttempt()
+	c.beginAttempt()
 	return true
 }
 
+// Reserve reports whether another attempt would be allowed if the present one, which
+// was sent, ended now. If so the retry is taken from the budget for that case.
+func (c *Controller) Reserve(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reserved = c.mayRetry(Sent, now)
+	return c.reserved
+}
+
 // RetryPrefill reports whether a failed prefill may be retried at another
 // target. The retry is taken from the budget, unless the failed one sent
 // nothing.
 func (c *Controller) RetryPrefill(failure Failure, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if now.Add(c.limits.MinAttemptTime).After(c.limits.Deadline) {
 		return false
 	}
@@ -90,6 +118,8 @@
 // resume beyond the limits is treated as if the stream were gone, and a retry
 // beyond them ends the request.
 func (c *Controller) AfterFailure(phase Phase, failure Failure, now time.Time) Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.mayHaveRun = c.mayHaveRun || (phase != Unsent && failure != Rejected)
 	if phase == Unsent && failure == ConnectFailed && c.skipUnreachable() {
 		c.attempts--
@@ -124,6 +154,10 @@
 	if now.Add(c.limits.MinAttemptTime).After(c.limits.Deadline) {
 		return false
 	}
+	if c.reserved {
+		c.reserved = false
+		return true
+	}
 	return phase == Unsent || c.budget.Withdraw()
 }
 
