Count and log the retries that budgets grant and refuse

Cause: no metric and no log line said that a retry was taken from a budget or refused by it, so that repeats within one request can't be told from buckets that fill anew. Change: amaranthplank_retries_total by budget and result, and a line 'retry refused by its budget' at most every 5 s with the refusals since the last.

--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -12,6 +12,7 @@
 	events   prometheus.Counter
 	cancels  *prometheus.CounterVec
 	moves    prometheus.Counter
+	retries  *prometheus.CounterVec
 }
 
 // newMetrics returns the metrics, registered unless registerer is nil.
@@ -30,9 +31,12 @@
 		moves: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "amaranthplank_relay_moves_total", Help: "Streams that another engine took over.",
 		}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "amaranthplank_retries_total", Help: "Retries asked of a retry budget, by the budget and whether it granted them.",
+		}, []string{"budget", "result"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.failures, m.events, m.cancels, m.moves)
+		registerer.MustRegister(m.failures, m.events, m.cancels, m.moves, m.retries)
 	}
 	return m
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -29,7 +29,8 @@
 	if protocol == nil {
 		protocol = EngineProtocol{}
 	}
-	return &Relay{opts: opts, protocol: protocol, budgets: retry.NewBudgets(), metrics: m, canceler: newCanceler(opts, protocol.Resumer(), m)}
+	withdrawals := &withdrawalObserver{metrics: m, log: opts.Log}
+	return &Relay{opts: opts, protocol: protocol, budgets: retry.NewBudgets(withdrawals.observe), metrics: m, canceler: newCanceler(opts, protocol.Resumer(), m)}
 }
 
 // Run cancels abandoned attempts at their engines until ctx ends.
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -5,6 +5,10 @@
 // Budget limits retries to a share of the requests. It is a token bucket: each
 // request adds ratio tokens and each retry takes one.
 type Budget struct {
+	// observe is called after each withdrawal with whether it was granted. It may
+	// be nil.
+	observe func(granted bool)
+
 	mu sync.Mutex
 	// ratio is the number of retries that each request adds, burst the capacity
 	// of the bucket.
@@ -36,6 +40,15 @@
 
 // Withdraw takes one retry. It reports false if less than one is left.
 func (b *Budget) Withdraw() bool {
+	granted := b.take()
+	if b.observe != nil {
+		b.observe(granted)
+	}
+	return granted
+}
+
+// take takes one retry if at least one is left.
+func (b *Budget) take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.level < 1 {
--- a/pkg/retry/table_test.go
+++ b/pkg/retry/table_test.go
@@ -135,7 +135,7 @@
 }
 
 func TestBudgetLimitsRetriesToShareOfRequests(t *testing.T) {
-	budget := NewBudgets().For("chat", 0.1, 5)
+	budget := NewBudgets(nil).For("chat", 0.1, 5)
 	for budget.Withdraw() {
 	}
 	retries := 0
