Send a request without a body once for each attempt

What callers' targets saw: one GET without a body reached a replica that breaks connections eight times where its route allows two attempts. Cause: the platform's requests without a body had http.NoBody, for which net/http itself sends a GET again whenever a connection that it reused breaks, once for each idle connection, in no budget. The trace of the attempt followed only the last connection, so that a request whose bytes had arrived could count as unsent. Change: these requests have the hidden empty body as all others do, and the client for targets replaces an absent body, so that no protocol can bring the fault back.

--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -74,12 +74,15 @@
 	}
 }
 
-// Do sends one request. Its body must not be nil, so that the transport doesn't
-// consider it safe to retry. The trace reports whether the request may have left
-// the process.
+// Do sends one request. An absent body is replaced by an empty one, since the
+// transport sends requests without a body again when a reused connection breaks. The
+// trace reports whether the request may have left the process.
 func (c *Client) Do(r *http.Request, reuse Reuse) (*http.Response, *Trace, error) {
 	trace := &Trace{}
 	r.GetBody = nil
+	if r.Body == nil || r.Body == http.NoBody {
+		r.Body = NewBody(nil)
+	}
 	response, err := c.transports[reuse].RoundTrip(r.WithContext(trace.withTrace(r.Context())))
 	return response, trace, err
 }
