Give a started daemon its burst of retries only after a window

What the fleet's targets saw: after daemons were killed in series, more repeats in a window than the fleet's limit. Cause: each process started with a full bucket, so that a host's successor had the burst that its predecessor had just used. Change: a budget has a time from which its burst may be used: one window after the start, and the time within which others learn of the daemon. Until then it holds what requests have added; what was taken of that is part of the first burst. A budget that is first used later begins full, so that at a quiet time single failures are retried as before. TestQuietDaemonRetriesSingleFailures holds what callers need.

--- a/cmd/amaranthplank/hosted.go
+++ b/cmd/amaranthplank/hosted.go
@@ -88,7 +88,7 @@
 
 // limitsOf returns the limits that can be changed while a process runs.
 func limitsOf(s *platform.Settings) gateway.Limits {
-	return gateway.Limits{RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack}
+	return gateway.Limits{RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow}
 }
 
 // readPolicy reads the fleet's defaults and exceptions.
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -1,16 +1,20 @@
 package gateway
 
 import (
+	"time"
+
 	"amaranthplank.example/amaranthplank/pkg/request"
+	"amaranthplank.example/amaranthplank/pkg/retry"
 )
 
 // Limits are limits of the whole fleet, which may change while a process runs.
 type Limits struct {
 	// RetryRatio and RetrySlack bound how often requests to one model or service are
-	// sent again within any window: at most RetryRatio times the number of requests to
-	// it, plus RetrySlack.
-	RetryRatio float64
-	RetrySlack float64
+	// sent again within any window of length RetryWindow: at most RetryRatio times
+	// the number of requests to it, plus RetrySlack.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 }
 
 // retryMargin is the share of the fleet's retry limit that is used. The rest allows
@@ -20,17 +24,15 @@
 // ApplyLimits replaces the limits.
 func (g *Gateway) ApplyLimits(limits Limits) {
 	g.limits.Store(&limits)
-	g.opts.Log.Info("limits taken", "retryRatio", limits.RetryRatio, "retrySlack", limits.RetrySlack)
+	g.opts.Log.Info("limits taken", "retryRatio", limits.RetryRatio, "retrySlack", limits.RetrySlack, "retryWindow", limits.RetryWindow)
 }
 
 // retryBudget returns this daemon's share of the fleet's retry limit for the
 // request's model or service, and the key that identifies the model or service.
-func (g *Gateway) retryBudget(req *request.Request) (key string, ratio, burst float64) {
-	limits := g.limits.Load()
+func (g *Gateway) retryBudget(req *request.Request) (key string, share retry.Share) {
 	key = "service/" + string(req.Service)
 	if req.Model != "" {
 		key = "model/" + string(req.Model)
 	}
-	burst = retryMargin * limits.RetrySlack / float64(g.presence.Daemons())
-	return key, retryMargin * limits.RetryRatio, burst
+	return key, g.retryShares.share(g.limits.Load(), g.presence.Daemons())
 }
--- /dev/null
+++ b/pkg/gateway/retryshares_test.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"amaranthplank.example/amaranthplank/pkg/retry"
+	_ "amaranthplank.example/amaranthplank/pkg/testseed"
+)
+
+const (
+	// simStep is the length of a step, simSteps the number of steps.
+	simStep  = 100 * time.Millisecond
+	simSteps = 600
+	// simAttempts is the number of attempts that a request makes if all fail.
+	simAttempts = 4
+	// presenceSteps is how long a daemon that ended is counted, in steps.
+	presenceSteps = 90
+)
+
+// simLimits are the limits of the simulated fleet.
+var simLimits = Limits{RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second}
+
+// simDaemon is a daemon of which only the retry budget is simulated.
+type simDaemon struct {
+	// rate is the number of requests in each step.
+	rate float64
+	// due is the part of a request that is left over from earlier steps.
+	due     float64
+	budgets *retry.Budgets
+	shares  *retryShares
+	// downUntil is the step at which the daemon starts again, downSince when it ended.
+	downSince, downUntil int
+}
+
+// retrySim simulates a fleet whose daemons retry each failed request for as long as
+// their budgets allow it. All requests fail within the storms.
+type retrySim struct {
+	daemons []*simDaemon
+	storms  [][2]int
+	// kills are the steps at which daemons end, by daemon; each is down for the
+	// number of steps beside it.
+	kills [][][2]int
+	// requests and repeats are the fleet's counts for each step.
+	requests, repeats []int
+}
+
+// timeOf returns the time of a step.
+func timeOf(step int) time.Time { return time.Unix(1000, 0).Add(time.Duration(step) * simStep) }
+
+// start starts a process of the daemon.
+func (d *simDaemon) start(step int) {
+	d.budgets, d.due = retry.NewBudgets(nil), 0
+	d.shares = &retryShares{startedAt: timeOf(step), viewLag: time.Second}
+}
+
+// run simulates all steps.
+func (s *retrySim) run() {
+	s.requests, s.repeats = make([]int, simSteps), make([]int, simSteps)
+	for _, d := range s.daemons {
+		d.start(0)
+	}
+	for step := range simSteps {
+		for i, d := range s.daemons {
+			s.restart(i, step)
+			if d.downUntil <= step {
+				s.serve(d, step)
+			}
+		}
+	}
+}
+
+// restart ends and starts a daemon as planned.
+func (s *retrySim) restart(i, step int) {
+	d := s.daemons[i]
+	for _, kill := range s.kills[i] {
+		if kill[0] == step {
+			d.downSince, d.downUntil = step, step+kill[1]
+		}
+	}
+	if d.downUntil == step && step > 0 {
+		d.start(step)
+	}
+}
+
+// view returns how many daemons are present in the eyes of all others.
+func (s *retrySim) view(step int) (count int) {
+	for _, d := range s.daemons {
+		if d.downUntil <= step || step < d.downSince+presenceSteps {
+			count++
+		}
+	}
+	return max(1, count)
+}
+
+// serve handles one daemon's requests of one step.
+func (s *retrySim) serve(d *simDaemon, step int) {
+	for d.due += d.rate; d.due >= 1; d.due-- {
+		budget := d.budgets.For("m", d.shares.share(&simLimits, s.view(step)), timeOf(step))
+		budget.Deposit()
+		s.requests[step]++
+		for attempt := 1; attempt < simAttempts && s.fails(step) && budget.Withdraw(); attempt++ {
+			s.repeats[step]++
+		}
+	}
+}
+
+// fails reports whether requests fail in a step.
+func (s *retrySim) fails(step int) bool {
+	for _, storm := range s.storms {
+		if step >= storm[0] && step < storm[1] {
+			return true
+		}
+	}
+	return false
+}
+
+// check compares the repeats in every window with the limit of the fleet. The requests
+// are those of the window, of the one before it or of the one half a window before it.
+func (s *retrySim) check(t rapid.TB) {
+	window := int(simLimits.RetryWindow / simStep)
+	for from := range simSteps - window {
+		requests := sum(s.requests, from, from+window)
+		requests = max(requests, sum(s.requests, from-window, from), sum(s.requests, from-window/2, from+window/2))
+		allowed := int(simLimits.RetryRatio*float64(requests) + simLimits.RetrySlack)
+		must.LessEq(t, allowed, sum(s.repeats, from, from+window), must.Sprintf("from step %d, %d requests", from, requests))
+	}
+}
+
+// sum adds the counts from one step up to another.
+func sum(counts []int, from, to int) (total int) {
+	for _, n := range counts[max(0, from):max(0, to)] {
+		total += n
+	}
+	return total
+}
+
+// drawSim draws a fleet with its load and the times at which requests fail.
+func drawSim(t *rapid.T) *retrySim {
+	s := &retrySim{}
+	for range rapid.IntRange(2, 12).Draw(t, "daemons") {
+		s.daemons = append(s.daemons, &simDaemon{rate: rapid.Float64Range(0.05, 3).Draw(t, "rate")})
+	}
+	s.kills = make([][][2]int, len(s.daemons))
+	for range rapid.IntRange(1, 3).Draw(t, "storms") {
+		from := rapid.IntRange(0, simSteps).Draw(t, "storm")
+		s.storms = append(s.storms, [2]int{from, from + rapid.IntRange(1, 300).Draw(t, "length")})
+	}
+	return s
+}
+
+// TestKillsInSeriesGiveNoNewBursts guards against retries beyond the fleet's limit when
+// daemons are killed in quick succession: each successor must not have a burst again
+// that its predecessor may have used within the same window.
+func TestKillsInSeriesGiveNoNewBursts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSim(t)
+		for range rapid.IntRange(1, 3).Draw(t, "rounds") {
+			step := rapid.IntRange(1, simSteps).Draw(t, "first kill")
+			for i := range s.daemons {
+				step += rapid.IntRange(0, 8).Draw(t, "gap")
+				s.kills[i] = append(s.kills[i], [2]int{step, rapid.IntRange(1, 20).Draw(t, "down")})
+			}
+		}
+		s.run()
+		s.check(t)
+	})
+}
+
+// TestQuietDaemonRetriesSingleFailures guards against budgets that are too empty for
+// the failures of a quiet time: one daemon of eight that has served a request a second
+// for a minute can retry a few failures in a row.
+func TestQuietDaemonRetriesSingleFailures(t *testing.T) {
+	d := &simDaemon{}
+	d.start(0)
+	var budget *retry.Budget
+	for second := range 60 {
+		budget = d.budgets.For("m", d.shares.share(&simLimits, 8), timeOf(10*second))
+		budget.Deposit()
+	}
+	for range 5 {
+		must.True(t, budget.Withdraw())
+	}
+}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -60,10 +60,11 @@
 
 // retryBudget returns the budget from which the request's retries are taken.
 func (r *Relay) retryBudget(req *request.Request, knobs *config.RetryKnobs) *retry.Budget {
-	if r.opts.RetryBudget == nil {
-		return r.budgets.For(string(req.Route), knobs.BudgetRatio, knobs.BudgetBurst)
+	key, share := string(req.Route), retry.Share{Ratio: knobs.BudgetRatio, Burst: knobs.BudgetBurst}
+	if r.opts.RetryBudget != nil {
+		key, share = r.opts.RetryBudget(req)
 	}
-	return r.budgets.For(r.opts.RetryBudget(req))
+	return r.budgets.For(key, share, time.Now())
 }
 
 // maxAttempts returns how many targets a request may be sent to.
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -9,6 +9,7 @@
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
+	"amaranthplank.example/amaranthplank/pkg/retry"
 	"amaranthplank.example/amaranthplank/pkg/routing"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
@@ -32,9 +33,9 @@
 	// request. It may be nil.
 	OnRun func(workspace ident.Workspace)
 	// RetryBudget returns the key of the budget from which a request's retries
-	// are taken, and the budget's ratio and burst. If nil, each route has a
-	// budget configured by its knobs.
-	RetryBudget func(req *request.Request) (key string, ratio, burst float64)
+	// are taken, and this process's share of it. If nil, each route has a budget
+	// configured by its knobs, which is full at the start.
+	RetryBudget func(req *request.Request) (key string, share retry.Share)
 	// Log may be nil.
 	Log *slog.Logger
 	// Registerer registers the metrics; if nil, they are not registered.
--- a/pkg/retry/budgets.go
+++ b/pkg/retry/budgets.go
@@ -1,6 +1,9 @@
 package retry
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Budgets holds retry budgets by key. Keys are made from names in the
 // configuration, so their number is bounded.
@@ -17,20 +20,19 @@
 	return &Budgets{observe: observe, byKey: make(map[string]*Budget)}
 }
 
-// For returns the budget with the given key, and creates it or updates its
-// ratio and burst.
-func (b *Budgets) For(key string, ratio, burst float64) *Budget {
+// For returns the budget with the given key, and creates it or updates its share.
+func (b *Budgets) For(key string, share Share, now time.Time) *Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	budget := b.byKey[key]
 	if budget == nil {
-		budget = NewBudget(ratio, burst)
+		budget = NewBudget(share, now)
 		if b.observe != nil {
 			budget.observe = func(granted bool) { b.observe(key, granted) }
 		}
 		b.byKey[key] = budget
 		return budget
 	}
-	budget.Configure(ratio, burst)
+	budget.Configure(share, now)
 	return budget
 }
--- a/pkg/retry/table_test.go
+++ b/pkg/retry/table_test.go
@@ -86,7 +86,7 @@
 		caps := Capabilities{Idempotent: rapid.Bool().Draw(t, "idempotent"), Resumable: rapid.Bool().Draw(t, "resumable")}
 		caps.Continuable = caps.Idempotent && rapid.Bool().Draw(t, "continuable")
 		limits := Limits{MaxAttempts: 4, MaxResumes: 3, Deadline: start.Add(time.Second), MinAttemptTime: time.Millisecond}
-		budget := NewBudget(0.1, 2)
+		budget := NewBudget(Share{Ratio: 0.1, Burst: 2}, start)
 		controller := NewController(caps, limits, budget)
 		sends, attempts, unreachable, budgeted := 0, 0, 0, 0
 		decision := Again
@@ -129,13 +129,13 @@
 func TestNoRetryWhenDeadlineCannotBeMet(t *testing.T) {
 	now := time.Unix(1000, 0)
 	limits := Limits{MaxAttempts: 3, Deadline: now.Add(time.Millisecond), MinAttemptTime: 2 * time.Millisecond}
-	controller := NewController(Capabilities{Idempotent: true}, limits, NewBudget(1, 10))
+	controller := NewController(Capabilities{Idempotent: true}, limits, NewBudget(Share{Ratio: 1, Burst: 10}, now))
 	controller.BeginAttempt()
 	must.Eq(t, EndUnknown, controller.AfterFailure(Sent, ConnectionLost, now))
 }
 
 func TestBudgetLimitsRetriesToShareOfRequests(t *testing.T) {
-	budget := NewBudgets(nil).For("chat", 0.1, 5)
+	budget := NewBudgets(nil).For("chat", Share{Ratio: 0.1, Burst: 5}, time.Unix(1000, 0))
 	for budget.Withdraw() {
 	}
 	retries := 0
@@ -154,7 +154,7 @@
 	now := time.Unix(1000, 0)
 	limits := Limits{MaxAttempts: 1, Deadline: now.Add(time.Second)}
 	for _, idempotent := range []bool{true, false} {
-		controller := NewController(Capabilities{Idempotent: idempotent}, limits, NewBudget(0, 0))
+		controller := NewController(Capabilities{Idempotent: idempotent}, limits, NewBudget(Share{}, now))
 		for range maxUnreachable {
 			controller.BeginAttempt()
 			must.Eq(t, Again, controller.AfterFailure(Unsent, ConnectFailed, now))
@@ -162,7 +162,7 @@
 		controller.BeginAttempt()
 		must.Eq(t, EndNotRun, controller.AfterFailure(Unsent, ConnectFailed, now))
 	}
-	controller := NewController(Capabilities{}, limits, NewBudget(0, 0))
+	controller := NewController(Capabilities{}, limits, NewBudget(Share{}, now))
 	must.True(t, controller.RetryPrefill(ConnectFailed, now), must.Sprint("a prefill that was never sent costs no budget"))
 	must.False(t, controller.RetryPrefill(Silence, now))
 	controller.BeginAttempt()
