Let no daemon take over the retry share of those it no longer sees

What the fleet's targets would see: with the fleet cut into parts that both serve on, more repeats in a window than the fleet's limit. Cause: the slack was divided by the daemons present at that moment, so that a part of the fleet took the share of those that it lost sight of, which they still use. Change: the slack is divided by the greatest number of daemons that were present within the last ten minutes. After daemons have gone for good, the others have their larger share after that time; requests add tokens meanwhile as ever. Not covered: a daemon that restarts during a cut counts only those that it finds.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -67,7 +67,7 @@
 	duties        *dutyManager
 	backlog       *backlog.Exchange
 	limits        atomic.Pointer[Limits]
-	retryShares   retryShares
+	retryShares   *retryShares
 	readiness     readiness
 	metrics       *metrics
 	// links is nil until runLinks has created the links to other daemons.
@@ -81,7 +81,7 @@
 	g := &Gateway{opts: opts, builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
 	g.opts.Store = storemeter.New(opts.Store, g.registry)
 	g.ApplyLimits(opts.Limits)
-	g.retryShares = retryShares{startedAt: time.Now(), viewLag: opts.PropagationBound}
+	g.retryShares = newRetryShares(time.Now(), opts.PropagationBound)
 	g.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.incarnation = ident.Incarnation(time.Now().UnixNano())
 	g.time = tally.NewSteadyWallClock(clock.Boot{})
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -34,5 +34,5 @@
 	if req.Model != "" {
 		key = "model/" + string(req.Model)
 	}
-	return key, g.retryShares.share(g.limits.Load(), g.presence.Daemons())
+	return key, g.retryShares.share(g.limits.Load(), g.presence.Daemons(), time.Now())
 }
--- a/pkg/gateway/retryshares_test.go
+++ b/pkg/gateway/retryshares_test.go
@@ -44,6 +44,10 @@
 	// kills are the steps at which daemons end, by daemon; each is down for the
 	// number of steps beside it.
 	kills [][][2]int
+	// apart is the number of daemons, from the first on, that a cut separates from
+	// the others, cut the steps from which on and up to which it does.
+	apart int
+	cut   [2]int
 	// requests and repeats are the fleet's counts for each step.
 	requests, repeats []int
 }
@@ -54,7 +58,7 @@
 // start starts a process of the daemon.
 func (d *simDaemon) start(step int) {
 	d.budgets, d.due = retry.NewBudgets(nil), 0
-	d.shares = &retryShares{startedAt: timeOf(step), viewLag: time.Second}
+	d.shares = newRetryShares(timeOf(step), time.Second)
 }
 
 // run simulates all steps.
@@ -67,7 +71,7 @@
 		for i, d := range s.daemons {
 			s.restart(i, step)
 			if d.downUntil <= step {
-				s.serve(d, step)
+				s.serve(i, step)
 			}
 		}
 	}
@@ -86,20 +90,24 @@
 	}
 }
 
-// view returns how many daemons are present in the eyes of all others.
-func (s *retrySim) view(step int) (count int) {
-	for _, d := range s.daemons {
-		if d.downUntil <= step || step < d.downSince+presenceSteps {
+// view returns how many daemons one of them counts: each that it can see or saw within
+// the time for which one that ended is counted.
+func (s *retrySim) view(self, step int) (count int) {
+	for i, d := range s.daemons {
+		up := d.downUntil <= step || step < d.downSince+presenceSteps
+		separated := (i < s.apart) != (self < s.apart) && step >= s.cut[0]+presenceSteps && step < s.cut[1]
+		if up && !separated {
 			count++
 		}
 	}
-	return max(1, count)
+	return count
 }
 
 // serve handles one daemon's requests of one step.
-func (s *retrySim) serve(d *simDaemon, step int) {
+func (s *retrySim) serve(i, step int) {
+	d := s.daemons[i]
 	for d.due += d.rate; d.due >= 1; d.due-- {
-		budget := d.budgets.For("m", d.shares.share(&simLimits, s.view(step)), timeOf(step))
+		budget := d.budgets.For("m", d.shares.share(&simLimits, s.view(i, step), timeOf(step)), timeOf(step))
 		budget.Deposit()
 		s.requests[step]++
 		for attempt := 1; attempt < simAttempts && s.fails(step) && budget.Withdraw(); attempt++ {
@@ -170,6 +178,34 @@
 	})
 }
 
+// TestCutsGiveNoLargerBursts guards against retries beyond the fleet's limit while a
+// part of the daemons is cut off: both parts serve on, and none may take over the
+// share of daemons that it no longer sees.
+func TestCutsGiveNoLargerBursts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSim(t)
+		s.apart = rapid.IntRange(1, len(s.daemons)-1).Draw(t, "apart")
+		from := rapid.IntRange(0, simSteps).Draw(t, "cut")
+		s.cut = [2]int{from, from + rapid.IntRange(1, simSteps).Draw(t, "cut length")}
+		s.run()
+		s.check(t)
+	})
+}
+
+// TestPeakCountForgetsAfterItsPeriod guards against a share that stays small for ever
+// after daemons have gone for good.
+func TestPeakCountForgetsAfterItsPeriod(t *testing.T) {
+	p := peakCount{period: time.Minute}
+	must.Eq(t, 8, p.observe(8, timeOf(0)))
+	must.Eq(t, 8, p.observe(5, timeOf(1000)))
+	must.Eq(t, 8, p.observe(3, timeOf(1300)))
+	must.Eq(t, 8, p.observe(4, timeOf(1600)))
+	must.Eq(t, 5, p.observe(4, timeOf(1601)))
+	must.Eq(t, 4, p.observe(4, timeOf(1901)))
+	must.Eq(t, 9, p.observe(9, timeOf(1902)))
+	must.Eq(t, 9, p.observe(1, timeOf(9000)))
+}
+
 // TestQuietDaemonRetriesSingleFailures guards against budgets that are too empty for
 // the failures of a quiet time: one daemon of eight that has served a request a second
 // for a minute can retry a few failures in a row.
@@ -178,7 +214,7 @@
 	d.start(0)
 	var budget *retry.Budget
 	for second := range 60 {
-		budget = d.budgets.For("m", d.shares.share(&simLimits, 8), timeOf(10*second))
+		budget = d.budgets.For("m", d.shares.share(&simLimits, 8, timeOf(10*second)), timeOf(10*second))
 		budget.Deposit()
 	}
 	for range 5 {
