Keep one retry budget for a service that becomes a model

What the fleet's targets would see: twice the burst within one window when a change of the configuration gives a service an engine or takes it away. Cause: the budget's key had the kind beside the name, and a new key has a full bucket. Evidence: TestServiceThatBecomesModelKeepsItsBudget failed before (a retry was granted although the budget of the same name was used up).

--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -30,9 +30,14 @@
 // retryBudget returns this daemon's share of the fleet's retry limit for the
 // request's model or service, and the key that identifies the model or service.
 func (g *Gateway) retryBudget(req *request.Request) (key string, share retry.Share) {
-	key = "service/" + string(req.Service)
+	return retryBudgetKey(req), g.retryShares.share(g.limits.Load(), g.presence.Daemons(), time.Now())
+}
+
+// retryBudgetKey returns the name of the request's model or service. The operator's
+// services become models and the reverse under the same name, and have one limit.
+func retryBudgetKey(req *request.Request) string {
 	if req.Model != "" {
-		key = "model/" + string(req.Model)
+		return string(req.Model)
 	}
-	return key, g.retryShares.share(g.limits.Load(), g.presence.Daemons(), time.Now())
+	return string(req.Service)
 }
--- a/pkg/gateway/retryshares_test.go
+++ b/pkg/gateway/retryshares_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"amaranthplank.example/amaranthplank/pkg/request"
 	"amaranthplank.example/amaranthplank/pkg/retry"
 	_ "amaranthplank.example/amaranthplank/pkg/testseed"
 )
@@ -192,6 +193,18 @@
 	})
 }
 
+// TestServiceThatBecomesModelKeepsItsBudget guards against a second burst within one
+// window when a change of the configuration gives a service an engine or takes it away.
+func TestServiceThatBecomesModelKeepsItsBudget(t *testing.T) {
+	budgets := retry.NewBudgets(nil)
+	share := retry.Share{Ratio: 0.1, Burst: 2}
+	service := budgets.For(retryBudgetKey(&request.Request{Service: "a"}), share, timeOf(0))
+	for service.Withdraw() {
+	}
+	model := budgets.For(retryBudgetKey(&request.Request{Model: "a"}), share, timeOf(1))
+	must.False(t, model.Withdraw())
+}
+
 // TestPeakCountForgetsAfterItsPeriod guards against a share that stays small for ever
 // after daemons have gone for good.
 func TestPeakCountForgetsAfterItsPeriod(t *testing.T) {
