Log when a daemon's share of the retry limit changes

Cause: no line showed that the count of daemons or the settings had changed what a daemon may retry. Change: a line 'retry share changed', at most every 5 s, with the time until the burst may be used.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -68,6 +68,7 @@
 	backlog       *backlog.Exchange
 	limits        atomic.Pointer[Limits]
 	retryShares   *retryShares
+	shareLog      *shareLog
 	readiness     readiness
 	metrics       *metrics
 	// links is nil until runLinks has created the links to other daemons.
@@ -82,6 +83,7 @@
 	g.opts.Store = storemeter.New(opts.Store, g.registry)
 	g.ApplyLimits(opts.Limits)
 	g.retryShares = newRetryShares(time.Now(), opts.PropagationBound)
+	g.shareLog = &shareLog{log: opts.Log}
 	g.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.incarnation = ident.Incarnation(time.Now().UnixNano())
 	g.time = tally.NewSteadyWallClock(clock.Boot{})
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -30,7 +30,10 @@
 // retryBudget returns this daemon's share of the fleet's retry limit for the
 // request's model or service, and the key that identifies the model or service.
 func (g *Gateway) retryBudget(req *request.Request) (key string, share retry.Share) {
-	return retryBudgetKey(req), g.retryShares.share(g.limits.Load(), g.presence.Daemons(), time.Now())
+	now := time.Now()
+	share = g.retryShares.share(g.limits.Load(), g.presence.Daemons(), now)
+	g.shareLog.record(share, now)
+	return retryBudgetKey(req), share
 }
 
 // retryBudgetKey returns the name of the request's model or service. The operator's
