Test the retry limit while daemons join, go and take other settings

Change: the simulation of the budgets draws daemons that are added and seen late, daemons that go for good and settings that are halved and restored at different times.

--- a/pkg/gateway/retryshares_test.go
+++ b/pkg/gateway/retryshares_test.go
@@ -35,6 +35,18 @@
 	shares  *retryShares
 	// downUntil is the step at which the daemon starts again, downSince when it ended.
 	downSince, downUntil int
+	// reducedAt and restoredAt are the steps from which and up to which the daemon
+	// has settings with half of the limits.
+	reducedAt, restoredAt int
+}
+
+// limits returns the limits in a daemon's settings.
+func (d *simDaemon) limits(step int) *Limits {
+	limits := simLimits
+	if step >= d.reducedAt && step < d.restoredAt {
+		limits.RetryRatio, limits.RetrySlack = limits.RetryRatio/2, limits.RetrySlack/2
+	}
+	return &limits
 }
 
 // retrySim simulates a fleet whose daemons retry each failed request for as long as
@@ -49,6 +61,8 @@
 	// the others, cut the steps from which on and up to which it does.
 	apart int
 	cut   [2]int
+	// joinLag is the number of steps after which the others see a started daemon.
+	joinLag int
 	// requests and repeats are the fleet's counts for each step.
 	requests, repeats []int
 }
@@ -95,7 +109,7 @@
 // the time for which one that ended is counted.
 func (s *retrySim) view(self, step int) (count int) {
 	for i, d := range s.daemons {
-		up := d.downUntil <= step || step < d.downSince+presenceSteps
+		up := d.downUntil+s.joinLag <= step || step < d.downSince+presenceSteps || i == self
 		separated := (i < s.apart) != (self < s.apart) && step >= s.cut[0]+presenceSteps && step < s.cut[1]
 		if up && !separated {
 			count++
@@ -108,7 +122,7 @@
 func (s *retrySim) serve(i, step int) {
 	d := s.daemons[i]
 	for d.due += d.rate; d.due >= 1; d.due-- {
-		budget := d.budgets.For("m", d.shares.share(&simLimits, s.view(i, step), timeOf(step)), timeOf(step))
+		budget := d.budgets.For("m", d.shares.share(d.limits(step), s.view(i, step), timeOf(step)), timeOf(step))
 		budget.Deposit()
 		s.requests[step]++
 		for attempt := 1; attempt < simAttempts && s.fails(step) && budget.Withdraw(); attempt++ {
@@ -193,6 +207,29 @@
 	})
 }
 
+// TestChangesOfTheFleetGiveNoLargerBursts guards against retries beyond the fleet's
+// limit while daemons are added, which the others see late, while some go for good and
+// while daemons take changed settings at different times.
+func TestChangesOfTheFleetGiveNoLargerBursts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSim(t)
+		s.joinLag = rapid.IntRange(0, 10).Draw(t, "join lag")
+		step := rapid.IntRange(1, simSteps).Draw(t, "change")
+		for i, d := range s.daemons {
+			d.reducedAt = step + rapid.IntRange(0, 30).Draw(t, "reduced")
+			d.restoredAt = d.reducedAt + rapid.IntRange(0, 200).Draw(t, "restored")
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				d.downSince, d.downUntil = -presenceSteps, step+rapid.IntRange(0, 20).Draw(t, "joins")
+			case 1:
+				s.kills[i] = append(s.kills[i], [2]int{step, simSteps})
+			}
+		}
+		s.run()
+		s.check(t)
+	})
+}
+
 // TestServiceThatBecomesModelKeepsItsBudget guards against a second burst within one
 // window when a change of the configuration gives a service an engine or takes it away.
 func TestServiceThatBecomesModelKeepsItsBudget(t *testing.T) {
