--- a/pkg/gateway/retryshares_test.go
+++ b/pkg/gateway/retryshares_test.go
@@ -143,7 +143,7 @@
 
 // check compares the repeats in every window with the limit of the fleet. The requests
 // are those of the window, of the one before it or of the one half a window before it.
-func (s *retrySim) check(t rapid.TB) {
+func (s *retrySim) check(t must.T) {
 	window := int(simLimits.RetryWindow / simStep)
 	for from := range simSteps - window {
 		requests := sum(s.requests, from, from+window)
