--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -67,6 +67,8 @@
 	duties        *dutyManager
 	backlog       *backlog.Exchange
 	limits        atomic.Pointer[Limits]
+	retryShares   *retryShares
+	shareLog      *shareLog
 	readiness     readiness
 	metrics       *metrics
 	// links is nil until runLinks has created the links to other daemons.
@@ -80,6 +82,8 @@
 	g := &Gateway{opts: opts, builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
 	g.opts.Store = storemeter.New(opts.Store, g.registry)
 	g.ApplyLimits(opts.Limits)
+	g.retryShares = newRetryShares(time.Now(), opts.PropagationBound)
+	g.shareLog = &shareLog{log: opts.Log}
 	g.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.incarnation = ident.Incarnation(time.Now().UnixNano())
 	g.time = tally.NewSteadyWallClock(clock.Boot{})
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -13,6 +13,7 @@
 	cancels  *prometheus.CounterVec
 	moves    prometheus.Counter
 	silences *prometheus.CounterVec
+	retries  *prometheus.CounterVec
 }
 
 // newMetrics returns the metrics, registered unless registerer is nil.
@@ -35,9 +36,12 @@
 			Name: "amaranthplank_relay_silences_total",
 			Help: "Silence timeouts of exchanges that could be sent elsewhere, by what was decided.",
 		}, []string{"decision"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "amaranthplank_retries_total", Help: "Retries asked of a retry budget, by the budget and whether it granted them.",
+		}, []string{"budget", "result"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.failures, m.events, m.cancels, m.moves, m.silences)
+		registerer.MustRegister(m.failures, m.events, m.cancels, m.moves, m.silences, m.retries)
 	}
 	return m
 }
--- a/pkg/retry/controller_test.go
+++ b/pkg/retry/controller_test.go
@@ -12,7 +12,7 @@
 // against one that allows more attempts than the limits.
 func TestReservedRetryIsTakenOnce(t *testing.T) {
 	now := time.Now()
-	budget := NewBudget(0, 1)
+	budget := NewBudget(Share{Burst: 1}, now)
 	c := NewController(Capabilities{Idempotent: true}, Limits{MaxAttempts: 2, Deadline: now.Add(time.Second)}, budget)
 	c.BeginAttempt()
 	must.True(t, c.Reserve(now))
