Begin no answer on an exchange that was left for silence

What callers saw: an answer whose first event came while the watchdog decided was begun on an exchange that was then ended, and was cut when nothing could continue it. Cause: the decision held the watchdog's lock, the event waited for it, and nobody looked whether the exchange had been left. Change: the decision holds no lock, and an event that comes meanwhile wins; one that comes after the exchange was left begins no answer. Evidence: TestFirstEventThatCrossesTheDecisionCutsNothing and TestLargeAnswerThatCrossesTheDecisionCutsNothing failed before. The rule that a begun answer is not left had no test that could fail: TestBegunStreamIsNotLeft, TestContinuedStreamIsNotLeft and TestSilentTargetIsLeftOnlyWithARetry do, and two older ones now count the arrivals at the targets.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -32,6 +32,8 @@
 	// excluded are the targets at which the request failed before, and the attempt's
 	// own.
 	excluded []ident.Target
+	// mayPrefill reports whether the next attempt may have the prompt computed apart.
+	mayPrefill bool
 	// silenceLogged is set once the attempt has logged that its target is silent.
 	silenceLogged bool
 	// began is when the attempt was created.
@@ -68,8 +70,8 @@
 func newAttempt(c *call, state *fleet.TargetState) *attempt {
 	return &attempt{
 		call: c, id: ident.Attempt(uuid.NewString()), target: state.Record.Target,
-		excluded: append(slices.Clone(c.failedTargets), state.Record.Target),
-		address:  state.Record.Address, record: state.Record, resumeBackoff: newResumeBackoff(), lastEvent: c.lastEvent, began: time.Now(),
+		excluded: append(slices.Clone(c.failedTargets), state.Record.Target), mayPrefill: c.mayPrefill(),
+		address: state.Record.Address, record: state.Record, resumeBackoff: newResumeBackoff(), lastEvent: c.lastEvent, began: time.Now(),
 	}
 }
 
--- a/pkg/relay/next.go
+++ b/pkg/relay/next.go
@@ -118,14 +118,17 @@
 }
 
 // hasAlternative reports whether the request could now be sent to a target other than
-// the excluded ones. It may be called while an exchange is in progress.
-func (c *call) hasAlternative(excluded []ident.Target) bool {
+// the excluded ones; apart permits separate engines for prefill and decode. It may be
+// called while an exchange is in progress.
+func (c *call) hasAlternative(excluded []ident.Target, apart bool) bool {
 	checker, ok := c.relay.opts.Router.(routing.AlternativeChecker)
-	if !ok {
-		return true
-	}
+	return !ok || checker.HasAlternative(c.req, excluded, apart)
+}
+
+// mayPrefill reports whether the prompt may still be computed apart.
+func (c *call) mayPrefill() bool {
 	_, canPrefill := c.relay.protocol.(Prefiller)
-	return checker.HasAlternative(c.req, excluded, canPrefill && !c.prefilled)
+	return canPrefill && !c.prefilled
 }
 
 // choose returns a target at which no attempt failed or, if there is none, any
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -20,14 +20,12 @@
 		if err != nil {
 			return a.call.classify(w.ctx, err)
 		}
-		a.watchNext(w, event)
-		a.call.markRan()
+		if err := a.acceptEvent(w, events, event); err != nil {
+			return err
+		}
 		if event.ID == 0 && !event.Last {
 			continue
 		}
-		if event.ID != 0 && !events.Follows(a.lastEvent, event.ID) {
-			return &exchangeError{failure: retry.Mismatch, cause: errEventOrder}
-		}
 		if err := a.writeEvent(response, event); err != nil {
 			return &exchangeError{failure: retry.CallerGone, cause: err}
 		}
@@ -47,15 +45,28 @@
 	}
 }
 
+// acceptEvent checks that an event may be written to the caller as the next one.
+func (a *attempt) acceptEvent(w *watchdog, events EventReader, event Event) error {
+	if !a.watchNext(w, event) {
+		return &exchangeError{failure: retry.Silence, cause: errSilence}
+	}
+	a.call.markRan()
+	if event.ID != 0 && !events.Follows(a.lastEvent, event.ID) {
+		return &exchangeError{failure: retry.Mismatch, cause: errEventOrder}
+	}
+	return nil
+}
+
 // watchNext restarts the silence timeout after an event. A stream that its target does
-// not keep is not left once its answer begins, because the continuation might fail.
-func (a *attempt) watchNext(w *watchdog, event Event) {
+// not keep is not left once its answer begins, because the continuation might fail. It
+// reports false if the exchange was left before.
+func (a *attempt) watchNext(w *watchdog, event Event) bool {
 	keepAlive := event.ID == 0 && !event.Last
 	if a.keptByTarget() || keepAlive {
 		w.reset()
-		return
+		return true
 	}
-	w.disarm()
+	return w.disarm()
 }
 
 // writeEvent writes one event to the caller.
--- a/pkg/relay/unary.go
+++ b/pkg/relay/unary.go
@@ -23,32 +23,20 @@
 // relayUnary writes a response that is not a stream to the caller. A small one
 // is first read to its end.
 func (a *attempt) relayUnary(w *watchdog, response *http.Response, kind ResponseKind) error {
-	ctx := w.ctx
-	if a.call.req.Stream {
-		w.disarm()
-	}
-	if !lengthKnown(response) && !a.call.relay.protocol.EndsWithConnection() {
-		return &exchangeError{failure: retry.Mismatch, cause: errNoLength}
-	}
-	if response.ContentLength > maxResponseBytes {
-		return &exchangeError{failure: retry.TooLarge, cause: errTooLarge}
-	}
-	var body bytes.Buffer
-	_, err := body.ReadFrom(io.LimitReader(response.Body, maxBufferedBytes+1))
+	got, err := a.bufferResponse(w, response)
 	if err != nil {
-		return a.call.classify(ctx, err)
+		return err
 	}
-	got := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body.Bytes(), length: response.ContentLength}
-	w.disarm()
-	if kind == ResponseFailed && body.Len() <= maxBufferedBytes {
+	whole := len(got.body) <= maxBufferedBytes
+	if kind == ResponseFailed && whole {
 		a.refusal = got
 		return &exchangeError{failure: retry.Refused, cause: errRefused}
 	}
 	if a.claimAnswer != nil && !a.claimAnswer() {
 		return &exchangeError{failure: retry.CallerGone, cause: errHedgeLost}
 	}
-	if body.Len() > maxBufferedBytes {
-		return a.relayLarge(ctx, got, response.Body)
+	if !whole {
+		return a.relayLarge(w.ctx, got, response.Body)
 	}
 	a.readUsage(got.body)
 	if err := got.writeTo(a.call); err != nil {
@@ -57,6 +45,30 @@
 	return nil
 }
 
+// bufferResponse reads a response to its end or, if it is larger than
+// maxBufferedBytes, one byte beyond that. The exchange is not left for silence
+// afterwards.
+func (a *attempt) bufferResponse(w *watchdog, response *http.Response) (*bufferedResponse, error) {
+	silence := &exchangeError{failure: retry.Silence, cause: errSilence}
+	if a.call.req.Stream && !w.disarm() {
+		return nil, silence
+	}
+	if !lengthKnown(response) && !a.call.relay.protocol.EndsWithConnection() {
+		return nil, &exchangeError{failure: retry.Mismatch, cause: errNoLength}
+	}
+	if response.ContentLength > maxResponseBytes {
+		return nil, &exchangeError{failure: retry.TooLarge, cause: errTooLarge}
+	}
+	var body bytes.Buffer
+	if _, err := body.ReadFrom(io.LimitReader(response.Body, maxBufferedBytes+1)); err != nil {
+		return nil, a.call.classify(w.ctx, err)
+	}
+	if !w.disarm() && body.Len() > maxBufferedBytes {
+		return nil, silence
+	}
+	return &bufferedResponse{status: response.StatusCode, header: response.Header, body: body.Bytes(), length: response.ContentLength}, nil
+}
+
 // relayLarge writes the part of a response that was read, then copies the rest.
 func (a *attempt) relayLarge(ctx context.Context, head *bufferedResponse, rest io.Reader) error {
 	writer := a.call.writer
--- a/pkg/relay/watchdog.go
+++ b/pkg/relay/watchdog.go
@@ -26,6 +26,8 @@
 	timer *time.Timer
 	// stopped is set once the watchdog must not end the exchange any more.
 	stopped bool
+	// left is set once the watchdog has ended the exchange.
+	left bool
 }
 
 // startWatchdog starts an exchange's watchdog. A stream that its target keeps is left
@@ -55,7 +57,7 @@
 // maySendElsewhere reports whether the request can be sent to another target, and if
 // so reserves the retry. It may be called while the exchange is in progress.
 func (a *attempt) maySendElsewhere() bool {
-	may := a.call.hasAlternative(a.excluded) && a.call.retries.Reserve(time.Now())
+	may := a.call.hasAlternative(a.excluded, a.mayPrefill) && a.call.retries.Reserve(time.Now())
 	a.call.relay.metrics.silenceDecided(may)
 	if !a.silenceLogged {
 		a.silenceLogged = true
@@ -73,21 +75,31 @@
 	w.timer = time.AfterFunc(silence, w.expire)
 }
 
-// expire ends the exchange if it may be left.
+// expire ends the exchange if it may be left, unless the answer begins meanwhile.
 func (w *watchdog) expire() {
+	may := w.decide()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped {
 		return
 	}
-	if !w.mayLeave() {
+	if !may {
 		w.timer.Reset(w.silence)
 		return
 	}
-	w.stopped = true
+	w.left = true
 	w.cancel(errSilence)
 }
 
+// decide asks whether the exchange may be left. It does not hold w.mu while it asks, so
+// that an answer which begins meanwhile does not wait.
+func (w *watchdog) decide() bool {
+	w.mu.Lock()
+	mayLeave, stopped := w.mayLeave, w.stopped
+	w.mu.Unlock()
+	return !stopped && mayLeave()
+}
+
 // reset restarts the timeout after data was received.
 func (w *watchdog) reset() {
 	if w.timer != nil {
@@ -106,20 +118,20 @@
 	w.timer.Reset(d)
 }
 
-// disarm stops the timer, so that silence no longer ends the exchange. It waits for a
-// decision in progress.
-func (w *watchdog) disarm() {
-	if w.timer == nil {
-		return
-	}
+// disarm stops the timer, so that silence no longer ends the exchange. It reports false
+// if the exchange was left before, so that no answer may begin with it.
+func (w *watchdog) disarm() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
-	w.timer.Stop()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	return !w.left
 }
 
 // stop ends the exchange.
 func (w *watchdog) stop() {
-	w.disarm()
+	_ = w.disarm()
 	w.cancel(nil)
 }
