Count the bytes of a body as a sign of its target

What callers saw: the answer to a lookup that came in parts for longer than the silence timeout was thrown away and run a second time. Cause: the timeout was not restarted by the bytes of a body. Change: each part that is read restarts it; the deadline still bounds the whole. Evidence: TestSteadyBodyIsNotSilence failed before (two targets for one).

--- a/pkg/relay/unary.go
+++ b/pkg/relay/unary.go
@@ -60,7 +60,7 @@
 		return nil, &exchangeError{failure: retry.TooLarge, cause: errTooLarge}
 	}
 	var body bytes.Buffer
-	if _, err := body.ReadFrom(io.LimitReader(response.Body, maxBufferedBytes+1)); err != nil {
+	if _, err := body.ReadFrom(io.LimitReader(&watchedBody{body: response.Body, watchdog: w}, maxBufferedBytes+1)); err != nil {
 		return nil, a.call.classify(w.ctx, err)
 	}
 	if !w.disarm() && body.Len() > maxBufferedBytes {
--- a/pkg/relay/watchdog.go
+++ b/pkg/relay/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -135,3 +136,18 @@
 	_ = w.disarm()
 	w.cancel(nil)
 }
+
+// watchedBody restarts a watchdog's timeout whenever a response's body brings data.
+type watchedBody struct {
+	body     io.Reader
+	watchdog *watchdog
+}
+
+// Read reads the body.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if n > 0 {
+		b.watchdog.reset()
+	}
+	return n, err
+}
