Take no retry from the budget for a request that was never sent

What callers saw: a request whose target's host answers no connection waited for it when the budget was empty, and took from the budget otherwise, though nothing was sent. Cause: the retry was reserved as if the request had been sent. Change: the watchdog knows whether the exchange has a connection; before that the retry is free, as docs/DECISIONS/relay.md promises. Evidence: TestUnconnectedRequestIsFreeOfTheBudget failed before, at the deadline. TestReservedRetryIsUsedOnce guards a rule that no test held.

--- a/pkg/relay/watchdog.go
+++ b/pkg/relay/watchdog.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"io"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/retry"
 )
 
 // watchdog limits how long an exchange may receive no data before it may be left for
@@ -17,6 +20,9 @@
 	// it.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// connected is set once the exchange has a connection, so that a part of the request
+	// may have been sent.
+	connected atomic.Bool
 	// silence is zero for exchanges that are never left.
 	silence time.Duration
 	// mayLeave reports whether the exchange may be left. If not, it is asked again
@@ -37,15 +43,16 @@
 // idempotent lookups, are left only before their answer has begun and if they can be
 // sent elsewhere. All others may take until the deadline.
 func (a *attempt) startWatchdog(ctx context.Context) *watchdog {
-	ctx, cancel := context.WithCancelCause(ctx)
-	w := &watchdog{ctx: ctx, cancel: cancel}
+	w := &watchdog{}
+	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	req, silence := a.call.req, a.call.knobs.SilenceTimeout.D()
 	switch {
 	case a.keptByTarget():
 		w.start(silence<<a.idleResumes, func() bool { return true })
 	case a.call.result.ResponseStarted:
 	case req.Resumable, req.Idempotent && req.Class == ident.ClassLookup:
-		w.start(silence, a.maySendElsewhere)
+		w.ctx = httptrace.WithClientTrace(w.ctx, &httptrace.ClientTrace{GotConn: w.gotConn})
+		w.start(silence, func() bool { return a.maySendElsewhere(w.phase()) })
 	}
 	return w
 }
@@ -55,10 +62,21 @@
 	return a.call.relay.protocol.Resumer() != nil && a.call.req.Stream && a.call.req.Model != ""
 }
 
+// gotConn records that the exchange has a connection.
+func (w *watchdog) gotConn(httptrace.GotConnInfo) { w.connected.Store(true) }
+
+// phase returns Unsent until the exchange has a connection, and Sent afterwards.
+func (w *watchdog) phase() retry.Phase {
+	if w.connected.Load() {
+		return retry.Sent
+	}
+	return retry.Unsent
+}
+
 // maySendElsewhere reports whether the request can be sent to another target, and if
 // so reserves the retry. It may be called while the exchange is in progress.
-func (a *attempt) maySendElsewhere() bool {
-	may := a.call.hasAlternative(a.excluded, a.mayPrefill) && a.call.retries.Reserve(time.Now())
+func (a *attempt) maySendElsewhere(phase retry.Phase) bool {
+	may := a.call.hasAlternative(a.excluded, a.mayPrefill) && a.call.retries.Reserve(phase, time.Now())
 	a.call.relay.metrics.silenceDecided(may)
 	if !a.silenceLogged {
 		a.silenceLogged = true
--- a/pkg/retry/controller.go
+++ b/pkg/retry/controller.go
@@ -64,13 +64,15 @@
 	return true
 }
 
-// Reserve reports whether another attempt would be allowed if the present one, which
-// was sent, ended now. If so the retry is taken from the budget for that case.
-func (c *Controller) Reserve(now time.Time) bool {
+// Reserve reports whether another attempt would be allowed if the present one ended now
+// in the given phase. If so, and if the retry is not free, it is taken from the budget for
+// that case.
+func (c *Controller) Reserve(phase Phase, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reserved = c.mayRetry(Sent, now)
-	return c.reserved
+	may := c.mayRetry(phase, now)
+	c.reserved = may && phase != Unsent
+	return may
 }
 
 // RetryPrefill reports whether a failed prefill may be retried at another
--- a/pkg/retry/controller_test.go
+++ b/pkg/retry/controller_test.go
@@ -15,14 +15,28 @@
 	budget := NewBudget(Share{Burst: 1}, now)
 	c := NewController(Capabilities{Idempotent: true}, Limits{MaxAttempts: 2, Deadline: now.Add(time.Second)}, budget)
 	c.BeginAttempt()
-	must.True(t, c.Reserve(now))
-	must.True(t, c.Reserve(now))
+	must.True(t, c.Reserve(Sent, now))
+	must.True(t, c.Reserve(Sent, now))
 	must.Eq(t, Again, c.AfterFailure(Sent, Silence, now))
 	c.BeginAttempt()
-	must.False(t, c.Reserve(now), must.Sprint("no attempt is left"))
+	must.False(t, c.Reserve(Sent, now), must.Sprint("no attempt is left"))
 	must.Eq(t, EndUnknown, c.AfterFailure(Sent, Silence, now))
 
 	other := NewController(Capabilities{Idempotent: true}, Limits{MaxAttempts: 2, Deadline: now.Add(time.Second)}, budget)
 	other.BeginAttempt()
-	must.False(t, other.Reserve(now), must.Sprint("the budget is empty"))
+	must.False(t, other.Reserve(Sent, now), must.Sprint("the budget is empty"))
+	must.True(t, other.Reserve(Unsent, now), must.Sprint("what was never sent is free"))
+	must.Eq(t, EndUnknown, other.AfterFailure(Sent, Silence, now), must.Sprint("nothing was taken for it"))
+}
+
+// TestReservedRetryIsUsedOnce guards against a reserved retry that pays for every retry
+// after it.
+func TestReservedRetryIsUsedOnce(t *testing.T) {
+	now := time.Now()
+	c := NewController(Capabilities{Idempotent: true}, Limits{MaxAttempts: 5, Deadline: now.Add(time.Second)}, NewBudget(Share{Burst: 1}, now))
+	c.BeginAttempt()
+	must.True(t, c.Reserve(Sent, now))
+	must.Eq(t, Again, c.AfterFailure(Sent, Silence, now))
+	c.BeginAttempt()
+	must.Eq(t, EndUnknown, c.AfterFailure(Sent, ConnectionLost, now))
 }
