Answer a request that was taken during a stop before the process is killed

What callers saw: a request taken after the request to stop, whose target paused, ended with the process: neither an answer nor a failure. Cause: whether such a request would end in time was reckoned once, from the longest recent request of its route; nothing ended one that took longer. Change: a request that is taken during a stop has its deadline before the kill. Evidence: TestRequestDuringStopIsAnsweredBeforeTheKill failed before on all three routes; it gets 504 now.

--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -115,7 +115,8 @@
 
 // checkTimeLeft returns an error if the daemon is stopping and may be killed before the
 // request ends: it may take as long as the longest recent request of its route, or
-// until its deadline if there was none.
+// until its deadline if there was none. A request that is taken has its deadline before
+// the kill, so that it ends with an answer even if it takes longer.
 func (s *session) checkTimeLeft() error {
 	left, stopping := s.handler.opts.TimeLeft()
 	if !stopping {
@@ -128,6 +129,9 @@
 	if need+endingMargin > left {
 		return errStopping
 	}
+	if latest := time.Now().Add(left - endingMargin); latest.Before(s.req.Deadline) {
+		s.req.Deadline = latest
+	}
 	return nil
 }
 
