Refuse prompts with a part that crashes targets

Cause: nothing related a request to the crash of its engine. A lost connection counted against the engine alone, each daemon saw a part of the crashes, and what the requests share, one part of the prompt, was not looked at.

Change: pkg/poison sums up, over all daemons, the ends of targets by the parts of the prompts that were lost there. A target counts as ended once it refuses a connection after one was lost. A part of which nothing was answered is suspect after four crashes under two different prompts; one that was answered within the minute before after eight, of which a wave of crashes counts twice, and none that an unanswered part explains. A complete answer clears a part; else the suspicion ends a minute after the last crash, doubled with each further one. The evidence goes over the daemons' links at once, and through the store where a link is missing; a new link first brings what is suspect. The relay checks before each send and ends a request that has not run as not run (503 with Retry-After), one that may have run as unknown.

--- a/pkg/entry/build.go
+++ b/pkg/entry/build.go
@@ -33,7 +33,7 @@
 		ID: id, Workspace: c.workspace, Route: route.Name, Class: route.Class, Idempotent: route.Idempotent,
 		Model: d.Model, Service: d.Service, IdempotencyKey: d.IdempotencyKey, LastEventID: d.LastEventID,
 		Stream: d.Stream || route.Stream, PromptTokens: d.PromptTokens, MaxOutputTokens: d.MaxOutputTokens,
-		Prefix: d.Prefix, PartEnds: d.PartEnds, Method: r.Method, Host: r.Host, Path: d.Path, Header: r.Header, Body: body,
+		Prefix: d.Prefix, PartEnds: d.PartEnds, PartIDs: d.PartIDs, Method: r.Method, Host: r.Host, Path: d.Path, Header: r.Header, Body: body,
 		Resumable: route.Resumable, MaxAttempts: route.Attempts, Urgency: route.Urgency,
 		FirstPart: route.FirstPart.D(), TokenGap: route.TokenGap.D(),
 	}
--- a/pkg/entry/format.go
+++ b/pkg/entry/format.go
@@ -37,9 +37,9 @@
 	Stream          bool
 	PromptTokens    int
 	MaxOutputTokens int
-	// Prefix and PartEnds hold prompt hashes; see request.Request.
-	Prefix, PartEnds []uint64
-	IdempotencyKey   string
+	// Prefix, PartEnds and PartIDs hold prompt hashes; see request.Request.
+	Prefix, PartEnds, PartIDs []uint64
+	IdempotencyKey            string
 	// Timeout is how long the caller waits for the response; zero if unknown.
 	Timeout time.Duration
 	// LastEventID is the ID of the last stream event that the caller has received,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -73,6 +73,7 @@
 	links         atomic.Pointer[peer.Manager]
 	standbyWriter *tally.StandbyWriter
 	exclusions    *exclusion.Announcer
+	poison        poisonParts
 }
 
 // New returns a gateway that is ready to run.
@@ -114,9 +115,10 @@
 	g.exclusions = exclusion.New(exclusion.Options{
 		Host: opts.Host, Store: opts.Store, OnAnnouncement: func(exclusions []backlog.Exclusion) { g.router.Models.Exclude(exclusions) }, Log: opts.Log,
 	})
+	g.poison = g.newPoisonParts()
 	g.mirror = mirror.New(mirror.Options{
 		Store: opts.Store, Pause: mirror.PauseFor(opts.PropagationBound), CallTimeout: mirror.DefaultCallTimeout, Log: opts.Log,
-	}, opts.ConfigListener, g.targets, g.presence, g.counter, g.exclusions)
+	}, opts.ConfigListener, g.targets, g.presence, g.counter, g.exclusions, g.poison.copy)
 }
 
 // initPeers creates the exchange of reports with linked daemons. runLinks adds the
@@ -139,7 +141,7 @@
 	g.relay = relay.New(relay.Options{
 		Router: g.router, Client: target.NewClient(), Config: opts.Published, Protocol: opts.Protocol,
 		Log: opts.Log, Registerer: g.registry, OnRun: g.counter.RequestStarted,
-		RetryBudget: g.retryBudget,
+		RetryBudget: g.retryBudget, PromptGuard: g.poison.detector,
 	})
 }
 
@@ -217,7 +219,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run, g.duties.run, g.announcer.Run, g.counter.Run, g.backlog.Run, g.runLinks, g.standbyWriter.Run} {
+	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run, g.duties.run, g.announcer.Run, g.counter.Run, g.backlog.Run, g.runLinks, g.standbyWriter.Run, g.runPoisonParts} {
 		group.Go(func() error { return run(ctx) })
 	}
 	group.Go(func() error {
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -42,6 +42,7 @@
 		return err
 	}
 	g.backlog.Attach(links)
+	g.poison.exchange.Attach(links)
 	links.Handle(peer.KindUsageTail, g.receiveCheckpoint)
 	g.links.Store(links)
 	go g.updatePeers(ctx, links)
@@ -55,6 +56,7 @@
 		members := g.presence.Members()
 		topology := topologyOf(backlog.Daemon{Host: g.opts.Host, FailureDomain: g.opts.FailureDomain}, members)
 		g.backlog.SetTopology(topology)
+		g.poison.exchange.SetTopology(topology)
 		links.SetPeers(peerAddresses(topology.Hosts(), members))
 		return nil
 	})
--- a/pkg/peer/kind.go
+++ b/pkg/peer/kind.go
@@ -23,4 +23,6 @@
 	KindBurn Kind = 7
 	// KindBacklog carries a daemon's outstanding work at engines.
 	KindBacklog Kind = 8
+	// KindCrashes carries ends of targets with the prompts under which they ended.
+	KindCrashes Kind = 9
 )
--- /dev/null
+++ b/pkg/poison/evidence.go
@@ -0,0 +1,51 @@
+package poison
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// Evidence is the message that daemons exchange.
+type Evidence struct {
+	Crashes []Crash
+	Answers []Answer
+	// Relayed is set if the message covers the sender's cell and is not to be sent
+	// on; see backlog.Topology.
+	Relayed bool
+}
+
+// Crash is the end of one incarnation of a target under requests that it had not
+// answered.
+type Crash struct {
+	// Incarnation is the hash of the target's name and incarnation.
+	Incarnation uint64
+	// At is when the sender noticed it, in Unix milliseconds.
+	At   int64
+	Lost []Prompt
+}
+
+// Prompt describes the prompt of a request.
+type Prompt struct {
+	// Own is the hash of the last part, which belongs to the request or its session.
+	Own uint64
+	// Parts are the hashes of the parts before it, each of the part alone.
+	Parts []uint64
+}
+
+// Answer is the newest complete answer to a prompt with a part.
+type Answer struct {
+	Part uint64
+	// At is when the answer ended, in Unix milliseconds.
+	At int64
+}
+
+// empty reports whether there is nothing to send.
+func (e *Evidence) empty() bool { return len(e.Crashes)+len(e.Answers) == 0 }
+
+// hashIncarnation returns the hash of a target's name and incarnation.
+func hashIncarnation(name ident.Target, incarnation ident.Incarnation) uint64 {
+	return xxhash.Sum64String(string(name) + "/" + strconv.FormatUint(uint64(incarnation), 10))
+}
--- /dev/null
+++ b/pkg/poison/verdict.go
@@ -0,0 +1,158 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// minCrashes is the number of crashes that make a part suspect to whose prompts
+	// there was no answer. minCrashesAnswered applies to one with an answer at most
+	// answeredFor before the first crash after it; only the crashes after it count.
+	minCrashes         = 4
+	minCrashesAnswered = 8
+	answeredFor        = time.Minute
+	// minPrompts is the number of different prompts that must have crashed targets,
+	// since one request and its retries crash several.
+	minPrompts = 2
+	// momentLength is the time within which crashes under a part that was answered
+	// before probably have another cause, such as a failure of a rack or a switch; at
+	// most maxPerMoment of them count.
+	momentLength = 150 * time.Millisecond
+	maxPerMoment = 2
+	// firstHold is how long a part is suspect after its last crash. Each crash beyond
+	// the least number doubles it, up to maxAge.
+	firstHold = time.Minute
+)
+
+// Verdict is what the evidence says of one part.
+type Verdict struct {
+	// Suspect is whether requests with the part must not be sent, and Until when the
+	// suspicion ends if nothing new is learnt.
+	Suspect bool
+	Until   time.Time
+	// Crashes is the number of crashes that count.
+	Crashes int
+}
+
+// Judge returns the verdict on a part.
+func (t *Table) Judge(part uint64, now time.Time) Verdict {
+	if len(t.parts[part]) < minCrashes {
+		return Verdict{}
+	}
+	counted, threshold := t.crashesOf(part), minCrashes
+	if len(counted) < minCrashes {
+		return Verdict{Crashes: len(counted)}
+	}
+	count := len(counted)
+	if t.answeredBefore(part, counted) {
+		counted = slices.DeleteFunc(counted, func(c *crash) bool { return t.explained(c, part) })
+		count, threshold = countMoments(counted), minCrashesAnswered
+	}
+	if count < threshold || countPrompts(counted, part) < minPrompts {
+		return Verdict{Crashes: count}
+	}
+	hold := min(firstHold<<min(count-threshold, maxDoublings), maxAge)
+	until := time.UnixMilli(counted[len(counted)-1].at).Add(hold)
+	return Verdict{Suspect: until.After(now), Until: until, Crashes: count}
+}
+
+// maxDoublings bounds the shift that doubles the hold; maxAge bounds the hold itself.
+const maxDoublings = 10
+
+// crashesOf returns the crashes under a part since its newest answer, sorted by time.
+func (t *Table) crashesOf(part uint64) []*crash {
+	var found []*crash
+	for _, key := range t.parts[part] {
+		if known := t.crashes[key]; known.at > t.answered[part] {
+			found = append(found, known)
+		}
+	}
+	slices.SortFunc(found, func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
+	return found
+}
+
+// answeredBefore reports whether a part was answered shortly before the first of its
+// crashes.
+func (t *Table) answeredBefore(part uint64, crashes []*crash) bool {
+	at, ok := t.answered[part]
+	return ok && len(crashes) > 0 && crashes[0].at-at <= answeredFor.Milliseconds()
+}
+
+// explained reports whether another part of a crash's prompts, one with at least
+// minCrashes and no answer before them, explains the crash.
+func (t *Table) explained(c *crash, part uint64) bool {
+	for _, prompt := range c.lost {
+		for _, other := range prompt.Parts {
+			if other == part || len(t.parts[other]) < minCrashes {
+				continue
+			}
+			crashes := t.crashesOf(other)
+			if !t.answeredBefore(other, crashes) && len(crashes) >= minCrashes && countPrompts(crashes, other) >= minPrompts {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// countMoments counts crashes, which are sorted by time. Of those within one
+// momentLength it counts at most maxPerMoment.
+func countMoments(crashes []*crash) int {
+	count, inMoment, began := 0, 0, int64(0)
+	for _, c := range crashes {
+		if inMoment == 0 || c.at-began >= momentLength.Milliseconds() {
+			inMoment, began = 0, c.at
+		}
+		if inMoment++; inMoment <= maxPerMoment {
+			count++
+		}
+	}
+	return count
+}
+
+// countPrompts counts the different prompts with a part under which targets crashed,
+// up to minPrompts.
+func countPrompts(crashes []*crash, part uint64) int {
+	own := make([]uint64, 0, minPrompts)
+	for _, c := range crashes {
+		for _, prompt := range c.lost {
+			if !slices.Contains(prompt.Parts, part) || slices.Contains(own, prompt.Own) {
+				continue
+			}
+			if own = append(own, prompt.Own); len(own) == minPrompts {
+				return len(own)
+			}
+		}
+	}
+	return len(own)
+}
+
+// Suspects returns the parts that are suspect.
+func (t *Table) Suspects(now time.Time) map[uint64]Verdict {
+	suspects := make(map[uint64]Verdict)
+	for part := range t.parts {
+		if verdict := t.Judge(part, now); verdict.Suspect {
+			suspects[part] = verdict
+		}
+	}
+	return suspects
+}
+
+// EvidenceOn returns the evidence on parts, for a daemon that lacks it.
+func (t *Table) EvidenceOn(parts map[uint64]Verdict) Evidence {
+	var e Evidence
+	for key, known := range t.crashes {
+		var lost []Prompt
+		for _, prompt := range known.lost {
+			if slices.ContainsFunc(prompt.Parts, func(part uint64) bool { _, ok := parts[part]; return ok }) {
+				lost = append(lost, prompt)
+			}
+		}
+		if len(lost) > 0 {
+			e.Crashes = append(e.Crashes, Crash{Incarnation: key, At: known.at, Lost: lost})
+		}
+	}
+	return e
+}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -104,6 +104,7 @@
 			c.relay.opts.Router.Done(c.req, a.decode.Record.Target)
 		}
 		c.reportResult(a.target, err)
+		c.reportPrompt(a, err)
 		a.reportWork(err)
 		if decision != retry.Again {
 			return c.finish(a, decision, err)
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -48,6 +48,9 @@
 
 // resume requests the rest of the stream on a new connection.
 func (a *attempt) resume(ctx context.Context) error {
+	if err := a.call.checkPrompt(); err != nil {
+		return &exchangeError{failure: retry.StreamGone, cause: err}
+	}
 	w := a.startWatchdog(ctx)
 	defer w.stop()
 	resumer := a.call.relay.protocol.Resumer()
--- a/pkg/relay/next.go
+++ b/pkg/relay/next.go
@@ -19,6 +19,9 @@
 func (c *call) nextAttempt(ctx context.Context) (*attempt, error) {
 	prefiller, canPrefill := c.relay.protocol.(Prefiller)
 	for {
+		if err := c.checkPrompt(); err != nil {
+			return nil, err
+		}
 		if c.source != (KVSource{}) {
 			return c.takeOverAttempt()
 		}
@@ -32,7 +35,7 @@
 		source, err := c.prefill(ctx, prefiller, placement)
 		if err == nil {
 			c.prefilled = true
-			return c.decodeAttempt(placement.Decode, source)
+			return c.decodeAfter(placement.Decode, source)
 		}
 		c.relay.opts.Router.Done(c.req, placement.Decode.Record.Target)
 		c.failedTargets = append(c.failedTargets, placement.Target.Record.Target)
@@ -53,6 +56,16 @@
 	return a
 }
 
+// decodeAfter returns the attempt that generates the answer after prefill, unless the
+// prompt turned out meanwhile to crash targets.
+func (c *call) decodeAfter(decode *fleet.TargetState, source KVSource) (*attempt, error) {
+	if err := c.checkPrompt(); err != nil {
+		c.relay.opts.Router.Done(c.req, decode.Record.Target)
+		return nil, err
+	}
+	return c.decodeAttempt(decode, source)
+}
+
 // decodeAttempt returns the attempt that generates the answer after prefill. If
 // the decode engine no longer accepts new work, another is chosen.
 func (c *call) decodeAttempt(decode *fleet.TargetState, source KVSource) (*attempt, error) {
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -35,6 +35,8 @@
 	// are taken, and the budget's ratio and burst. If nil, each route has a
 	// budget configured by its knobs.
 	RetryBudget func(req *request.Request) (key string, ratio, burst float64)
+	// PromptGuard refuses requests whose prompts crash targets. It may be nil.
+	PromptGuard PromptGuard
 	// Log may be nil.
 	Log *slog.Logger
 	// Registerer registers the metrics; if nil, they are not registered.
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -41,7 +41,10 @@
 	// after which other prompts may continue differently. Nil means that any
 	// hash in Prefix may be one.
 	PartEnds []uint64
-	Method   string
+	// PartIDs holds one hash for each part of the prompt, of the part alone. The last
+	// part belongs to the request or its session; other prompts may hold the others.
+	PartIDs []uint64
+	Method  string
 	// Host is the Host header of the caller's request.
 	Host string
 	// Resumable reports whether another target may continue the stream: the
