Take a connection that is closed at once for the end of a target

A target counted as ended only if it refused a connection. Where something in front of it still accepts connections, as a proxy does, no crash would have counted, and prompts that crash targets would have been sent on. A connection that is closed within 100 ms counts now too; one that stays open shows that the target goes on.

TestOnlyTargetsThatRefuseConnectionsHaveEnded has such connections: with the refusal alone the part was not suspected.

--- a/pkg/poison/exchange_test.go
+++ b/pkg/poison/exchange_test.go
@@ -227,24 +227,34 @@
 func TestOnlyTargetsThatRefuseConnectionsHaveEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newNetwork(1, nil).daemons["h-0"].detector
-		alive := true
-		d.opts.Dial = func(context.Context, string, string) (net.Conn, error) {
-			if !alive {
-				return nil, errRefused
-			}
-			near, _ := net.Pipe()
-			return near, nil
-		}
+		var dial func() (net.Conn, error)
+		d.opts.Dial = func(context.Context, string, string) (net.Conn, error) { return dial() }
 		lose := func() {
 			for i := range uint64(minCrashes) {
 				d.Lost(prompt(bad, 100+i), ident.Target(fmt.Sprint("d-", i)), "")
 			}
 			time.Sleep(time.Second)
 		}
+		dial = func() (net.Conn, error) {
+			near, _ := net.Pipe()
+			return near, nil
+		}
 		lose()
 		must.NoError(t, d.Check(prompt(bad, 300)))
-		alive = false
+		dial = func() (net.Conn, error) {
+			near, far := net.Pipe()
+			return near, far.Close()
+		}
 		lose()
+		must.Error(t, d.Check(prompt(bad, 300)), must.Sprint("connections that are closed at once"))
+		d.Answered(prompt(bad, 400))
+		must.NoError(t, d.Check(prompt(bad, 300)))
+		time.Sleep(time.Minute)
+		dial = func() (net.Conn, error) { return nil, errRefused }
+		for i := range uint64(minCrashesAnswered) {
+			d.Lost(prompt(bad, 100+i), ident.Target(fmt.Sprint("f-", i)), "")
+			time.Sleep(time.Second)
+		}
 		err := d.Check(prompt(bad, 300))
 		must.Eq(t, fault.Unavailable, fault.KindOf(err))
 		must.Eq(t, maxRetryAfter, fault.RetryAfterOf(err))
--- a/pkg/poison/losses.go
+++ b/pkg/poison/losses.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"os"
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
 )
 
 const (
-	// dialTimeout bounds a connection to a target that may have ended.
+	// dialTimeout bounds a connection to a target that may have ended. A target that
+	// leaves the connection open for openTime has not.
 	dialTimeout = 250 * time.Millisecond
+	openTime    = 100 * time.Millisecond
 	// maxPending bounds the targets that are checked at the same time.
 	maxPending = 64
 )
@@ -19,11 +24,11 @@
 // confirmDelays are the times after a lost connection, each after the one before, at
 // which the target is checked: one that ends may close its connections shortly before
 // its listener.
-var confirmDelays = [...]time.Duration{20 * time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond}
+var confirmDelays = [...]time.Duration{20 * time.Millisecond, 100 * time.Millisecond}
 
 // Lost records that the connection to a target was lost before it had answered a
-// request. It counts once the target refuses a connection: the answer alone may have
-// been lost too.
+// request. It counts once the target refuses a connection or closes it at once: the
+// answer alone may have been lost too.
 func (d *Detector) Lost(req *request.Request, name ident.Target, address string) {
 	prompt, ok := promptOf(req)
 	if !ok {
@@ -80,7 +85,8 @@
 	}
 }
 
-// refuses reports whether no connection to an address can be made.
+// refuses reports whether no connection to an address can be made, or one is closed at
+// once, as by a proxy in front of a target that has ended.
 func (d *Detector) refuses(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
@@ -88,6 +94,10 @@
 	if err != nil {
 		return true
 	}
-	_ = connection.Close()
-	return false
+	defer func() { _ = connection.Close() }()
+	if connection.SetReadDeadline(time.Now().Add(openTime)) != nil {
+		return true
+	}
+	_, err = connection.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
