Clear a part of prompts by an answer that goes on

Only a complete answer cleared a part. Where answers last ten seconds and none has ended since the daemons started, a wave of crashes would have had sound requests with a part refused until the first one ended. An engine that crashes by its prompt does so when it begins to answer; an answer that goes on a second after its first event shows the opposite.

TestAnswerThatGoesOnClearsAPart failed before: the request after two seconds of such an answer was refused.

--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -41,7 +41,9 @@
 	// lastEvent is the ID of the last event that was written to the caller, or
 	// that the caller had received before it sent the request.
 	lastEvent uint64
-	result    Result
+	// promptCleared is set once the prompt guard was notified that an answer goes on.
+	promptCleared bool
+	result        Result
 }
 
 // newCall returns a call before its first attempt.
--- a/pkg/relay/promptguard.go
+++ b/pkg/relay/promptguard.go
@@ -12,7 +12,8 @@
 type PromptGuard interface {
 	// Check returns an error if the request must not be sent to a target.
 	Check(req *request.Request) error
-	// Answered records that a target answered the request completely.
+	// Answered records that a target answered the request completely, or has done so
+	// for long enough that the prompt can't have crashed it.
 	Answered(req *request.Request)
 	// Lost records that the connection to a target was lost before it had answered
 	// the request, or shortly after it had begun to.
@@ -51,6 +52,16 @@
 	}
 }
 
+// reportBegun reports to the prompt guard once that an answer goes on after answerStart.
+// Long answers would otherwise clear their prompts' parts only at their end.
+func (a *attempt) reportBegun() {
+	guard := a.call.relay.opts.PromptGuard
+	if guard != nil && a.call.req.Model != "" && !a.call.promptCleared && a.call.wellBegun(a) {
+		a.call.promptCleared = true
+		guard.Answered(a.call.req)
+	}
+}
+
 // wellBegun reports whether an attempt wrote events of its answer for longer than
 // answerStart.
 func (c *call) wellBegun(a *attempt) bool {
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -31,6 +31,7 @@
 		if err := a.writeEvent(response, event); err != nil {
 			return &exchangeError{failure: retry.CallerGone, cause: err}
 		}
+		a.reportBegun()
 		if event.Last {
 			_ = controller.Flush()
 			return a.finishStream(w, events)
