Have the test's target close its connection a moment later

The test of connections that are closed at once closed them before they were looked at, so that waiting for data was not exercised: a build that ignored what it read passed.

--- a/pkg/poison/exchange_test.go
+++ b/pkg/poison/exchange_test.go
@@ -243,7 +243,8 @@
 		must.NoError(t, d.Check(prompt(bad, 300)))
 		dial = func() (net.Conn, error) {
 			near, far := net.Pipe()
-			return near, far.Close()
+			time.AfterFunc(time.Millisecond, func() { _ = far.Close() })
+			return near, nil
 		}
 		lose()
 		must.Error(t, d.Check(prompt(bad, 300)), must.Sprint("connections that are closed at once"))
