--- a/pkg/poison/exchange_test.go
+++ b/pkg/poison/exchange_test.go
@@ -227,31 +227,36 @@
 func TestOnlyTargetsThatRefuseConnectionsHaveEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newNetwork(1, nil).daemons["h-0"].detector
-		var dial func() (net.Conn, error)
-		d.opts.Dial = func(context.Context, string, string) (net.Conn, error) { return dial() }
+		var dial func() net.Conn
+		d.opts.Dial = func(context.Context, string, string) (net.Conn, error) {
+			if connection := dial(); connection != nil {
+				return connection, nil
+			}
+			return nil, errRefused
+		}
 		lose := func() {
 			for i := range uint64(minCrashes) {
 				d.Lost(prompt(bad, 100+i), ident.Target(fmt.Sprint("d-", i)), "")
 			}
 			time.Sleep(time.Second)
 		}
-		dial = func() (net.Conn, error) {
+		dial = func() net.Conn {
 			near, _ := net.Pipe()
-			return near, nil
+			return near
 		}
 		lose()
 		must.NoError(t, d.Check(prompt(bad, 300)))
-		dial = func() (net.Conn, error) {
+		dial = func() net.Conn {
 			near, far := net.Pipe()
 			time.AfterFunc(time.Millisecond, func() { _ = far.Close() })
-			return near, nil
+			return near
 		}
 		lose()
 		must.Error(t, d.Check(prompt(bad, 300)), must.Sprint("connections that are closed at once"))
 		d.Answered(prompt(bad, 400))
 		must.NoError(t, d.Check(prompt(bad, 300)))
 		time.Sleep(time.Minute)
-		dial = func() (net.Conn, error) { return nil, errRefused }
+		dial = func() net.Conn { return nil }
 		for i := range uint64(minCrashesAnswered) {
 			d.Lost(prompt(bad, 100+i), ident.Target(fmt.Sprint("f-", i)), "")
 			time.Sleep(time.Second)
