Read the test network's counters under its lock

TestEvidenceReachesEveryDaemonOnce failed in two of ten runs under the race detector: the test read the counts of messages and bytes while its network could still write them. The product's code is not concerned.

--- a/pkg/poison/exchange_test.go
+++ b/pkg/poison/exchange_test.go
@@ -84,6 +84,14 @@
 	return other
 }
 
+// usage returns how many messages a daemon received, and the bytes of those and of the
+// ones that it sent.
+func (d *testDaemon) usage() (received, bytes int) {
+	d.network.mu.Lock()
+	defer d.network.mu.Unlock()
+	return d.received, d.bytes
+}
+
 // setCut cuts or restores the links of a host.
 func (n *network) setCut(host ident.Host, cut bool) {
 	n.mu.Lock()
@@ -160,8 +168,9 @@
 				must.Error(t, d.detector.Check(prompt(common, hashOf(part), 300)), must.Sprint(host))
 			}
 			must.NoError(t, d.detector.Check(prompt(hashOf(1000), 301)), must.Sprint(host))
-			must.LessEq(t, seconds*parts*minCrashes, d.received)
-			most, sum = max(most, d.bytes), sum+d.bytes
+			received, bytes := d.usage()
+			must.LessEq(t, seconds*parts*minCrashes, received)
+			most, sum = max(most, bytes), sum+bytes
 		}
 		t.Logf("%d bytes/s at the daemon with the most, %d in the mean", most/seconds, sum/len(n.daemons)/seconds)
 		must.LessEq(t, 8192, most/seconds)
