--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -41,7 +41,9 @@
 	// lastEvent is the ID of the last event that was written to the caller, or
 	// that the caller had received before it sent the request.
 	lastEvent uint64
-	result    Result
+	// promptCleared is set once the prompt guard was notified that an answer goes on.
+	promptCleared bool
+	result        Result
 }
 
 // newCall returns a call before its first attempt.
@@ -105,6 +107,7 @@
 			c.relay.opts.Router.Done(c.req, a.decode.Record.Target)
 		}
 		c.reportResult(a.target, err)
+		c.reportPrompt(a, err)
 		a.reportWork(err)
 		if decision != retry.Again {
 			return c.finish(a, decision, err)
