Send nothing new to a target that states in an answer that it is leaving

Cause: the header with which a replica states in any answer that it leaves was not read. While its entry in the store was still ready, or the store was away, requests went on reaching it.

Change: the statement is decoded once in platform/ and kept in pkg/routing by target and incarnation. Every choice asks for it where it asks for the store's mark, and the relay asks again right before an exchange and once that has a connection, before any byte. A request that is stopped there costs neither an attempt nor a retry and goes to another target. It ends with a later incarnation only. Engines that leave get no role orders.

Failed before, by a run of the tests on the code before this change: TestLeavingReplicaGetsNoRequests ("requests reach the leaving replica r-1") in 8 of 12 cases, the other four hidden by the ejection of a failed engine, which the test has waited out since; TestLeavingReplicaFinishesItsStream, TestLeavingPrefillReplicaComputesNoPrompt, TestResumedStreamAvoidsLeavingReplicas and TestLeavingEndsOnlyWithNewIncarnation. Shown to fail with one part switched off each: TestLeavingTargetGetsNoRequestThatChoseItBefore (all four cases) without the check at the connection, TestLeavingEngineIsInNoChoice without the check of the score, the cache holder, the home or the availability, TestLeavingReplicasOfServiceRefuseAtOnce without that of services, TestLeavingEngineIsNotOrdered without the keeper's, TestWithheldAttemptCostsNone without taking the count back, TestOtherServersWordIsNotTheTargets and TestOrderedReplicasNoticesAreRecorded with the word of another server taken for the target's.

All of these pass now, also with the race detector.

--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -48,11 +48,14 @@
 	supply := supplykeeper.New(supplykeeper.Options{
 		View: g.targets, Orderer: g.opts.EngineOrderer, Config: g.opts.Published, Log: g.opts.Log,
 	})
+	if source, ok := g.opts.RoleOrderer.(rolekeeper.NoticeSource); ok {
+		source.RecordNotices(g.noticeRecorder)
+	}
 	roles := rolekeeper.New(rolekeeper.Options{
 		View: g.targets, Orderer: g.opts.RoleOrderer, Log: g.opts.Log, Settled: supply.Settled,
 		Exclude: g.announceExclusion, SwitchTime: g.switchTime,
 		Share: func(model ident.Model) float64 { return g.knobs(config.Selector{Model: model}).Roles.PrefillShare },
-		Work:  g.modelWork,
+		Work:  g.modelWork, Leaving: g.leaving,
 	})
 	d.work = map[ident.Duty]lease.Work{dutyUsage: reporter.Work, dutyEngines: combineWork(supply.Work, roles.Work)}
 	return d
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -134,7 +134,7 @@
 		View: g.targets, Domain: opts.FailureDomain, Now: time.Now, Random: newRandom(),
 		Knobs:   func() *config.RoutingKnobs { return &g.knobs(config.Selector{}).Routing },
 		Daemons: g.presence.Daemons, PeerBacklog: g.backlog.RemoteOutstanding, ReportingShare: g.backlog.Coverage,
-		OnEjected: g.targetEjected,
+		OnEjected: g.targetEjected, OnNotice: g.targetNoticed,
 	})
 	g.relay = relay.New(relay.Options{
 		Router: g.router, Client: target.NewClient(), Config: opts.Published, Protocol: opts.Protocol,
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -12,6 +12,8 @@
 type metrics struct {
 	// ejections counts how often a failing target was ejected, by what it serves.
 	ejections *prometheus.CounterVec
+	// notices counts what targets stated about themselves in their answers.
+	notices *prometheus.CounterVec
 }
 
 // registerMetrics registers the gateway's counters and the gauges that are read from
@@ -20,7 +22,10 @@
 	m := &metrics{ejections: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "amaranthplank_targets_left_out_total", Help: "Times that a failing target was left out for a while, by what it serves.",
 	}, []string{"serves"})}
-	g.registry.MustRegister(m.ejections,
+	m.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "amaranthplank_target_notices_total", Help: "Times that a target stated in an answer that it leaves or wants a pause.",
+	}, []string{"notice"})
+	g.registry.MustRegister(m.ejections, m.notices,
 		gauge("amaranthplank_view_age_seconds", "Age of what is known from the store; infinite before the first answer.", g.viewAge),
 		gauge("amaranthplank_targets", "Targets that take new work.", g.countTargets),
 		gauge("amaranthplank_daemons", "Daemons that are there, this one included.", func() float64 { return float64(g.presence.Daemons()) }),
@@ -54,7 +59,7 @@
 	snapshot := g.targets.Snapshot()
 	count := 0
 	for i := range snapshot.Targets {
-		if !snapshot.Targets[i].Record.Leaving {
+		if state := &snapshot.Targets[i]; !state.Record.Leaving && g.withheld(state) == nil {
 			count++
 		}
 	}
--- /dev/null
+++ b/pkg/gateway/notices.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"github.com/go-faster/errors"
+
+	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/routing"
+)
+
+// noticeRecorder returns a function that records notices of a target's incarnation in
+// the present view.
+func (g *Gateway) noticeRecorder(target ident.Target) func(notice fleet.TargetNotice) {
+	var incarnation ident.Incarnation
+	if state := g.targets.Snapshot().Target(target); state != nil {
+		incarnation = state.Incarnation
+	}
+	return func(notice fleet.TargetNotice) { g.router.ObserveNotice(target, incarnation, notice) }
+}
+
+// withheld returns why nothing may be sent to a target by its own word, or nil.
+func (g *Gateway) withheld(state *fleet.TargetState) error {
+	return g.router.CheckSend(state.Record.Target, state.Incarnation)
+}
+
+// leaving reports whether a target stated that it leaves.
+func (g *Gateway) leaving(state *fleet.TargetState) bool {
+	return errors.Is(g.withheld(state), routing.ErrLeaving)
+}
+
+// targetNoticed counts and logs that a target stated something about itself.
+func (g *Gateway) targetNoticed(target ident.Target, notice fleet.TargetNotice) {
+	if notice.Leaving {
+		g.metrics.notices.WithLabelValues("leaving").Inc()
+		g.opts.Log.Info("target leaving by its own answer", "target", target)
+	}
+}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -21,6 +21,8 @@
 	id      ident.Attempt
 	target  ident.Target
 	address string
+	// incarnation is the target's at the time it was chosen.
+	incarnation ident.Incarnation
 	// record is the target's record at the time it was chosen.
 	record external.TargetRecord
 	// source is the KV cache from which the answer is generated, or empty.
@@ -62,7 +64,7 @@
 func newAttempt(c *call, state *fleet.TargetState) *attempt {
 	return &attempt{
 		call: c, id: ident.Attempt(uuid.NewString()), target: state.Record.Target,
-		address: state.Record.Address, record: state.Record, resumeBackoff: newResumeBackoff(), lastEvent: c.lastEvent, began: time.Now(),
+		address: state.Record.Address, incarnation: state.Incarnation, record: state.Record, resumeBackoff: newResumeBackoff(), lastEvent: c.lastEvent, began: time.Now(),
 	}
 }
 
@@ -85,6 +87,9 @@
 // Otherwise it returns the error and how to continue.
 func (a *attempt) run(ctx context.Context) (retry.Decision, error) {
 	err := a.sendFirst(ctx)
+	if errors.Is(err, errWithheld) {
+		return a.call.afterWithheld(), err
+	}
 	for err != nil {
 		if errors.Is(err, errMoveDue) {
 			a.moveToAnother(ctx)
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
@@ -32,7 +34,9 @@
 	retries *retry.Controller
 	// failedTargets are the targets at which attempts failed.
 	failedTargets []ident.Target
-	prefillInfo   prefillInfo
+	// withheld counts the targets that were chosen and then withheld.
+	withheld    int
+	prefillInfo prefillInfo
 	// prefilled is set once an engine has computed the prompt apart.
 	prefilled bool
 	// source is the KV cache of the prompt that no engine has taken over yet, or
@@ -122,6 +126,9 @@
 		return
 	}
 	outcome := routing.Answered
+	if errors.Is(err, errWithheld) {
+		return
+	}
 	if err != nil {
 		outcome = routing.Failed
 		switch failureOf(err) {
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -27,7 +27,7 @@
 	if a.call.req.Idempotent {
 		reuse = target.ReuseAny
 	}
-	response, trace, err := a.call.relay.opts.Client.Do(outgoing, reuse)
+	response, trace, err := a.send(outgoing, reuse)
 	if err != nil {
 		if trace.Abort() {
 			a.advanceTo(retry.Sent)
@@ -55,7 +55,7 @@
 	if err != nil {
 		return &exchangeError{failure: retry.ConnectFailed, cause: err}
 	}
-	response, trace, err := a.call.relay.opts.Client.Do(outgoing, target.ReuseNone)
+	response, trace, err := a.send(outgoing, target.ReuseNone)
 	if err != nil {
 		trace.Abort()
 		return a.call.classify(w.ctx, err)
--- a/pkg/relay/failure.go
+++ b/pkg/relay/failure.go
@@ -70,6 +70,8 @@
 func (c *call) failureFor(ctx context.Context, err error) retry.Failure {
 	var operation *net.OpError
 	switch {
+	case errors.Is(err, errWithheld):
+		return retry.ConnectFailed
 	case c.caller.Err() != nil:
 		return retry.CallerGone
 	case errors.Is(context.Cause(ctx), errSilence):
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/retry"
@@ -96,6 +98,9 @@
 		return retry.Forward, true
 	}
 	c.failedTargets = append(c.failedTargets, got.attempt.target)
+	if errors.Is(got.err, errWithheld) {
+		return c.afterWithheld(), false
+	}
 	failure := failureOf(got.err)
 	decision := c.retries.AfterFailure(got.attempt.phase, failure, time.Now())
 	c.relay.metrics.exchangeFailed(got.attempt.phase, failure, decision)
--- a/pkg/relay/move.go
+++ b/pkg/relay/move.go
@@ -81,6 +81,7 @@
 	a.abandon(retry.Silence)
 	router.Done(a.call.req, a.target)
 	a.target, a.address, a.record = state.Record.Target, state.Record.Address, state.Record
+	a.incarnation = state.Incarnation
 	a.call.relay.metrics.moves.Inc()
 }
 
--- a/pkg/relay/next.go
+++ b/pkg/relay/next.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
@@ -36,13 +38,25 @@
 		}
 		c.relay.opts.Router.Done(c.req, placement.Decode.Record.Target)
 		c.failedTargets = append(c.failedTargets, placement.Target.Record.Target)
-		failure := failureOf(err)
-		if failure == retry.CallerGone || failure == retry.DeadlinePassed || !c.retries.RetryPrefill(failure, time.Now()) {
-			return nil, notRunError(failure, err)
+		if !c.mayRetryPrefill(err) {
+			return nil, notRunError(failureOf(err), err)
 		}
 	}
 }
 
+// mayRetryPrefill reports whether another engine may compute the prompt after a
+// prefill failed. One that was withheld costs no retry.
+func (c *call) mayRetryPrefill(err error) bool {
+	if errors.Is(err, errWithheld) {
+		return c.mayReplaceWithheld()
+	}
+	failure := failureOf(err)
+	if failure == retry.CallerGone || failure == retry.DeadlinePassed {
+		return false
+	}
+	return c.retries.RetryPrefill(failure, time.Now())
+}
+
 // wholeAttempt returns the attempt that computes the prompt and the answer at one
 // engine, or that starts there and moves to the engine for decode.
 func (c *call) wholeAttempt(placement routing.Placement) *attempt {
--- a/pkg/relay/prefill.go
+++ b/pkg/relay/prefill.go
@@ -57,7 +57,7 @@
 		return KVSource{}, &exchangeError{failure: retry.ConnectFailed, cause: err}
 	}
 	began := time.Now()
-	response, trace, err := a.call.relay.opts.Client.Do(outgoing, target.ReuseAny)
+	response, trace, err := a.send(outgoing, target.ReuseAny)
 	if err != nil {
 		trace.Abort()
 		return KVSource{}, a.call.classify(ctx, err)
--- /dev/null
+++ b/pkg/retry/cancelattempt.go
@@ -0,0 +1,5 @@
+package retry
+
+// CancelAttempt takes back the count of an attempt that was begun and then withheld,
+// so that it sent nothing and cost its target nothing.
+func (c *Controller) CancelAttempt() { c.attempts = max(0, c.attempts-1) }
--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -51,6 +51,8 @@
 	// SwitchTime returns how long an engine of a model is unavailable while it
 	// changes its role.
 	SwitchTime func(model ident.Model) time.Duration
+	// Leaving reports whether an engine stated that it leaves. It may be nil.
+	Leaving func(engine *fleet.TargetState) bool
 	// Settled reports whether the present engines are expected to stay. No role
 	// is changed until it returns true, but for at most supplyTimeout.
 	Settled func() bool
@@ -188,7 +190,7 @@
 func (k *Keeper) engines(snapshot *fleet.Snapshot, model ident.Model, now time.Time) (engines []Engine, changing int) {
 	for _, i := range snapshot.Model(model) {
 		state := &snapshot.Targets[i]
-		if state.Draining || state.Record.Leaving {
+		if state.Draining || state.Record.Leaving || k.leaving(state) {
 			continue
 		}
 		engine := Engine{Target: state.Record.Target, Domain: state.Record.FailureDomain, Role: state.Load.Role}
@@ -206,6 +208,11 @@
 	return engines, changing
 }
 
+// leaving reports whether an engine stated that it leaves.
+func (k *Keeper) leaving(engine *fleet.TargetState) bool {
+	return k.opts.Leaving != nil && k.opts.Leaving(engine)
+}
+
 // order sends one order and records its outcome.
 func (k *Keeper) order(ctx context.Context, authority lease.Authority, state *fleet.TargetState, role fleet.Role) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/pkg/rolekeeper/keeper_test.go
+++ b/pkg/rolekeeper/keeper_test.go
@@ -27,6 +27,9 @@
 	excludedUntil map[ident.Target]time.Time
 	// excludeErr is the error that exclude returns.
 	excludeErr error
+	// leaving are the engines that stated that they leave, ordered those that were
+	// sent an order.
+	leaving, ordered map[ident.Target]bool
 	// work returns the Work of the keeper's Options; nil means that none is set.
 	work func() Work
 	// err is the error that Order returns. If lateBy is positive, the orders
@@ -57,6 +60,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.orders++
+	if f.ordered != nil {
+		f.ordered[order.Target.Target] = true
+	}
 	must.True(f.t, time.Now().Before(f.excludedUntil[order.Target.Target]), must.Sprint("order sent to an engine that is not excluded"))
 	if order.After != f.accepted[order.Target.Target] {
 		return fault.New(fault.Conflict, "the engine has accepted a different number of orders", "read the number of accepted orders")
@@ -114,6 +120,7 @@
 	opts := Options{
 		View: f, Orderer: f, Share: func(ident.Model) float64 { return share }, Settled: func() bool { return true },
 		Exclude:    f.exclude,
+		Leaving:    func(engine *fleet.TargetState) bool { return f.leaving[engine.Record.Target] },
 		SwitchTime: func(ident.Model) time.Duration { return 3 * time.Second }, Log: slog.New(slog.DiscardHandler),
 	}
 	if f.work != nil {
--- a/pkg/routing/availabilitychecker.go
+++ b/pkg/routing/availabilitychecker.go
@@ -15,5 +15,5 @@
 func (c *CombinedRouter) AcceptsNewWork(target ident.Target) bool {
 	opts := &c.Models.opts
 	state := opts.View.Snapshot().Target(target)
-	return state != nil && acceptsNewWork(state, opts.Knobs(), opts.Now())
+	return state != nil && opts.acceptsNewWork(state, opts.Knobs(), opts.Now())
 }
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -49,6 +49,7 @@
 
 // NewModelRouter returns a router without outstanding requests.
 func NewModelRouter(opts Options) *ModelRouter {
+	opts.ensureNotices()
 	return &ModelRouter{opts: opts, trackers: make(map[ident.Target]*targetTracker), meters: make(map[ident.Model]*workMeter), index: prefix.New()}
 }
 
@@ -150,7 +151,7 @@
 	shortest := -1.0
 	for _, i := range snapshot.Model(req.Model) {
 		state := &snapshot.Targets[i]
-		if !acceptsNewWork(state, knobs, now) {
+		if !r.opts.acceptsNewWork(state, knobs, now) {
 			continue
 		}
 		e := estimateEngine(state, r.trackerAt(i), r.daemons, knobs, now)
--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -30,11 +30,29 @@
 	// its number of consecutive failures. It is called with the router's lock
 	// held and may be nil.
 	OnEjected func(target ident.Target, failures int)
+	// OnNotice is called when a target states something about itself that changes
+	// what may be sent to it. It must not block or call the router, and may be nil.
+	OnNotice func(target ident.Target, notice fleet.TargetNotice)
 	// Random draws among near-equal engines and among replicas; the router's
 	// lock guards it.
 	Random *rand.Rand
 	// Disabled disables parts of the router; it is for benchmarks only.
 	Disabled DisabledParts
+	// notices is shared by the routers of a daemon.
+	notices *targetNotices
+}
+
+// ensureNotices creates notices if the router shares none.
+func (o *Options) ensureNotices() {
+	if o.notices == nil {
+		o.notices = newTargetNotices(o)
+	}
+}
+
+// acceptsNewWork reports whether new work may be sent to a target, by the view and by
+// what the target stated about itself.
+func (o *Options) acceptsNewWork(state *fleet.TargetState, knobs *config.RoutingKnobs, now time.Time) bool {
+	return acceptsNewWork(state, knobs, now) && o.notices.check(state.Record.Target, state.Incarnation) == nil
 }
 
 // notifyEjected calls OnEjected if it is set.
--- a/pkg/routing/score.go
+++ b/pkg/routing/score.go
@@ -54,7 +54,7 @@
 	cacheHolder, missing := r.findCacheHolder(snapshot, engines, req)
 	for _, i := range engines {
 		state := &snapshot.Targets[i]
-		if !acceptsNewWork(state, knobs, now) || slices.Contains(exclude, state.Record.Target) {
+		if !r.opts.acceptsNewWork(state, knobs, now) || slices.Contains(exclude, state.Record.Target) {
 			continue
 		}
 		e := estimateEngine(state, r.trackerAt(i), r.daemons, knobs, now)
@@ -91,7 +91,7 @@
 		return best, missing
 	}
 	for _, i := range engines {
-		if !acceptsNewWork(&snapshot.Targets[i], knobs, now) || r.trackersByIndex[i].ejectedUntil.After(now) {
+		if !r.opts.acceptsNewWork(&snapshot.Targets[i], knobs, now) || r.trackersByIndex[i].ejectedUntil.After(now) {
 			continue
 		}
 		depth := max(r.indexedDepth(i, knobs), float64(r.trackersByIndex[i].recentPrompts.computedDepth(req.Prefix, now, knobs.PromptMemory.D())))
@@ -149,7 +149,7 @@
 	best, home, prefill := uint64(0), -1, false
 	for _, i := range engines {
 		role := snapshot.Targets[i].Load.Role
-		if role == fleet.Decode || (prefill && role != fleet.Prefill) || !acceptsNewWork(&snapshot.Targets[i], knobs, r.opts.Now()) {
+		if role == fleet.Decode || (prefill && role != fleet.Prefill) || !r.opts.acceptsNewWork(&snapshot.Targets[i], knobs, r.opts.Now()) {
 			continue
 		}
 		if role == fleet.Prefill && !prefill {
--- a/pkg/routing/services.go
+++ b/pkg/routing/services.go
@@ -27,6 +27,7 @@
 
 // NewServiceRouter returns a router without outstanding calls.
 func NewServiceRouter(opts Options) *ServiceRouter {
+	opts.ensureNotices()
 	return &ServiceRouter{opts: opts, trackers: make(map[ident.Target]*targetTracker)}
 }
 
@@ -102,7 +103,7 @@
 	ejected := 0
 	for _, i := range snapshot.Service(service) {
 		state := &snapshot.Targets[i]
-		if !acceptsNewWork(state, knobs, now) || slices.Contains(exclude, state.Record.Target) {
+		if !s.opts.acceptsNewWork(state, knobs, now) || slices.Contains(exclude, state.Record.Target) {
 			continue
 		}
 		s.usable = append(s.usable, i)
--- a/pkg/target/trace.go
+++ b/pkg/target/trace.go
@@ -17,18 +17,21 @@
 	// untracked is set if the connection is not a countingConn, so that the bytes
 	// of the exchange are not known.
 	untracked bool
+	// withheld is why the request's check forbade to send it, or nil.
+	withheld error
 }
 
 // withTrace returns a context that makes the transport report its connection to
 // the trace.
 func (t *Trace) withTrace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { t.gotConn(info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) { t.gotConn(ctx, info.Conn) },
 	})
 }
 
-// gotConn records the connection of the exchange.
-func (t *Trace) gotConn(c net.Conn) {
+// gotConn records the connection of the exchange, and checks whether the request may
+// still be sent.
+func (t *Trace) gotConn(ctx context.Context, c net.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	counted, ok := c.(*countingConn)
@@ -37,6 +40,7 @@
 		return
 	}
 	t.conn, t.bytesBefore = counted, counted.bytesWritten()
+	t.checkSend(ctx)
 }
 
 // Abort closes the exchange's connection and reports whether any byte of the
