Send nothing to a target within the pause that it asked for

Cause: the time with which a replica asks for a pause, in an answer with status 503, was not read. It got requests on, and was ejected or not as if it had failed.

Until its end the target is in no choice, and the check once an exchange has a connection stops requests that chose it before. If all that could take a request are paused, callers are refused at once as not run and told the earliest end; engines that only prefill take none of the others' work meanwhile. The refusal is no failure of the target. Paused engines get no role order.

--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -55,7 +55,7 @@
 		View: g.targets, Orderer: g.opts.RoleOrderer, Log: g.opts.Log, Settled: supply.Settled,
 		Exclude: g.announceExclusion, SwitchTime: g.switchTime,
 		Share: func(model ident.Model) float64 { return g.knobs(config.Selector{Model: model}).Roles.PrefillShare },
-		Work:  g.modelWork, Leaving: g.leaving,
+		Work:  g.modelWork, Leaving: g.leaving, Paused: g.paused,
 	})
 	d.work = map[ident.Duty]lease.Work{dutyUsage: reporter.Work, dutyEngines: combineWork(supply.Work, roles.Work)}
 	return d
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -28,10 +28,22 @@
 	return errors.Is(g.withheld(state), routing.ErrLeaving)
 }
 
+// paused reports whether a target asked for a pause that has not ended.
+func (g *Gateway) paused(state *fleet.TargetState) bool {
+	return errors.Is(g.withheld(state), routing.ErrPaused)
+}
+
 // targetNoticed counts and logs that a target stated something about itself.
 func (g *Gateway) targetNoticed(target ident.Target, notice fleet.TargetNotice) {
-	if notice.Leaving {
+	switch {
+	case notice.Leaving:
 		g.metrics.notices.WithLabelValues("leaving").Inc()
 		g.opts.Log.Info("target leaving by its own answer", "target", target)
+	case notice.MalformedPause != "":
+		g.metrics.notices.WithLabelValues("malformed").Inc()
+		g.opts.Log.Warn("pause of a target malformed", "target", target, "text", notice.MalformedPause, "taken", notice.Pause)
+	default:
+		g.metrics.notices.WithLabelValues("paused").Inc()
+		g.opts.Log.Info("target paused", "target", target, "pause", notice.Pause)
 	}
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -44,6 +44,8 @@
 	usage request.TokenUsage
 	// load is the load that came with the target's last response, or zero.
 	load fleet.LoadReport
+	// notice is what the target stated about itself in its last response.
+	notice fleet.TargetNotice
 	// refusal is the response by which the target refused the request, or nil.
 	refusal *bufferedResponse
 	// idleResumes counts the resumes since the last event.
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -107,7 +107,7 @@
 		if a.decode != nil {
 			c.relay.opts.Router.Done(c.req, a.decode.Record.Target)
 		}
-		c.reportResult(a.target, err)
+		c.reportResult(a, err)
 		a.reportWork(err)
 		if decision != retry.Again {
 			return c.finish(a, decision, err)
@@ -119,14 +119,15 @@
 
 // reportResult reports an attempt's result to a router that implements
 // routing.ResultObserver, unless the caller's disconnect, the deadline or the size
-// limit ended the attempt.
-func (c *call) reportResult(name ident.Target, err error) {
+// limit ended the attempt, or its target withheld it or asked for a pause, which is no
+// failure.
+func (c *call) reportResult(a *attempt, err error) {
 	observer, ok := c.relay.opts.Router.(routing.ResultObserver)
 	if !ok {
 		return
 	}
 	outcome := routing.Answered
-	if errors.Is(err, errWithheld) {
+	if errors.Is(err, errWithheld) || (err != nil && a.notice.Pause > 0) {
 		return
 	}
 	if err != nil {
@@ -139,7 +140,7 @@
 		default:
 		}
 	}
-	observer.ObserveResult(c.req, name, outcome)
+	observer.ObserveResult(c.req, a.target, outcome)
 }
 
 // endWithoutTarget ends a request that no target accepts.
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -93,7 +93,7 @@
 // handleHedgeResult returns how to continue after one attempt ended, and whether
 // the request ends with it.
 func (c *call) handleHedgeResult(got hedgeResult) (retry.Decision, bool) {
-	c.reportResult(got.attempt.target, got.err)
+	c.reportResult(got.attempt, got.err)
 	if got.err == nil {
 		return retry.Forward, true
 	}
--- a/pkg/relay/prefill.go
+++ b/pkg/relay/prefill.go
@@ -39,7 +39,7 @@
 	}()
 	source, err := a.computePrompt(ctx, prefiller)
 	c.relay.opts.Router.Done(c.req, a.target)
-	c.reportResult(a.target, err)
+	c.reportResult(a, err)
 	if err != nil {
 		failure := failureOf(err)
 		c.relay.metrics.exchangeFailed(retry.Unsent, failure, retry.Again)
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -37,32 +37,22 @@
 	if !ok {
 		return client.Do(outgoing, reuse)
 	}
-	check := func() error { return a.checkSend(gate) }
-	if err := check(); err != nil {
-		return nil, &target.Trace{}, err
+	send, err := gate.BeginSend(a.target, a.incarnation, a.phase != retry.Unsent)
+	if err != nil {
+		return nil, &target.Trace{}, errors.Wrap(errWithheld, err.Error())
 	}
-	response, trace, err := client.Do(target.WithSendCheck(outgoing, check), reuse)
+	response, trace, err := client.Do(target.WithSendCheck(outgoing, send.Check), reuse)
 	if withheld := trace.Withheld(); err != nil && withheld != nil {
-		err = withheld
+		err = errors.Wrap(errWithheld, withheld.Error())
 	}
 	if reader, ok := a.call.relay.protocol.(NoticeReader); ok && err == nil {
-		gate.ObserveNotice(a.target, a.incarnation, reader.Notice(a.newTargetRequest(), response))
+		a.notice = reader.Notice(a.newTargetRequest(), response)
+		gate.ObserveNotice(a.target, a.incarnation, a.notice)
 	}
+	send.End(err == nil)
 	return response, trace, err
 }
 
-// checkSend returns an error that wraps errWithheld if nothing may be sent to the
-// target. An attempt that its target may have begun goes on there.
-func (a *attempt) checkSend(gate routing.SendGate) error {
-	if a.phase != retry.Unsent {
-		return nil
-	}
-	if err := gate.CheckSend(a.target, a.incarnation); err != nil {
-		return errors.Wrap(errWithheld, err.Error())
-	}
-	return nil
-}
-
 // afterWithheld returns how the request continues after an attempt was withheld. The
 // attempt counts neither as one nor as a failure of its target.
 func (c *call) afterWithheld() retry.Decision {
--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -53,6 +53,9 @@
 	SwitchTime func(model ident.Model) time.Duration
 	// Leaving reports whether an engine stated that it leaves. It may be nil.
 	Leaving func(engine *fleet.TargetState) bool
+	// Paused reports whether an engine wants nothing from this daemon for now. It
+	// keeps its role meanwhile and gets no order. It may be nil.
+	Paused func(engine *fleet.TargetState) bool
 	// Settled reports whether the present engines are expected to stay. No role
 	// is changed until it returns true, but for at most supplyTimeout.
 	Settled func() bool
@@ -217,6 +220,9 @@
 func (k *Keeper) order(ctx context.Context, authority lease.Authority, state *fleet.TargetState, role fleet.Role) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	if k.opts.Paused != nil && k.opts.Paused(state) {
+		return nil
+	}
 	incarnation := incarnationOf(state)
 	order := Order{Target: state.Record, Role: role, Fencing: authority.Fencing(), After: k.accepted[incarnation]}
 	if err := authority.Check(); err != nil {
--- a/pkg/rolekeeper/keeper_test.go
+++ b/pkg/rolekeeper/keeper_test.go
@@ -30,6 +30,8 @@
 	// leaving are the engines that stated that they leave, ordered those that were
 	// sent an order.
 	leaving, ordered map[ident.Target]bool
+	// pausedUntil is when the engines' pauses end.
+	pausedUntil map[ident.Target]time.Time
 	// work returns the Work of the keeper's Options; nil means that none is set.
 	work func() Work
 	// err is the error that Order returns. If lateBy is positive, the orders
@@ -63,6 +65,7 @@
 	if f.ordered != nil {
 		f.ordered[order.Target.Target] = true
 	}
+	must.False(f.t, time.Now().Before(f.pausedUntil[order.Target.Target]), must.Sprint("order sent to a paused engine"))
 	must.True(f.t, time.Now().Before(f.excludedUntil[order.Target.Target]), must.Sprint("order sent to an engine that is not excluded"))
 	if order.After != f.accepted[order.Target.Target] {
 		return fault.New(fault.Conflict, "the engine has accepted a different number of orders", "read the number of accepted orders")
@@ -120,6 +123,7 @@
 	opts := Options{
 		View: f, Orderer: f, Share: func(ident.Model) float64 { return share }, Settled: func() bool { return true },
 		Exclude:    f.exclude,
+		Paused:     func(engine *fleet.TargetState) bool { return time.Now().Before(f.pausedUntil[engine.Record.Target]) },
 		Leaving:    func(engine *fleet.TargetState) bool { return f.leaving[engine.Record.Target] },
 		SwitchTime: func(ident.Model) time.Duration { return 3 * time.Second }, Log: slog.New(slog.DiscardHandler),
 	}
--- a/pkg/rolekeeper/leaving_test.go
+++ b/pkg/rolekeeper/leaving_test.go
@@ -10,6 +10,21 @@
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
+// TestPausedEngineIsOrderedAfterItsPause guards against an order to an engine that wants
+// nothing for now, which Order of the fake engines checks, and against giving up the
+// change.
+func TestPausedEngineIsOrderedAfterItsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := runKeeper(t, 0.5, &authority{}, 60*time.Second, func(f *fakeEngines) {
+			f.pausedUntil = map[ident.Target]time.Time{}
+			for name := range f.roles {
+				f.pausedUntil[name] = time.Now().Add(20 * time.Second)
+			}
+		})
+		must.Positive(t, f.orders)
+	})
+}
+
 // TestLeavingEngineIsNotOrdered guards against ordering a role to an engine that stated
 // that it leaves, whose entry is still ready. The others get their share.
 func TestLeavingEngineIsNotOrdered(t *testing.T) {
--- a/pkg/routing/best.go
+++ b/pkg/routing/best.go
@@ -47,8 +47,8 @@
 	}
 	full := r.cheapest(taskFull, limits)
 	if p < 0 || d < 0 {
-		if full < 0 && !r.hasRole(fleet.Mixed) {
-			full = r.cheapest(taskFullAnyRole, limits)
+		if full < 0 {
+			full = r.fallback(req, limits)
 		}
 		return full, full
 	}
@@ -64,6 +64,19 @@
 	return full, full
 }
 
+// fallback returns the index in r.scores of the engine that runs the whole request
+// whatever its role, or a negative number. It is needed while no engine takes whole
+// requests, unless those that do have asked for a pause.
+func (r *ModelRouter) fallback(req *request.Request, limits taskLimits) int {
+	if r.hasRole(fleet.Mixed) {
+		return -1
+	}
+	if _, paused := r.answersPaused(req); paused {
+		return -1
+	}
+	return r.cheapest(taskFullAnyRole, limits)
+}
+
 // maxPromptTime returns the longest expected time until the prompt is computed,
 // in seconds, at which a request is still placed: the longest wait plus the
 // shortest compute time of any engine. It is at least req.FirstPart, so that a
@@ -111,9 +124,30 @@
 	return 0, false
 }
 
-// placementError returns why no engine can take the request: either no engine
-// accepts new work, or even the shortest expected prompt time is too long.
+// answersPaused returns the earliest end of the pauses of a model's engines that
+// generate answers, if all that could take the request asked for one. Those that only
+// prefill take none of their work meanwhile.
+func (r *ModelRouter) answersPaused(req *request.Request) (time.Duration, bool) {
+	for i := range r.scores {
+		if r.scores[i].role != fleet.Prefill {
+			return 0, false
+		}
+	}
+	var engines []int
+	for _, i := range r.lastSnapshot.Model(req.Model) {
+		if r.lastSnapshot.Targets[i].Load.Role != fleet.Prefill {
+			engines = append(engines, i)
+		}
+	}
+	return r.opts.notices.earliestEnd(r.lastSnapshot, engines)
+}
+
+// placementError returns why no engine can take the request: either all that could
+// asked for a pause, or no engine accepts new work, or even the shortest expected prompt time is too long.
 func (r *ModelRouter) placementError(req *request.Request) error {
+	if wait, paused := r.answersPaused(req); paused {
+		return pausedError(wait)
+	}
 	shortest := r.shortestTime()
 	if math.IsInf(shortest, 1) {
 		return fault.New(fault.Unavailable, "no engine of the model accepts new requests",
--- a/pkg/routing/sendgate.go
+++ b/pkg/routing/sendgate.go
@@ -10,8 +10,12 @@
 // long after the target was chosen.
 type SendGate interface {
 	// CheckSend returns why nothing new may be sent to a target's incarnation now,
-	// or nil.
+	// or nil. The error is ErrLeaving or ErrPaused.
 	CheckSend(target ident.Target, incarnation ident.Incarnation) error
+	// BeginSend makes the check of CheckSend and counts the request. If the target
+	// works on the request already, its leaving does not matter. Unless it fails,
+	// the Send must be ended.
+	BeginSend(target ident.Target, incarnation ident.Incarnation, running bool) (Send, error)
 	// ObserveNotice records what a target's incarnation stated in an answer.
 	ObserveNotice(target ident.Target, incarnation ident.Incarnation, notice fleet.TargetNotice)
 }
@@ -23,7 +27,55 @@
 	return c.Models.opts.notices.check(target, incarnation)
 }
 
+// BeginSend checks the target's notices and counts the request at a target that returns
+// from a pause.
+func (c *CombinedRouter) BeginSend(target ident.Target, incarnation ident.Incarnation, running bool) (Send, error) {
+	return c.Models.opts.notices.begin(target, incarnation, running)
+}
+
 // ObserveNotice records the notice for service calls and model requests alike.
 func (c *CombinedRouter) ObserveNotice(target ident.Target, incarnation ident.Incarnation, notice fleet.TargetNotice) {
 	c.Models.opts.notices.observe(target, incarnation, notice)
 }
+
+// Send is a request that is being sent to a target, up to the head of its answer.
+type Send struct {
+	notices     *targetNotices
+	target      ident.Target
+	incarnation ident.Incarnation
+	running     bool
+	// counted is the state that counts the request, or nil. pauses is the number of
+	// its pauses at that time.
+	counted *noticeState
+	pauses  int
+}
+
+// Check returns why the request may no longer be sent, or nil.
+func (s *Send) Check() error {
+	if s.notices.count.Load() == 0 {
+		return nil
+	}
+	s.notices.mu.Lock()
+	defer s.notices.mu.Unlock()
+	state := s.notices.lookUp(s.target, s.incarnation)
+	if state == nil {
+		return nil
+	}
+	if state.leaving && !s.running {
+		return ErrLeaving
+	}
+	if now := s.notices.now(); now.Before(state.pausedUntil) {
+		return ErrPaused.WithRetryAfter(state.pausedUntil.Sub(now))
+	}
+	return nil
+}
+
+// End ends the send. An answer's notice must have been observed before.
+func (s *Send) End(answered bool) {
+	if s.counted == nil {
+		return
+	}
+	s.notices.mu.Lock()
+	defer s.notices.mu.Unlock()
+	s.counted.end(s.pauses, answered, s.notices.now())
+}
--- a/pkg/routing/services.go
+++ b/pkg/routing/services.go
@@ -38,6 +38,9 @@
 	snapshot := s.opts.View.Snapshot()
 	s.collectUsable(snapshot, req.Service, exclude)
 	if len(s.usable) == 0 {
+		if wait, paused := s.opts.notices.earliestEnd(snapshot, snapshot.Service(req.Service)); paused {
+			return nil, pausedError(wait)
+		}
 		return nil, fault.New(fault.Unavailable, "no replica of the service accepts new requests",
 			"send the request again after the time in Retry-After").WithRetryAfter(retryAfter)
 	}
--- a/pkg/routing/targetnotices.go
+++ b/pkg/routing/targetnotices.go
@@ -14,9 +14,6 @@
 // entry that the store lost or kept too long may come back within that time.
 const noticeRetention = 10 * time.Minute
 
-// ErrLeaving withholds work from a target that stated that it leaves.
-var ErrLeaving = fault.New(fault.Unavailable, "the target stated that it is leaving", "no action is needed: another target is chosen")
-
 // targetNotices holds what targets stated about themselves in their answers to this
 // daemon, by target and incarnation. A notice holds whatever the view says of the
 // target, until the view has a later incarnation. It is safe for concurrent use.
@@ -32,14 +29,6 @@
 	targets map[ident.Target]*noticeState
 }
 
-// noticeState is what one incarnation of a target stated.
-type noticeState struct {
-	incarnation ident.Incarnation
-	leaving     bool
-	// goneAt is when the target was first found missing from the view, or zero.
-	goneAt time.Time
-}
-
 // newTargetNotices returns a tracker without notices.
 func newTargetNotices(opts *Options) *targetNotices {
 	return &targetNotices{view: opts.View, now: opts.Now, onNotice: opts.OnNotice, targets: make(map[ident.Target]*noticeState)}
@@ -61,6 +50,13 @@
 		state.leaving = true
 		n.notify(target, fleet.TargetNotice{Leaving: true})
 	}
+	if notice.Pause > 0 && state.pause(notice.Pause, n.now()) {
+		n.notify(target, fleet.TargetNotice{Pause: notice.Pause})
+	}
+	if notice.MalformedPause != "" && !state.malformed {
+		state.malformed = true
+		n.notify(target, fleet.TargetNotice{Pause: notice.Pause, MalformedPause: notice.MalformedPause})
+	}
 }
 
 // stateFor returns the state of a target's incarnation, which replaces that of an
@@ -111,9 +107,53 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	state := n.targets[target]
-	if state != nil && state.incarnation >= incarnation && state.leaving {
-		return ErrLeaving
+	return n.lookUp(target, incarnation).check(n.now(), false)
+}
+
+// begin makes the check of check, and counts the request if its target returns from a
+// pause. If the target works on the request already, its leaving does not matter.
+func (n *targetNotices) begin(target ident.Target, incarnation ident.Incarnation, running bool) (Send, error) {
+	send := Send{notices: n, target: target, incarnation: incarnation, running: running}
+	if n.count.Load() == 0 {
+		return send, nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	state, now := n.lookUp(target, incarnation), n.now()
+	if err := state.check(now, running); err != nil {
+		return send, err
+	}
+	if state != nil && state.begin(now) {
+		send.counted, send.pauses = state, state.pauses
+	}
+	return send, nil
+}
+
+// lookUp returns the state that binds a target's incarnation, or nil. n.mu must be
+// held.
+func (n *targetNotices) lookUp(target ident.Target, incarnation ident.Incarnation) *noticeState {
+	if state := n.targets[target]; state != nil && state.incarnation >= incarnation {
+		return state
 	}
 	return nil
 }
+
+// earliestEnd returns the shortest time after which one of the targets may get requests
+// again that get none because of a pause, or false if there is none.
+func (n *targetNotices) earliestEnd(snapshot *fleet.Snapshot, targets []int) (shortest time.Duration, found bool) {
+	for _, i := range targets {
+		state := &snapshot.Targets[i]
+		wait := fault.RetryAfterOf(n.check(state.Record.Target, state.Incarnation))
+		if wait > 0 && !state.Draining && !state.Record.Leaving && (!found || wait < shortest) {
+			shortest, found = wait, true
+		}
+	}
+	return shortest, found
+}
+
+// pausedError returns the error if no target can take a request because all that could
+// asked for a pause; wait is the earliest end.
+func pausedError(wait time.Duration) error {
+	return fault.New(fault.Unavailable, "every target that can take the request asked for a pause",
+		"send the request again after the time in Retry-After").WithRetryAfter(wait)
+}
--- a/pkg/routing/targetnotices_test.go
+++ b/pkg/routing/targetnotices_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
@@ -79,6 +80,66 @@
 	must.Error(t, c.CheckSend(name, 6), must.Sprint("the late answer replaced the newer notice"))
 }
 
+// TestPauseEndsAtTheLatestEnd guards against a later and shorter pause ending an earlier
+// one, against a pause that outlives its incarnation, and against a report of each
+// refusal.
+func TestPauseEndsAtTheLatestEnd(t *testing.T) {
+	models, now := newTestRouter(engines(1), DisabledParts{})
+	reported := 0
+	models.opts.notices.onNotice = func(ident.Target, fleet.TargetNotice) { reported++ }
+	c := combined(models)
+	const name = "engine-000"
+	for range 20 {
+		c.ObserveNotice(name, 1, fleet.TargetNotice{Pause: 10 * time.Second})
+		c.ObserveNotice(name, 1, fleet.TargetNotice{Pause: time.Millisecond, MalformedPause: "x"})
+	}
+	must.Eq(t, 2, reported, must.Sprint("one pause and one malformed text"))
+	*now = now.Add(10*time.Second - time.Millisecond)
+	must.Eq(t, time.Millisecond, fault.RetryAfterOf(c.CheckSend(name, 1)))
+	must.ErrorIs(t, c.CheckSend(name, 0), ErrPaused)
+	must.NoError(t, c.CheckSend(name, 2))
+	*now = now.Add(time.Millisecond)
+	must.NoError(t, c.CheckSend(name, 1))
+}
+
+// TestSilentTargetReturnsFromItsPause guards against a target that takes long for its
+// answers staying at one request after a pause.
+func TestSilentTargetReturnsFromItsPause(t *testing.T) {
+	models, now := newTestRouter(engines(1), DisabledParts{})
+	c := combined(models)
+	const name = "engine-000"
+	c.ObserveNotice(name, 1, fleet.TargetNotice{Pause: time.Second})
+	*now = now.Add(time.Second)
+	for _, want := range []int{1, 1, 2, 4, 8} {
+		sent := 0
+		for ; sent < 100; sent++ {
+			if _, err := c.BeginSend(name, 1, false); err != nil {
+				break
+			}
+		}
+		must.Eq(t, want, sent)
+		*now = now.Add(admitInterval)
+	}
+}
+
+// TestRunningRequestMayGoOnAtLeavingTarget guards against cutting a stream that is read
+// again from a target that leaves; within a pause it has to wait.
+func TestRunningRequestMayGoOnAtLeavingTarget(t *testing.T) {
+	models, _ := newTestRouter(engines(1), DisabledParts{})
+	c := combined(models)
+	const name = "engine-000"
+	c.ObserveNotice(name, 1, fleet.TargetNotice{Leaving: true})
+	send, err := c.BeginSend(name, 1, true)
+	must.NoError(t, err)
+	must.NoError(t, send.Check())
+	_, err = c.BeginSend(name, 1, false)
+	must.ErrorIs(t, err, ErrLeaving)
+	c.ObserveNotice(name, 1, fleet.TargetNotice{Pause: time.Second})
+	must.ErrorIs(t, send.Check(), ErrPaused)
+	_, err = c.BeginSend(name, 1, true)
+	must.ErrorIs(t, err, ErrPaused)
+}
+
 // TestNoticesOfGoneTargetsAreForgotten guards against memory that grows with each
 // target that ever left, and against forgetting one whose entry is away for a moment.
 func TestNoticesOfGoneTargetsAreForgotten(t *testing.T) {
