Don't move a stream to an engine that has left since its placement

Cause: a stream whose prompt and answer were placed on two engines moved to the second without asking whether it still accepts new work, though seconds may lie between. That held for the platform's mark and for the engine's own word.

Change: the move asks the router, as the decode after a prefill does, and takes another engine if the first accepts nothing new.

TestStreamDoesNotMoveToLeavingEngine failed before in both cases: the engine that had left generated 49 tokens, not 0. It passes now, also with the race detector.

--- a/pkg/relay/move.go
+++ b/pkg/relay/move.go
@@ -86,11 +86,14 @@
 }
 
 // chooseSuccessor returns the engine that the stream moves to: the decode engine
-// of its placement, or else another engine that accepts new work.
+// of its placement if it still accepts new work, or else another that does.
 func (a *attempt) chooseSuccessor() (*fleet.TargetState, error) {
 	if state := a.decode; state != nil {
 		a.decode = nil
-		return state, nil
+		if a.call.acceptsNewWork(state.Record.Target) {
+			return state, nil
+		}
+		a.call.relay.opts.Router.Done(a.call.req, state.Record.Target)
 	}
 	failed := a.call.failedTargets[:len(a.call.failedTargets):len(a.call.failedTargets)]
 	return a.call.relay.opts.Router.Choose(a.call.req, append(failed, a.target))
--- a/pkg/relay/next.go
+++ b/pkg/relay/next.go
@@ -70,8 +70,7 @@
 // decodeAttempt returns the attempt that generates the answer after prefill. If
 // the decode engine no longer accepts new work, another is chosen.
 func (c *call) decodeAttempt(decode *fleet.TargetState, source KVSource) (*attempt, error) {
-	checker, ok := c.relay.opts.Router.(routing.AvailabilityChecker)
-	if !ok || checker.AcceptsNewWork(decode.Record.Target) {
+	if c.acceptsNewWork(decode.Record.Target) {
 		return c.startAttempt(decode, nil, source), nil
 	}
 	c.relay.opts.Router.Done(c.req, decode.Record.Target)
@@ -80,6 +79,13 @@
 	return c.takeOverAttempt()
 }
 
+// acceptsNewWork reports whether a target that was chosen before still accepts new
+// work, as far as the router knows.
+func (c *call) acceptsNewWork(target ident.Target) bool {
+	checker, ok := c.relay.opts.Router.(routing.AvailabilityChecker)
+	return !ok || checker.AcceptsNewWork(target)
+}
+
 // takeOverAttempt returns the attempt that generates the answer from the kept KV
 // cache at another engine.
 func (c *call) takeOverAttempt() (*attempt, error) {
