Tell callers the end of a pause in whole milliseconds

Cause: the earliest end of the pauses was told to callers cut off to milliseconds, so that those who honour it came back just before it and were refused again, with no time at all.

Change: it is rounded up.

TestAllPausedRefuseUntilTheEarliestEnd, with a request half a millisecond before the end, failed before (500µs, not 1ms) and passes now.

--- a/pkg/routing/targetnotices.go
+++ b/pkg/routing/targetnotices.go
@@ -152,8 +152,10 @@
 }
 
 // pausedError returns the error if no target can take a request because all that could
-// asked for a pause; wait is the earliest end.
+// asked for a pause; wait is the earliest end. It is rounded up to the millisecond in
+// which callers are told it, so that they don't come back just before the end.
 func pausedError(wait time.Duration) error {
+	wait = (wait + time.Millisecond - 1).Truncate(time.Millisecond)
 	return fault.New(fault.Unavailable, "every target that can take the request asked for a pause",
 		"send the request again after the time in Retry-After").WithRetryAfter(wait)
 }
