--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -22,6 +22,8 @@
 	id      ident.Attempt
 	target  ident.Target
 	address string
+	// incarnation is the target's at the time it was chosen.
+	incarnation ident.Incarnation
 	// record is the target's record at the time it was chosen.
 	record external.TargetRecord
 	// source is the KV cache from which the answer is generated, or empty.
@@ -50,6 +52,8 @@
 	usage request.TokenUsage
 	// load is the load that came with the target's last response, or zero.
 	load fleet.LoadReport
+	// notice is what the target stated about itself in its last response.
+	notice fleet.TargetNotice
 	// refusal is the response by which the target refused the request, or nil.
 	refusal *bufferedResponse
 	// idleResumes counts the resumes since the last event.
@@ -71,7 +75,7 @@
 	return &attempt{
 		call: c, id: ident.Attempt(uuid.NewString()), target: state.Record.Target,
 		excluded: append(slices.Clone(c.failedTargets), state.Record.Target), mayPrefill: c.mayPrefill(),
-		address: state.Record.Address, record: state.Record, resumeBackoff: newResumeBackoff(), lastEvent: c.lastEvent, began: time.Now(),
+		address: state.Record.Address, incarnation: state.Incarnation, record: state.Record, resumeBackoff: newResumeBackoff(), lastEvent: c.lastEvent, began: time.Now(),
 	}
 }
 
@@ -94,6 +98,9 @@
 // Otherwise it returns the error and how to continue.
 func (a *attempt) run(ctx context.Context) (retry.Decision, error) {
 	err := a.sendFirst(ctx)
+	if errors.Is(err, errWithheld) {
+		return a.call.afterWithheld(), err
+	}
 	for err != nil {
 		if errors.Is(err, errMoveDue) {
 			a.moveToAnother(ctx)
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
@@ -32,7 +34,9 @@
 	retries *retry.Controller
 	// failedTargets are the targets at which attempts failed.
 	failedTargets []ident.Target
-	prefillInfo   prefillInfo
+	// withheld counts the targets that were chosen and then withheld.
+	withheld    int
+	prefillInfo prefillInfo
 	// prefilled is set once an engine has computed the prompt apart.
 	prefilled bool
 	// source is the KV cache of the prompt that no engine has taken over yet, or
@@ -106,7 +110,7 @@
 		if a.decode != nil {
 			c.relay.opts.Router.Done(c.req, a.decode.Record.Target)
 		}
-		c.reportResult(a.target, err)
+		c.reportResult(a, err)
 		c.reportPrompt(a, err)
 		a.reportWork(err)
 		if decision != retry.Again {
@@ -119,13 +123,17 @@
 
 // reportResult reports an attempt's result to a router that implements
 // routing.ResultObserver, unless the caller's disconnect, the deadline or the size
-// limit ended the attempt.
-func (c *call) reportResult(name ident.Target, err error) {
+// limit ended the attempt, or its target withheld it or asked for a pause, which is no
+// failure.
+func (c *call) reportResult(a *attempt, err error) {
 	observer, ok := c.relay.opts.Router.(routing.ResultObserver)
 	if !ok {
 		return
 	}
 	outcome := routing.Answered
+	if errors.Is(err, errWithheld) || (err != nil && a.notice.Pause > 0) {
+		return
+	}
 	if err != nil {
 		outcome = routing.Failed
 		switch failureOf(err) {
@@ -136,7 +144,7 @@
 		default:
 		}
 	}
-	observer.ObserveResult(c.req, name, outcome)
+	observer.ObserveResult(c.req, a.target, outcome)
 }
 
 // endWithoutTarget ends a request that no target accepts.
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/retry"
@@ -97,12 +99,15 @@
 // handleHedgeResult returns how to continue after one attempt ended, and whether
 // the request ends with it.
 func (c *call) handleHedgeResult(got hedgeResult) (retry.Decision, bool) {
-	c.reportResult(got.attempt.target, got.err)
+	c.reportResult(got.attempt, got.err)
 	c.reportPrompt(got.attempt, got.err)
 	if got.err == nil {
 		return retry.Forward, true
 	}
 	c.failedTargets = append(c.failedTargets, got.attempt.target)
+	if errors.Is(got.err, errWithheld) {
+		return c.afterWithheld(), false
+	}
 	failure := failureOf(got.err)
 	decision := c.retries.AfterFailure(got.attempt.phase, failure, time.Now())
 	c.relay.metrics.exchangeFailed(got.attempt.phase, failure, decision)
--- a/pkg/relay/next.go
+++ b/pkg/relay/next.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
@@ -39,13 +41,25 @@
 		}
 		c.relay.opts.Router.Done(c.req, placement.Decode.Record.Target)
 		c.failedTargets = append(c.failedTargets, placement.Target.Record.Target)
-		failure := failureOf(err)
-		if failure == retry.CallerGone || failure == retry.DeadlinePassed || !c.retries.RetryPrefill(failure, time.Now()) {
-			return nil, notRunError(failure, err)
+		if !c.mayRetryPrefill(err) {
+			return nil, notRunError(failureOf(err), err)
 		}
 	}
 }
 
+// mayRetryPrefill reports whether another engine may compute the prompt after a
+// prefill failed. One that was withheld costs no retry.
+func (c *call) mayRetryPrefill(err error) bool {
+	if errors.Is(err, errWithheld) {
+		return c.mayReplaceWithheld()
+	}
+	failure := failureOf(err)
+	if failure == retry.CallerGone || failure == retry.DeadlinePassed {
+		return false
+	}
+	return c.retries.RetryPrefill(failure, time.Now())
+}
+
 // wholeAttempt returns the attempt that computes the prompt and the answer at one
 // engine, or that starts there and moves to the engine for decode.
 func (c *call) wholeAttempt(placement routing.Placement) *attempt {
@@ -69,8 +83,7 @@
 // decodeAttempt returns the attempt that generates the answer after prefill. If
 // the decode engine no longer accepts new work, another is chosen.
 func (c *call) decodeAttempt(decode *fleet.TargetState, source KVSource) (*attempt, error) {
-	checker, ok := c.relay.opts.Router.(routing.AvailabilityChecker)
-	if !ok || checker.AcceptsNewWork(decode.Record.Target) {
+	if c.acceptsNewWork(decode.Record.Target) {
 		return c.startAttempt(decode, nil, source), nil
 	}
 	c.relay.opts.Router.Done(c.req, decode.Record.Target)
@@ -79,6 +92,13 @@
 	return c.takeOverAttempt()
 }
 
+// acceptsNewWork reports whether a target that was chosen before still accepts new
+// work, as far as the router knows.
+func (c *call) acceptsNewWork(target ident.Target) bool {
+	checker, ok := c.relay.opts.Router.(routing.AvailabilityChecker)
+	return !ok || checker.AcceptsNewWork(target)
+}
+
 // takeOverAttempt returns the attempt that generates the answer from the kept KV
 // cache at another engine.
 func (c *call) takeOverAttempt() (*attempt, error) {
--- a/pkg/relay/prefill.go
+++ b/pkg/relay/prefill.go
@@ -39,7 +39,7 @@
 	}()
 	source, err := a.computePrompt(ctx, prefiller)
 	c.relay.opts.Router.Done(c.req, a.target)
-	c.reportResult(a.target, err)
+	c.reportResult(a, err)
 	if err != nil {
 		failure := failureOf(err)
 		c.relay.metrics.exchangeFailed(retry.Unsent, failure, retry.Again)
@@ -57,7 +57,7 @@
 		return KVSource{}, &exchangeError{failure: retry.ConnectFailed, cause: err}
 	}
 	began := time.Now()
-	response, trace, err := a.call.relay.opts.Client.Do(outgoing, target.ReuseAny)
+	response, trace, err := a.send(outgoing, target.ReuseAny)
 	if err != nil {
 		trace.Abort()
 		return KVSource{}, a.call.classify(ctx, err)
--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -51,6 +51,11 @@
 	// SwitchTime returns how long an engine of a model is unavailable while it
 	// changes its role.
 	SwitchTime func(model ident.Model) time.Duration
+	// Leaving reports whether an engine stated that it leaves. It may be nil.
+	Leaving func(engine *fleet.TargetState) bool
+	// Paused reports whether an engine wants nothing from this daemon for now. It
+	// keeps its role meanwhile and gets no order. It may be nil.
+	Paused func(engine *fleet.TargetState) bool
 	// Settled reports whether the present engines are expected to stay. No role
 	// is changed until it returns true, but for at most supplyTimeout.
 	Settled func() bool
@@ -188,7 +193,7 @@
 func (k *Keeper) engines(snapshot *fleet.Snapshot, model ident.Model, now time.Time) (engines []Engine, changing int) {
 	for _, i := range snapshot.Model(model) {
 		state := &snapshot.Targets[i]
-		if state.Draining || state.Record.Leaving {
+		if state.Draining || state.Record.Leaving || k.leaving(state) {
 			continue
 		}
 		engine := Engine{Target: state.Record.Target, Domain: state.Record.FailureDomain, Role: state.Load.Role}
@@ -206,10 +211,18 @@
 	return engines, changing
 }
 
+// leaving reports whether an engine stated that it leaves.
+func (k *Keeper) leaving(engine *fleet.TargetState) bool {
+	return k.opts.Leaving != nil && k.opts.Leaving(engine)
+}
+
 // order sends one order and records its outcome.
 func (k *Keeper) order(ctx context.Context, authority lease.Authority, state *fleet.TargetState, role fleet.Role) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	if k.opts.Paused != nil && k.opts.Paused(state) {
+		return nil
+	}
 	incarnation := incarnationOf(state)
 	order := Order{Target: state.Record, Role: role, Fencing: authority.Fencing(), After: k.accepted[incarnation]}
 	if err := authority.Check(); err != nil {
--- a/pkg/routing/services.go
+++ b/pkg/routing/services.go
@@ -27,6 +27,7 @@
 
 // NewServiceRouter returns a router without outstanding calls.
 func NewServiceRouter(opts Options) *ServiceRouter {
+	opts.ensureNotices()
 	return &ServiceRouter{opts: opts, trackers: make(map[ident.Target]*targetTracker)}
 }
 
@@ -37,6 +38,9 @@
 	snapshot := s.opts.View.Snapshot()
 	s.collectUsable(snapshot, req.Service, exclude)
 	if len(s.usable) == 0 {
+		if wait, paused := s.opts.notices.earliestEnd(snapshot, snapshot.Service(req.Service)); paused {
+			return nil, pausedError(wait)
+		}
 		return nil, fault.New(fault.Unavailable, "no replica of the service accepts new requests",
 			"send the request again after the time in Retry-After").WithRetryAfter(retryAfter)
 	}
@@ -102,7 +106,7 @@
 	ejected := 0
 	for _, i := range snapshot.Service(service) {
 		state := &snapshot.Targets[i]
-		if !acceptsNewWork(state, knobs, now) || slices.Contains(exclude, state.Record.Target) {
+		if !s.opts.acceptsNewWork(state, knobs, now) || slices.Contains(exclude, state.Record.Target) {
 			continue
 		}
 		s.usable = append(s.usable, i)
