--- a/pkg/standin/memstore/store.go
+++ b/pkg/standin/memstore/store.go
@@ -24,6 +24,8 @@
 	lastLease external.LeaseID
 	// watches holds the watches in progress.
 	watches map[*watch]struct{}
+	// era is how often the store went back to a snapshot.
+	era external.Era
 }
 
 var _ external.Store = (*Store)(nil)
@@ -52,9 +54,10 @@
 }
 
 // Get returns one key.
-func (s *Store) Get(_ context.Context, key external.Key) (external.Entry, error) {
+func (s *Store) Get(ctx context.Context, key external.Key) (external.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	external.RecordEra(ctx, s.era)
 	s.expire()
 	v, ok := s.values[key]
 	if !ok || v.entry.Deleted {
@@ -64,9 +67,10 @@
 }
 
 // List returns the entries whose keys start with prefix, sorted by key.
-func (s *Store) List(_ context.Context, prefix external.Key) ([]external.Entry, error) {
+func (s *Store) List(ctx context.Context, prefix external.Key) ([]external.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	external.RecordEra(ctx, s.era)
 	s.expire()
 	var entries []external.Entry
 	for key, v := range s.values {
@@ -79,9 +83,10 @@
 }
 
 // CompareAndSwap writes a value if the key's version is the base version.
-func (s *Store) CompareAndSwap(_ context.Context, swap external.Swap) (external.Version, error) {
+func (s *Store) CompareAndSwap(ctx context.Context, swap external.Swap) (external.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	external.RecordEra(ctx, s.era)
 	s.expire()
 	if len(swap.Value) > external.MaxValueBytes {
 		return 0, errValueTooLarge
@@ -96,9 +101,10 @@
 }
 
 // Delete removes a key if its version is the given one.
-func (s *Store) Delete(_ context.Context, key external.Key, version external.Version) error {
+func (s *Store) Delete(ctx context.Context, key external.Key, version external.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	external.RecordEra(ctx, s.era)
 	s.expire()
 	if version == external.NoVersion || s.liveVersion(key) != version {
 		return external.ErrVersionConflict
@@ -108,18 +114,20 @@
 }
 
 // Grant creates a lease.
-func (s *Store) Grant(_ context.Context, ttl time.Duration) (external.LeaseID, error) {
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (external.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	external.RecordEra(ctx, s.era)
 	s.lastLease++
 	s.leases[s.lastLease] = &lease{ttl: ttl, expires: s.clock.Now() + ttl}
 	return s.lastLease, nil
 }
 
 // KeepAlive renews a lease for its full TTL.
-func (s *Store) KeepAlive(_ context.Context, id external.LeaseID) error {
+func (s *Store) KeepAlive(ctx context.Context, id external.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	external.RecordEra(ctx, s.era)
 	s.expire()
 	l, ok := s.leases[id]
 	if !ok {
@@ -130,9 +138,10 @@
 }
 
 // Revoke ends a lease and deletes its keys.
-func (s *Store) Revoke(_ context.Context, id external.LeaseID) error {
+func (s *Store) Revoke(ctx context.Context, id external.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	external.RecordEra(ctx, s.era)
 	s.expire()
 	if s.leases[id] == nil {
 		return external.ErrLeaseNotFound
--- a/pkg/standin/memstore/watch.go
+++ b/pkg/standin/memstore/watch.go
@@ -15,18 +15,24 @@
 	// woken receives a signal at a change; further signals are dropped until it
 	// is read.
 	woken chan struct{}
+	// cut is set if the store went back to a snapshot meanwhile.
+	cut bool
 }
 
 // Watch waits until there are changes under prefix after the cursor. It returns
-// none if ctx is done first.
+// none if ctx is done first. It fails with external.ErrHistoryGone for a cursor that
+// the store does not have, and is cut if the store goes back to a snapshot.
 func (s *Store) Watch(ctx context.Context, prefix external.Key, after external.Cursor) (external.Changes, error) {
 	w := &watch{prefix: prefix, woken: make(chan struct{}, 1)}
 	s.addWatch(w)
 	defer s.removeWatch(w)
+	if err := s.checkHistory(ctx, after); err != nil {
+		return external.Changes{}, err
+	}
 	for {
-		changes, untilExpiry := s.changesAfter(prefix, after)
-		if len(changes.Entries) > 0 {
-			return changes, nil
+		changes, untilExpiry, err := s.changesAfter(w, after)
+		if err != nil || len(changes.Entries) > 0 {
+			return changes, err
 		}
 		timer := time.NewTimer(untilExpiry)
 		select {
@@ -50,15 +56,19 @@
 // maxWait is the longest wait if no lease expires.
 const maxWait = time.Minute
 
-// changesAfter returns the changes under prefix after the cursor, and the time
-// until the next lease expires, at most maxWait and at least a millisecond.
-func (s *Store) changesAfter(prefix external.Key, after external.Cursor) (external.Changes, time.Duration) {
+// changesAfter returns the changes for a watch after the cursor, and the time until the
+// next lease expires, at most maxWait and at least a millisecond. It fails if the watch
+// was cut.
+func (s *Store) changesAfter(w *watch, after external.Cursor) (external.Changes, time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if w.cut {
+		return external.Changes{}, 0, external.ErrStoreUnavailable
+	}
 	s.expire()
 	changes := external.Changes{Next: s.cursor, Whole: after == external.StartCursor}
 	for key, v := range s.values {
-		if v.changed > after && strings.HasPrefix(string(key), string(prefix)) {
+		if v.changed > after && strings.HasPrefix(string(key), string(w.prefix)) {
 			changes.Entries = append(changes.Entries, v.copy())
 		}
 	}
@@ -67,7 +77,7 @@
 	for _, l := range s.leases {
 		untilExpiry = min(untilExpiry, l.expires-s.clock.Now())
 	}
-	return changes, max(untilExpiry, time.Millisecond)
+	return changes, max(untilExpiry, time.Millisecond), nil
 }
 
 // addWatch adds a watch in progress.
