Tell the store's eras apart at the boundary

After the store has come back from an older copy its revisions and lease IDs are given out again. A daemon that had not called it since could write over another value whose revision happened to be the expected one, renew another daemon's lease, go on with a watch whose revision exists again and so keep a view of two eras, and hand out a fencing token that was used before.

A rise is logged once with both eras and revisions, and amaranthplank_store_era shows it.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"amaranthplank.example/amaranthplank/pkg/registry"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
+	"amaranthplank.example/amaranthplank/pkg/storeera"
 	"amaranthplank.example/amaranthplank/pkg/storemeter"
 	"amaranthplank.example/amaranthplank/pkg/tally"
 	"amaranthplank.example/amaranthplank/pkg/target"
@@ -52,11 +53,13 @@
 	// are the values that its defaults and exceptions set.
 	builtin  config.Knobs
 	registry *prometheus.Registry
-	targets  *registry.Registry
-	mirror   *mirror.Mirror
-	router   *routing.CombinedRouter
-	relay    *relay.Relay
-	callers  *drain.Server
+	// store is the store of opts, guarded against its return from an older copy.
+	store   *storeera.Guard
+	targets *registry.Registry
+	mirror  *mirror.Mirror
+	router  *routing.CombinedRouter
+	relay   *relay.Relay
+	callers *drain.Server
 	// incarnation rises with each start of the host's process.
 	incarnation   ident.Incarnation
 	time          *tally.SteadyWallClock
@@ -78,7 +81,8 @@
 // New returns a gateway that is ready to run.
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
-	g.opts.Store = storemeter.New(opts.Store, g.registry)
+	g.store = storeera.New(storemeter.New(opts.Store, g.registry), opts.Log, g.registry)
+	g.opts.Store = g.store
 	g.ApplyLimits(opts.Limits)
 	g.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.incarnation = ident.Incarnation(time.Now().UnixNano())
