End a duty's authority when the store comes back from an older copy

A holder's authority ran on by its clock although the store had lost the lease, so that two processes could act on one duty, each with a lease. A lease now belongs to the era in which it was granted: with the first answer of a later era, or once another daemon names it, the authority is gone, and renewals go to no lease of an earlier era.

A holder that is cut off doesn't know of the rise. What bounds it is the deadline of its lease, which was last renewed before the store came back. So nobody takes a duty until a lease's time, with the drift of the clocks, after it first knew of the era; only the process that held the duty itself at the rise, by its clock, takes it again at once. A process that starts in a later era than the first waits too, since it can't know when the store came back.

A late write of the old era can leave another process's key under the lease that has the same ID now; it is deleted like the own key under an old lease.

--- a/pkg/lease/campaign.go
+++ b/pkg/lease/campaign.go
@@ -19,6 +19,9 @@
 	work    Work
 	// freeSince is when the duty was first observed free, or notFree.
 	freeSince time.Duration
+	// unbrokenEra is the era to which the store rose while this process still held the
+	// duty by its clock, so that no other process can hold it by a lease of before.
+	unbrokenEra external.Era
 }
 
 // step observes the duty once and carries out the action that Decide returns.
@@ -52,6 +55,7 @@
 func (c *campaign) observe(ctx context.Context) (Observation, external.Version, error) {
 	m := c.manager
 	seen := Observation{Ready: m.ready(), Rank: m.rank(c.duty), HeldDuties: m.HeldDuties(), Self: m.self}
+	m.eraAge(m.opts.Clock.Now())
 	if !m.timing.Competes(seen.Ready, seen.Rank) {
 		c.freeSince = notFree
 		return seen, external.NoVersion, nil
@@ -65,13 +69,14 @@
 	if lease := m.session.live(); lease != nil {
 		seen.OwnLease = lease.id
 	}
+	now := m.opts.Clock.Now()
+	seen.EraWait = c.eraWait(now)
 	if seen.Present {
 		c.freeSince = notFree
 		record, err := decodeRecord(entry.Value)
 		seen.Holder = record.Writer
 		return seen, entry.Version, err
 	}
-	now := m.opts.Clock.Now()
 	if c.freeSince == notFree {
 		c.freeSince = now
 	}
@@ -89,6 +94,9 @@
 		return
 	}
 	version, err := m.create(ctx, c.duty, lease)
+	if err == nil && lease.remaining() <= 0 {
+		err = ErrLost
+	}
 	if err != nil {
 		m.opts.Log.Debug("duty not taken", "duty", c.duty, "error", err)
 		c.waitForPoll(ctx)
--- a/pkg/lease/cluster_test.go
+++ b/pkg/lease/cluster_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
@@ -19,6 +20,7 @@
 	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/standin/faultstore"
 	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
+	"amaranthplank.example/amaranthplank/pkg/storeera"
 )
 
 // domainCount is how many failure domains the hosts are spread over.
@@ -48,6 +50,7 @@
 type node struct {
 	host    ident.Host
 	process *faultstore.Process
+	guard   *storeera.Guard
 	options lease.Options
 	manager *lease.Manager
 	cancel  context.CancelFunc
@@ -112,9 +115,10 @@
 	base := clock.NewRuntime()
 	for i := range hosts {
 		n := &node{host: ident.Host(fmt.Sprintf("host-%d", i)), process: faultstore.NewProcess(), authorities: make(map[ident.Duty]lease.Authority)}
+		n.guard = storeera.New(faultstore.NewProcessStore(n.process, c.store), slog.New(slog.DiscardHandler), prometheus.NewRegistry())
 		n.options = lease.Options{
 			Host: n.host, Incarnation: 1, FailureDomain: domainOf(i), Timing: timing,
-			Store: faultstore.NewProcessStore(n.process, c.store), Clock: skewedClock{inner: base, rate: rate(i)},
+			Store: n.guard, Clock: skewedClock{inner: base, rate: rate(i)},
 			Members: membershipView{cluster: c, self: n.host}, Log: slog.New(slog.DiscardHandler),
 			Random: rand.New(rand.NewPCG(7, uint64(i))),
 		}
--- a/pkg/lease/decide.go
+++ b/pkg/lease/decide.go
@@ -23,7 +23,8 @@
 	ActionAcquire Action = "acquire"
 	// ActionClear deletes the key of a duty that this process held under a
 	// lease it no longer uses, so that no candidate waits for that lease to
-	// expire.
+	// expire. It also deletes another process's key that is bound to this process's
+	// lease, which a late write can leave after the store came back from an older copy.
 	ActionClear Action = "clear"
 	// ActionAdopt holds a duty whose key is already bound to this process's
 	// lease, because the response to the write that created it was lost.
@@ -51,6 +52,9 @@
 	// FreeFor is how long the duty has been observed free. It is zero at the
 	// first such observation.
 	FreeFor time.Duration
+	// EraWait is how long another process may still hold the duty by a lease that was
+	// granted before the store came back from an older copy; see Timing.EraDelay.
+	EraWait time.Duration
 }
 
 // Competes reports whether a process of the given rank reads the duty at all.
@@ -64,12 +68,9 @@
 		return ActionIgnore
 	}
 	if seen.Present {
-		if seen.OwnLease != external.NoLease && seen.Lease == seen.OwnLease && seen.Holder.SameProcess(seen.Self) {
-			return ActionAdopt
-		}
-		if seen.Holder.SameProcess(seen.Self) && seen.Lease != seen.OwnLease {
-			return ActionClear
-		}
+		return decidePresent(&seen)
+	}
+	if seen.EraWait > 0 {
 		return ActionWait
 	}
 	if seen.FreeFor < t.AcquireDelay(seen.Rank, seen.HeldDuties) {
@@ -77,3 +78,16 @@
 	}
 	return ActionAcquire
 }
+
+// decidePresent returns the action for a duty whose key exists.
+func decidePresent(seen *Observation) Action {
+	ownLease := seen.OwnLease != external.NoLease && seen.Lease == seen.OwnLease
+	ownKey := seen.Holder.SameProcess(seen.Self)
+	switch {
+	case ownLease && ownKey:
+		return ActionAdopt
+	case ownLease || ownKey:
+		return ActionClear
+	}
+	return ActionWait
+}
--- a/pkg/lease/decide_test.go
+++ b/pkg/lease/decide_test.go
@@ -26,6 +26,8 @@
 		{"held by an earlier incarnation", lease.Observation{Ready: true, Present: true, Lease: 4, OwnLease: 5, Holder: lease.Writer{Host: "a", Incarnation: 1}, Self: self}, lease.ActionWait},
 		{"own write whose response was lost", lease.Observation{Ready: true, Present: true, Lease: 5, OwnLease: 5, Holder: self, Self: self}, lease.ActionAdopt},
 		{"own earlier lease", lease.Observation{Ready: true, Present: true, Lease: 4, OwnLease: 5, Holder: self, Self: self}, lease.ActionClear},
+		{"another's late write under the own lease", lease.Observation{Ready: true, Present: true, Lease: 5, OwnLease: 5, Holder: lease.Writer{Host: "b"}, Self: self}, lease.ActionClear},
+		{"free, another may hold it by a lease of an earlier era", lease.Observation{Ready: true, FreeFor: time.Minute, EraWait: time.Second}, lease.ActionWait},
 		{"free, first rank", lease.Observation{Ready: true}, lease.ActionAcquire},
 		{"free, second rank", lease.Observation{Ready: true, Rank: 1}, lease.ActionDefer},
 		{"free for long", lease.Observation{Ready: true, Rank: 1, FreeFor: time.Second}, lease.ActionAcquire},
--- a/pkg/lease/hold.go
+++ b/pkg/lease/hold.go
@@ -44,6 +44,7 @@
 		}
 	}()
 	reason := c.waitForEnd(ctx, a, done)
+	c.noteRise(lease)
 	if reason != endLost {
 		// A stopping holder keeps its authority until its work has returned,
 		// so that the work can still record a send that is in flight.
@@ -62,6 +63,7 @@
 // waitForEnd blocks until the duty must be given up and returns the reason.
 func (c *campaign) waitForEnd(ctx context.Context, a *dutyAuthority, done <-chan struct{}) endReason {
 	for {
+		_, risen := external.EraOf(a.lease.store)
 		timer := time.NewTimer(max(a.lease.remaining(), 0))
 		select {
 		case <-ctx.Done():
@@ -76,6 +78,8 @@
 		case <-a.ended:
 			timer.Stop()
 			return endLost
+		case <-risen:
+			timer.Stop()
 		case <-timer.C:
 		}
 		if a.lease.remaining() <= 0 {
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -30,6 +30,9 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	sequence uint64
+	// era is the store's highest era that was seen, and eraSince when that was.
+	era      external.Era
+	eraSince time.Duration
 }
 
 var _ Runner = (*Manager)(nil)
--- a/pkg/lease/session.go
+++ b/pkg/lease/session.go
@@ -51,25 +51,39 @@
 		if remaining > 0 {
 			return nil, external.ErrStoreUnavailable
 		}
-		s.revoke(ctx, lease)
+		s.drop(ctx, lease)
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.timing.CallTimeout)
 	defer cancel()
+	return s.grant(ctx)
+}
+
+// grant requests a new lease. It fails if the store's era rises meanwhile, because it
+// is not known then which era the lease belongs to. The caller holds grantSlot.
+func (s *session) grant(ctx context.Context) (*storeLease, error) {
+	before, _ := external.EraOf(s.store)
 	sentAt := s.clock.Now()
 	id, err := s.store.Grant(ctx, s.timing.TTL)
 	if err != nil {
 		return nil, err
 	}
-	lease := newStoreLease(id, s.clock, s.timing.Deadline(sentAt), sentAt+s.timing.RenewInterval)
+	if after, _ := external.EraOf(s.store); after != before {
+		return nil, external.ErrStoreUnavailable
+	}
+	lease := newStoreLease(id, s.store, before, s.clock, s.timing.Deadline(sentAt), sentAt+s.timing.RenewInterval)
 	s.current.Store(lease)
 	return lease, nil
 }
 
-// revoke ends a lease and revokes it in the store, which deletes the keys that
-// are still bound to it.
-func (s *session) revoke(ctx context.Context, old *storeLease) {
+// drop ends a lease and revokes it in the store, which deletes the keys that are still
+// bound to it. A lease of an earlier era is not revoked, since the store may have given
+// its ID to another process.
+func (s *session) drop(ctx context.Context, old *storeLease) {
 	s.current.Store(nil)
 	old.end()
+	if old.outdated() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.timing.CallTimeout)
 	defer cancel()
 	// If this fails, the lease expires on its own.
--- a/pkg/lease/storelease.go
+++ b/pkg/lease/storelease.go
@@ -15,6 +15,9 @@
 type storeLease struct {
 	id    external.LeaseID
 	clock clock.Clock
+	// store names the present era; era is the one in which the lease was granted.
+	store external.Store
+	era   external.Era
 
 	// deadline is when the lease ends by clock unless it is renewed. It only
 	// increases.
@@ -28,22 +31,37 @@
 	nextRenewal time.Duration
 }
 
-// newStoreLease returns a lease that is valid until the deadline.
-func newStoreLease(id external.LeaseID, clk clock.Clock, deadline, nextRenewal time.Duration) *storeLease {
-	lease := &storeLease{id: id, clock: clk, ended: make(chan struct{}), nextRenewal: nextRenewal}
+// newStoreLease returns a lease of an era of the store that is valid until the deadline.
+func newStoreLease(id external.LeaseID, store external.Store, era external.Era, clk clock.Clock, deadline, nextRenewal time.Duration) *storeLease {
+	lease := &storeLease{id: id, store: store, era: era, clock: clk, ended: make(chan struct{}), nextRenewal: nextRenewal}
 	lease.deadline.Store(int64(deadline))
 	return lease
 }
 
 // remaining returns the time until the deadline. It is zero or negative once the
-// lease is over.
+// lease is over, also because the store came back from an older copy.
 func (lease *storeLease) remaining() time.Duration {
 	select {
 	case <-lease.ended:
 		return 0
 	default:
-		return time.Duration(lease.deadline.Load()) - lease.clock.Now()
 	}
+	if lease.outdated() {
+		return 0
+	}
+	return lease.untilDeadline()
+}
+
+// outdated reports whether the store has come back from an older copy since the lease
+// was granted.
+func (lease *storeLease) outdated() bool {
+	era, _ := external.EraOf(lease.store)
+	return era != lease.era
+}
+
+// untilDeadline returns the time until the deadline.
+func (lease *storeLease) untilDeadline() time.Duration {
+	return time.Duration(lease.deadline.Load()) - lease.clock.Now()
 }
 
 // extend moves the deadline to a later time; an earlier one has no effect.
--- a/pkg/lease/timing.go
+++ b/pkg/lease/timing.go
@@ -58,6 +58,13 @@
 	return sentAt + t.TTL - drift - t.FixedMargin
 }
 
+// EraDelay returns how long after a process first knew of the store's present era no
+// other process can hold a duty by a lease of an earlier one: such a lease was last
+// renewed before the store came back.
+func (t Timing) EraDelay() time.Duration {
+	return t.TTL + time.Duration(float64(t.TTL)*t.MaxClockDrift)
+}
+
 // AcquireDelay returns how long a duty must have been free before a candidate
 // acquires it. A candidate that already holds other duties waits longer, which
 // spreads the duties over the processes.
