Remember closed usage windows over a return of the store

A window that was fixed, reported and then lost by the store was counted anew by the next holder, whose counts differ: those of a daemon that has ended since are gone, and others have dropped theirs.

Every daemon now remembers the newest closed window that it has seen in the store, and the holder sends each to its linked daemons before it reports it, so that the memory outlives a holder that ends together with the store's return. After a rise of the era each daemon writes what it remembers, if the store does not have it, by compare-and-swap; the state says in which era its counts were fixed, and the earlier ones win. A state that nobody from before has written in the era says nothing about later windows: a holder that started since then skips what may have been reported, since a missing report is priced and other counts are not allowed.

Checkpoints: running daemons write theirs at once. Those of daemons that have ended are remembered by all, and written again unless the store has a newer one. A checkpoint has one key for each incarnation and replaces older ones, so that one that stands there again is never added twice.

--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -43,7 +43,7 @@
 	})
 	reporter := &tally.Reporter{
 		Store: g.opts.Store, Sink: g.opts.Sink, Time: g.time, Window: g.opts.UsageWindow, ReportDeadline: g.opts.UsageReportDeadline,
-		Ended: g.presence.Ended, Log: g.opts.Log,
+		Windows: g.windows, Share: g.sendClosedWindow, Ended: g.presence.Ended, Log: g.opts.Log,
 	}
 	supply := supplykeeper.New(supplykeeper.Options{
 		View: g.targets, Orderer: g.opts.EngineOrderer, Config: g.opts.Published, Log: g.opts.Log,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -75,6 +75,7 @@
 	// links is nil until runLinks has created the links to other daemons.
 	links         atomic.Pointer[peer.Manager]
 	standbyWriter *tally.StandbyWriter
+	windows       *tally.WindowMemory
 	exclusions    *exclusion.Announcer
 }
 
@@ -115,12 +116,13 @@
 		Daemons: g.presence.Daemons, HandOver: g.sendCheckpoint, Log: opts.Log,
 	})
 	g.standbyWriter = tally.NewStandbyWriter(opts.Store, opts.Log)
+	g.windows = tally.NewWindowMemory(opts.Store, g.time, opts.Log)
 	g.exclusions = exclusion.New(exclusion.Options{
 		Host: opts.Host, Store: opts.Store, OnAnnouncement: func(exclusions []backlog.Exclusion) { g.router.Models.Exclude(exclusions) }, Log: opts.Log,
 	})
 	g.mirror = mirror.New(mirror.Options{
 		Store: opts.Store, Pause: mirror.PauseFor(opts.PropagationBound), CallTimeout: mirror.DefaultCallTimeout, Log: opts.Log,
-	}, opts.ConfigListener, g.targets, g.presence, g.counter, g.exclusions)
+	}, opts.ConfigListener, g.targets, g.presence, g.counter, g.windows, tally.NewCheckpointMemory(g.standbyWriter, opts.Log), g.exclusions)
 }
 
 // initPeers creates the exchange of reports with linked daemons. runLinks adds the
@@ -221,7 +223,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run, g.duties.run, g.announcer.Run, g.counter.Run, g.backlog.Run, g.runLinks, g.standbyWriter.Run} {
+	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run, g.duties.run, g.announcer.Run, g.counter.Run, g.backlog.Run, g.runLinks, g.standbyWriter.Run, g.windows.Run} {
 		group.Go(func() error { return run(ctx) })
 	}
 	group.Go(func() error {
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -43,6 +43,7 @@
 	}
 	g.backlog.Attach(links)
 	links.Handle(peer.KindUsageTail, g.receiveCheckpoint)
+	links.Handle(peer.KindClosedWindow, g.receiveClosedWindow)
 	g.links.Store(links)
 	go g.updatePeers(ctx, links)
 	return links.Run(ctx)
--- a/pkg/peer/kind.go
+++ b/pkg/peer/kind.go
@@ -23,4 +23,6 @@
 	KindBurn Kind = 7
 	// KindBacklog carries a daemon's outstanding work at engines.
 	KindBacklog Kind = 8
+	// KindClosedWindow carries a usage window whose counts are fixed.
+	KindClosedWindow Kind = 9
 )
--- a/pkg/tally/counter.go
+++ b/pkg/tally/counter.go
@@ -87,8 +87,14 @@
 // Run writes checkpoints or hands them over until ctx ends.
 func (c *Counter) Run(ctx context.Context) error {
 	sinceWrite := maxWriteInterval
+	era, _ := external.EraOf(c.opts.Store)
 	return clock.Every(ctx, checkpointInterval, func() error {
 		sinceWrite += checkpointInterval
+		if now, _ := external.EraOf(c.opts.Store); now != era {
+			// The store has lost the checkpoint or went back to an older one.
+			era, sinceWrite = now, maxWriteInterval
+			c.refreshVersion(ctx)
+		}
 		if sinceWrite < c.writeInterval() {
 			c.handOverCurrent()
 			return nil
@@ -167,6 +173,16 @@
 	return err
 }
 
+// refreshVersion reads the version of the checkpoint in the store.
+func (c *Counter) refreshVersion(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	c.publishing.Lock()
+	defer c.publishing.Unlock()
+	checkpoint := Checkpoint{Host: c.opts.Host, Incarnation: c.opts.Incarnation}
+	c.version = c.storedVersion(ctx, checkpoint.key())
+}
+
 // storedVersion returns the checkpoint's version in the store, or the last known
 // one if it can't be read.
 func (c *Counter) storedVersion(ctx context.Context, key external.Key) external.Version {
--- a/pkg/tally/reporter.go
+++ b/pkg/tally/reporter.go
@@ -6,8 +6,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
@@ -28,17 +26,6 @@
 	reportReserve = 2 * time.Second
 )
 
-// windowKey is the store key of the newest closed window.
-const windowKey external.Key = "tally/window"
-
-// ClosedWindow is a window whose counts are fixed.
-type ClosedWindow struct {
-	Window Window `json:"window"`
-	Counts Counts `json:"counts"`
-	// Reported is set once the platform has accepted the counts.
-	Reported bool `json:"reported"`
-}
-
 // Sink receives the reports. A window may be reported more than once, always with
 // the same counts.
 type Sink interface {
@@ -56,6 +43,11 @@
 	// which it must be reported.
 	Window         time.Duration
 	ReportDeadline time.Duration
+	// Windows remembers the closed windows over the store's eras.
+	Windows *WindowMemory
+	// Share sends a closed window to other daemons before it is reported, so that they
+	// remember it if the store and this daemon lose it. It may be nil.
+	Share func(closed ClosedWindow)
 	// Ended reports whether an incarnation of a daemon is known to have ended, so
 	// that its counts are not waited for.
 	Ended func(host ident.Host, incarnation ident.Incarnation) bool
@@ -79,21 +71,20 @@
 // step closes and reports every window that is due.
 func (r *Reporter) step(ctx context.Context, authority lease.Authority) error {
 	for ctx.Err() == nil {
-		closed, version, err := r.readClosed(ctx)
-		if err != nil {
+		stored, version, err := r.Windows.read(ctx)
+		if err != nil || r.Windows.restoring() {
 			return err
 		}
-		if version == external.NoVersion {
-			// On the first run, reporting starts with the current window.
-			if version, err = r.writeClosed(ctx, authority, &closed, version); err != nil {
-				return err
-			}
+		closed, version, err := r.establish(ctx, authority, stored, version)
+		if err != nil {
+			return err
 		}
 		if closed.Reported {
 			next, err := r.countWindow(ctx, closed.Window+1)
 			if err != nil || next == nil {
 				return err
 			}
+			next.FixedIn, next.Era = closed.Era, closed.Era
 			if version, err = r.writeClosed(ctx, authority, next, version); err != nil {
 				return err
 			}
@@ -110,21 +101,33 @@
 	return ctx.Err()
 }
 
-// readClosed returns the newest closed window. If there is none yet it returns the
-// window before the current one, marked as reported.
-func (r *Reporter) readClosed(ctx context.Context) (ClosedWindow, external.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	entry, err := r.Store.Get(ctx, windowKey)
-	if errors.Is(err, external.ErrKeyNotFound) {
-		return ClosedWindow{Window: windowOf(r.Time.Now(), r.Window) - 1, Reported: true}, external.NoVersion, nil
+// establish returns the newest closed window of the store's present era, given the
+// stored one or nil. It writes the one that is remembered if the store has lost it. If
+// there is none yet it writes the window before the current one, marked as reported, so
+// that reporting starts with the current one.
+func (r *Reporter) establish(ctx context.Context, authority lease.Authority, stored *ClosedWindow, version external.Version) (ClosedWindow, external.Version, error) {
+	closed, reliable := r.Windows.newest(stored)
+	if !reliable {
+		r.skipUnknown(&closed, windowOf(r.Windows.unknownBefore(), r.Window)-1)
 	}
-	if err != nil {
-		return ClosedWindow{}, 0, err
+	if stored != nil && closed.equal(stored) {
+		return closed, version, nil
 	}
-	var closed ClosedWindow
-	err = json.Unmarshal(entry.Value, &closed)
-	return closed, entry.Version, err
+	version, err := r.writeClosed(ctx, authority, &closed, version)
+	return closed, version, err
+}
+
+// skipUnknown advances the newest closed window to the last one that may have been
+// reported before the store came back from an older copy. It is used if no daemon
+// remembers what was: a missing report is a lesser fault than one with other counts.
+func (r *Reporter) skipUnknown(closed *ClosedWindow, last Window) {
+	if closed.Window >= last {
+		return
+	}
+	if closed.Window > 0 {
+		r.Log.Warn("usage windows skipped, they may have been reported", "after", closed.Window, "through", last)
+	}
+	closed.Window, closed.Counts, closed.Reported = last, nil, true
 }
 
 // countWindow returns a window with its counts if it is due to be closed, else nil.
@@ -194,7 +197,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return r.Store.CompareAndSwap(ctx, external.Swap{Key: windowKey, Base: base, Value: value})
+	version, err := r.Store.CompareAndSwap(ctx, external.Swap{Key: windowKey, Base: base, Value: value})
+	if err == nil {
+		r.Windows.Remember(*closed)
+	}
+	return version, err
 }
 
 // report submits a closed window to the sink.
@@ -202,6 +209,9 @@
 	if err := authority.Check(); err != nil {
 		return err
 	}
+	if r.Share != nil {
+		r.Share(*closed)
+	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := r.Sink.Report(call, closed.Window, closed.Counts, authority.Fencing()); err != nil {
--- a/pkg/tally/tally_test.go
+++ b/pkg/tally/tally_test.go
@@ -115,7 +115,7 @@
 func (f *fixture) report(ctx context.Context, authority *fakeAuthority) {
 	reporter := &Reporter{
 		Store: f.store, Sink: f.sink, Time: f.time, Window: windowLength, ReportDeadline: 10 * time.Second,
-		Ended: f.hasEnded, Log: slog.New(slog.DiscardHandler),
+		Windows: NewWindowMemory(f.store, f.time, slog.New(slog.DiscardHandler)), Ended: f.hasEnded, Log: slog.New(slog.DiscardHandler),
 	}
 	_ = reporter.Work(ctx, authority)
 }
