Deliver handed-over usage checkpoints

A daemon that the store turns away hands its usage checkpoint to a linked daemon, and a daemon of a large fleet does so between two writes. The message has version 2, and links skip messages above the version that they know, which is 1, without a trace but for a counter. So no checkpoint that was handed over has ever been written by another daemon. The tests of package tally hand checkpoints over without links.

The message is of version 1 now, and so is what the receiver accepts.

TestHandedOverCheckpointIsWritten, over two links, failed before after its 20 s wait (expected condition to pass within wait context), and passes.

--- a/pkg/gateway/checkpoint.go
+++ b/pkg/gateway/checkpoint.go
@@ -11,7 +11,7 @@
 
 // checkpointVersion is the version of the message that sends a checkpoint to
 // another daemon.
-const checkpointVersion = 2
+const checkpointVersion = 1
 
 // sendCheckpoint sends a usage checkpoint to a linked daemon, which holds it and
 // writes it to the store if this daemon can't. If no daemon is linked, the counts
--- a/pkg/gateway/checkpoint_test.go
+++ b/pkg/gateway/checkpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"net"
 	"testing"
@@ -48,3 +49,21 @@
 	t.Helper()
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(ok), wait.Timeout(20*time.Second), wait.Gap(5*time.Millisecond)))
 }
+
+// TestHandedOverCheckpointIsWritten guards against messages that the link of the
+// receiver skips for their version: the checkpoint of a daemon that the store refuses
+// must be written by the daemon that it is sent to.
+func TestHandedOverCheckpointIsWritten(t *testing.T) {
+	store := memstore.New(clock.Boot{})
+	sender, _ := linkedGateway(t, "a", store)
+	_, address := linkedGateway(t, "b", store)
+	sender.links.Load().SetPeers([]peer.Address{{Host: "b", Address: address}})
+	eventually(t, func() bool { return len(sender.links.Load().Linked()) == 1 })
+	value, err := json.Marshal(tally.Checkpoint{Host: "a", Incarnation: 1, Through: time.Unix(100, 0)})
+	must.NoError(t, err)
+	sender.sendCheckpoint(tally.CheckpointMessage{Checkpoint: value, Refused: true})
+	eventually(t, func() bool {
+		entries, err := store.List(t.Context(), tally.CheckpointPrefix)
+		return err == nil && len(entries) == 1
+	})
+}
