Read all keys anew when the store comes back from an older copy

With the guard a watch from before a rise ends as if its history were gone, so that the mirror reads everything. Its listeners then took what is missing for removed at once, although the operator and the replicas only have to write it again. The mirror now reports a rise as the end of an outage before it applies the keys, which starts the graces that listeners have. It also ends its pause when another call was answered in a new era.

TestAllKeysAreReadAnewAfterRise failed without the report, and without the guard's look at the cursor (keys of two eras); TestRiseSeenByAnotherCallEndsThePause failed without the new pause. go test -race ./pkg/mirror: passed.

--- a/pkg/mirror/listener.go
+++ b/pkg/mirror/listener.go
@@ -16,6 +16,7 @@
 	// listener's keys, and any others no longer exist.
 	Apply(entries []external.Entry, whole bool, now time.Time)
 	// Outage is called when the store can't be read, with a zero ended, and when
-	// it can be read again.
+	// it can be read again. It is also called, with the same time for both, when the
+	// store has come back from an older copy, before all keys are applied anew.
 	Outage(began, ended time.Time)
 }
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -9,7 +9,6 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
-	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 )
@@ -25,6 +24,9 @@
 
 	// The other fields are used only by the goroutine of Run.
 	cursor external.Cursor
+	// era is the era of the store in the last successful call, if loaded is set.
+	era    external.Era
+	loaded bool
 	// callTimeout bounds the next call. It is longer than Options.CallTimeout only while
 	// all keys are read after an attempt that timed out.
 	callTimeout time.Duration
@@ -48,11 +50,26 @@
 		if err := m.step(ctx); err != nil {
 			pause = m.handleFailure(ctx, err)
 		}
-		clock.Sleep(ctx, pause)
+		m.pause(ctx, pause)
 	}
 	return nil
 }
 
+// pause waits before the next call, but not after the store's era has risen.
+func (m *Mirror) pause(ctx context.Context, d time.Duration) {
+	era, risen := external.EraOf(m.opts.Store)
+	if m.loaded && era != m.cursor.Era() && m.cursor != external.StartCursor {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-risen:
+	case <-timer.C:
+	}
+}
+
 // Age returns an upper bound of the age of the data, or false before the first
 // successful call.
 func (m *Mirror) Age() (time.Duration, bool) {
@@ -74,6 +91,7 @@
 	}
 	now := time.Now()
 	m.endOutage(now)
+	m.noteEra(changes.Next.Era(), now)
 	m.cursor = changes.Next
 	m.callTimeout = m.opts.CallTimeout
 	m.retry.Reset()
@@ -84,6 +102,17 @@
 	return nil
 }
 
+// noteEra reports a rise of the store's era as the end of an outage: writers have to
+// write again what the store has lost.
+func (m *Mirror) noteEra(era external.Era, now time.Time) {
+	if m.loaded && era != m.era {
+		for _, listener := range m.listeners {
+			listener.Outage(now, now)
+		}
+	}
+	m.era, m.loaded = era, true
+}
+
 // notify passes a listener the changes of the keys that it follows. A listener that
 // fails on them keeps neither the others nor later changes from being passed.
 func (m *Mirror) notify(listener Listener, changes external.Changes, now time.Time) {
