Keep what is known of targets when the store comes back from an older copy

The copy calls targets ready that were leaving or gone since, and lacks others that have only to write their entries again. A target that was marked as leaving stays so for its incarnation, whatever an entry of the copy says, also if its entry had been removed. After a rise of the era entries of removed targets and of earlier incarnations are dropped until the target writes again.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -36,6 +36,10 @@
 	// that are missing after an outage are removed.
 	storeDown  bool
 	graceUntil time.Time
+	// era is the store's era in which the entries were last read whole.
+	era external.Era
+	// gone remembers removed targets.
+	gone map[external.Key]goneTarget
 }
 
 // trackedTarget is one target of the view.
@@ -50,7 +54,7 @@
 
 // New returns an empty registry.
 func New(opts Options) *Registry {
-	r := &Registry{opts: opts, targets: make(map[external.Key]*trackedTarget)}
+	r := &Registry{opts: opts, targets: make(map[external.Key]*trackedTarget), gone: make(map[external.Key]goneTarget)}
 	r.current.Store(fleet.NewSnapshot(nil))
 	return r
 }
@@ -78,6 +82,10 @@
 // complete list and all other entries are removed.
 func (r *Registry) Apply(entries []external.Entry, whole bool, now time.Time) {
 	changed := false
+	r.forgetGone(now)
+	if whole {
+		entries = r.dropOutdated(entries)
+	}
 	for i := range entries {
 		if entries[i].Deleted {
 			changed = r.remove(entries[i].Key, now) || changed
@@ -116,6 +124,7 @@
 func (r *Registry) put(entry *external.Entry) bool {
 	registration, ok := r.opts.Decode(*entry)
 	known := r.targets[entry.Key]
+	r.keepLeaving(entry.Key, &registration)
 	if !ok {
 		if known == nil {
 			return false
@@ -162,6 +171,7 @@
 		return false
 	}
 	r.opts.Log.Info("target gone", "target", known.registration.Record.Target)
+	r.gone[key] = goneTarget{registration: known.registration, at: now}
 	delete(r.targets, key)
 	return true
 }
