Take no announcement of an older copy for a new one

Versions rise with the store's era, so that announcements which an older copy brings back looked new, and engines that had long changed their role were excluded again. The first complete list of a new era counts as known what has the same value as before.

TestReturnedAnnouncementIsNotDeliveredAgain failed before.

--- a/pkg/exclusion/announcer.go
+++ b/pkg/exclusion/announcer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -49,13 +50,17 @@
 	// loaded is set once the store was read whole.
 	versions map[external.Key]external.Version
 	loaded   bool
+	// era is the highest era of an announcement.
+	era external.Era
+	// values holds the last values of each announcement, newest last.
+	values map[external.Key][]string
 }
 
 var _ mirror.Listener = (*Announcer)(nil)
 
 // New returns an announcer that has not read the store yet.
 func New(opts Options) *Announcer {
-	return &Announcer{opts: opts, versions: make(map[external.Key]external.Version)}
+	return &Announcer{opts: opts, versions: make(map[external.Key]external.Version), values: make(map[external.Key][]string)}
 }
 
 // Follows reports whether a key holds an announcement.
@@ -90,15 +95,35 @@
 			delete(a.versions, entry.Key)
 			continue
 		}
-		if a.loaded && entry.Version > previous[entry.Key] {
+		if a.loaded && entry.Version > previous[entry.Key] && (!whole || !a.returned(entry)) {
 			changed = append(changed, *entry)
 		}
 		a.versions[entry.Key] = entry.Version
+		a.remember(entry)
+	}
+	for i := range entries {
+		a.era = max(a.era, entries[i].Version.Era())
 	}
 	a.loaded = a.loaded || whole
 	return changed
 }
 
+// keptValues is how many values of each announcement are remembered. More are not made
+// within the age of the copies that the store comes back from.
+const keptValues = 16
+
+// returned reports whether an entry was known before and is there again because the store
+// has come back from an older copy. Its version is higher then, since the era is.
+func (a *Announcer) returned(entry *external.Entry) bool {
+	return entry.Version.Era() > a.era && slices.Contains(a.values[entry.Key], string(entry.Value))
+}
+
+// remember records the value of an announcement. The caller holds a.mu.
+func (a *Announcer) remember(entry *external.Entry) {
+	values := append(a.values[entry.Key], string(entry.Value))
+	a.values[entry.Key] = values[max(0, len(values)-keptValues):]
+}
+
 // deliver decodes an announcement and passes it to OnAnnouncement.
 func (a *Announcer) deliver(entry *external.Entry) {
 	var exclusions []backlog.Exclusion
