Write the secret of the links again when the store has lost it

A fleet that had just started could lose the secret with the store's return to an older copy; the next daemon to start then created another one and could link to nobody.

--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -2,30 +2,18 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"slices"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"amaranthplank.example/amaranthplank/pkg/backlog"
 	"amaranthplank.example/amaranthplank/pkg/clock"
-	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/membership"
 	"amaranthplank.example/amaranthplank/pkg/peer"
 )
 
-const (
-	// secretKey is the key of the secret that authenticates links between daemons.
-	secretKey external.Key = "peers/secret"
-	// secretTimeout bounds one attempt to read or create the secret.
-	secretTimeout = time.Second
-	// secretRetryInterval is the pause between attempts to read it.
-	secretRetryInterval = 500 * time.Millisecond
-	// peersInterval is the time between updates of the peers.
-	peersInterval = time.Second
-)
+// peersInterval is the time between updates of the peers.
+const peersInterval = time.Second
 
 // runLinks maintains the links to other daemons until ctx ends. Without links the
 // daemon still serves, but has less information about the engines' load.
@@ -46,6 +34,7 @@
 	links.Handle(peer.KindClosedWindow, g.receiveClosedWindow)
 	g.links.Store(links)
 	go g.updatePeers(ctx, links)
+	go g.keepSecret(ctx, secret)
 	return links.Run(ctx)
 }
 
@@ -83,36 +72,3 @@
 	}
 	return peers
 }
-
-// waitForSecret returns the fleet's secret, and creates it if the store has none.
-// It retries until it succeeds, and returns nil once ctx ends.
-func (g *Gateway) waitForSecret(ctx context.Context) []byte {
-	for ctx.Err() == nil {
-		secret, err := g.readOrCreateSecret(ctx)
-		if err == nil && len(secret) > 0 {
-			return secret
-		}
-		if err != nil {
-			g.opts.Log.Info("link secret neither read nor created, retrying", "error", err)
-		}
-		clock.Sleep(ctx, secretRetryInterval)
-	}
-	return nil
-}
-
-// readOrCreateSecret returns the secret in the store. If there is none it writes a
-// random one and returns nil, since another daemon may have written its own first.
-// The next read returns the one that is in the store.
-func (g *Gateway) readOrCreateSecret(ctx context.Context) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, secretTimeout)
-	defer cancel()
-	entry, err := g.opts.Store.Get(ctx, secretKey)
-	if !errors.Is(err, external.ErrKeyNotFound) {
-		return entry.Value, err
-	}
-	_, err = g.opts.Store.CompareAndSwap(ctx, external.Swap{Key: secretKey, Value: []byte(rand.Text())})
-	if errors.Is(err, external.ErrVersionConflict) {
-		return nil, nil
-	}
-	return nil, err
-}
