Send a rise of the store's era to the linked daemons

A daemon that is cut off from the store, but not from the others, acted on until the deadline of its lease.

--- a/pkg/gateway/checkpoint_test.go
+++ b/pkg/gateway/checkpoint_test.go
@@ -16,6 +16,7 @@
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/peer"
 	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
+	"amaranthplank.example/amaranthplank/pkg/storeera"
 	"amaranthplank.example/amaranthplank/pkg/tally"
 )
 
@@ -27,14 +28,17 @@
 	links, err := peer.New(peer.Options{Host: host, Incarnation: 1, Listener: listener, Secret: []byte("s"), Registerer: prometheus.NewRegistry()})
 	must.NoError(t, err)
 	log := slog.New(slog.DiscardHandler)
-	g := &Gateway{opts: Options{Host: host, Log: log}, standbyWriter: tally.NewStandbyWriter(store, log)}
+	guard := storeera.New(store, log, prometheus.NewRegistry())
+	g := &Gateway{opts: Options{Host: host, Log: log}, store: guard, standbyWriter: tally.NewStandbyWriter(store, log)}
 	g.windows = tally.NewWindowMemory(store, tally.NewSteadyWallClock(clock.Boot{}), log)
 	links.Handle(peer.KindUsageTail, g.receiveCheckpoint)
 	links.Handle(peer.KindClosedWindow, g.receiveClosedWindow)
+	links.Handle(peer.KindStoreEra, g.receiveEra)
 	g.links.Store(links)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 2)
 	go func() { done <- links.Run(ctx) }()
+	go g.sendEras(ctx, links)
 	go func() { done <- g.standbyWriter.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -32,9 +32,11 @@
 	g.backlog.Attach(links)
 	links.Handle(peer.KindUsageTail, g.receiveCheckpoint)
 	links.Handle(peer.KindClosedWindow, g.receiveClosedWindow)
+	links.Handle(peer.KindStoreEra, g.receiveEra)
 	g.links.Store(links)
 	go g.updatePeers(ctx, links)
 	go g.keepSecret(ctx, secret)
+	go g.sendEras(ctx, links)
 	return links.Run(ctx)
 }
 
--- a/pkg/peer/kind.go
+++ b/pkg/peer/kind.go
@@ -25,4 +25,6 @@
 	KindBacklog Kind = 8
 	// KindClosedWindow carries a usage window whose counts are fixed.
 	KindClosedWindow Kind = 9
+	// KindStoreEra carries how often the store has come back from an older copy.
+	KindStoreEra Kind = 10
 )
--- a/pkg/peer/outbox.go
+++ b/pkg/peer/outbox.go
@@ -15,10 +15,10 @@
 }
 
 // kindCount is the size of arrays indexed by Kind: one more than the highest kind.
-const kindCount = int(KindClosedWindow) + 1
+const kindCount = int(KindStoreEra) + 1
 
 // sendOrder lists the kinds in order of decreasing priority.
-var sendOrder = [...]Kind{KindClosedWindow, KindBacklog, KindMembership, KindConfig, KindUsageAck, KindState, KindUsageTail, KindBurn}
+var sendOrder = [...]Kind{KindStoreEra, KindClosedWindow, KindBacklog, KindMembership, KindConfig, KindUsageAck, KindState, KindUsageTail, KindBurn}
 
 // newOutbox returns an empty outbox for up to limit messages of each kind.
 func newOutbox(limit int) *outbox {
