--- a/pkg/standin/memstore/snapshot.go
+++ b/pkg/standin/memstore/snapshot.go
@@ -27,6 +27,18 @@
 	return copied
 }
 
+// WithoutLeases returns the snapshot as it is once all of its leases have ended: the keys
+// bound to them are gone too.
+func (s *Snapshot) WithoutLeases() *Snapshot {
+	ended := &Snapshot{cursor: s.cursor, lastLease: s.lastLease, values: maps.Clone(s.values)}
+	for key, v := range ended.values {
+		if v.entry.Lease != external.NoLease {
+			delete(ended.values, key)
+		}
+	}
+	return ended
+}
+
 // Restore goes back to a snapshot and starts the next era. Cursors, versions and lease
 // IDs that were given out since are given out again. Leases granted since are gone;
 // those of the snapshot last for their full TTL from now on, with the keys bound to
