--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -12,8 +12,8 @@
 
 // KeyOf returns the key whose value names a duty's holder. The key is bound to
 // the holder's lease, so it exists only while the duty is held. Its version is
-// the holder's fencing token: the store increases a key's version with every
-// write, also across deletion, so the token never decreases.
+// the holder's fencing token: versions rise with every write, also across deletion and
+// over the store's eras, so the token never decreases.
 func KeyOf(duty ident.Duty) external.Key { return KeyPrefix + external.Key(duty) }
 
 // Record is the value of a duty's key.
