Wait less for the secret of the links in a later era

A fleet that starts on a store whose first era is not 0 would have no links for 4 s. Those who know the secret write it again with their first call after a rise, which the pause of the mirror bounds by 1.2 s, so 1.5 s is enough. The test lets them call after 1.2 s instead of 2 s, and still fails without the wait.

--- a/pkg/gateway/secret.go
+++ b/pkg/gateway/secret.go
@@ -20,8 +20,9 @@
 	secretRetryInterval = 500 * time.Millisecond
 	// secretRestoreTime is how long a daemon that starts after the store has come back
 	// from an older copy waits for others to write the secret again, before it creates
-	// one.
-	secretRestoreTime = 4 * time.Second
+	// one. They do that with their first call, which the mirror's pause bounds. It also
+	// delays the links of a fleet that starts on a store whose first era is not 0.
+	secretRestoreTime = 1500 * time.Millisecond
 )
 
 // waitForSecret returns the fleet's secret, and creates it if the store has none.
