--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"amaranthplank.example/amaranthplank/pkg/registry"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
+	"amaranthplank.example/amaranthplank/pkg/storeera"
 	"amaranthplank.example/amaranthplank/pkg/storemeter"
 	"amaranthplank.example/amaranthplank/pkg/tally"
 	"amaranthplank.example/amaranthplank/pkg/target"
@@ -52,11 +53,13 @@
 	// are the values that its defaults and exceptions set.
 	builtin  config.Knobs
 	registry *prometheus.Registry
-	targets  *registry.Registry
-	mirror   *mirror.Mirror
-	router   *routing.CombinedRouter
-	relay    *relay.Relay
-	callers  *drain.Server
+	// store is the store of opts, guarded against its return from an older copy.
+	store   *storeera.Guard
+	targets *registry.Registry
+	mirror  *mirror.Mirror
+	router  *routing.CombinedRouter
+	relay   *relay.Relay
+	callers *drain.Server
 	// incarnation rises with each start of the host's process.
 	incarnation   ident.Incarnation
 	time          *tally.SteadyWallClock
@@ -74,6 +77,7 @@
 	// links is nil until runLinks has created the links to other daemons.
 	links         atomic.Pointer[peer.Manager]
 	standbyWriter *tally.StandbyWriter
+	windows       *tally.WindowMemory
 	exclusions    *exclusion.Announcer
 	poison        poisonParts
 }
@@ -81,7 +85,8 @@
 // New returns a gateway that is ready to run.
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, builtin: config.BuiltinKnobs(), registry: prometheus.NewRegistry()}
-	g.opts.Store = storemeter.New(opts.Store, g.registry)
+	g.store = storeera.New(storemeter.New(opts.Store, g.registry), opts.Log, g.registry)
+	g.opts.Store = g.store
 	g.ApplyLimits(opts.Limits)
 	g.retryShares = newRetryShares(time.Now(), opts.PropagationBound)
 	g.shareLog = &shareLog{log: opts.Log}
@@ -116,13 +121,14 @@
 		Daemons: g.presence.Daemons, HandOver: g.sendCheckpoint, Log: opts.Log,
 	})
 	g.standbyWriter = tally.NewStandbyWriter(opts.Store, opts.Log)
+	g.windows = tally.NewWindowMemory(opts.Store, g.time, opts.Log)
 	g.exclusions = exclusion.New(exclusion.Options{
 		Host: opts.Host, Store: opts.Store, OnAnnouncement: func(exclusions []backlog.Exclusion) { g.router.Models.Exclude(exclusions) }, Log: opts.Log,
 	})
 	g.poison = g.newPoisonParts()
 	g.mirror = mirror.New(mirror.Options{
 		Store: opts.Store, Pause: mirror.PauseFor(opts.PropagationBound), CallTimeout: mirror.DefaultCallTimeout, Log: opts.Log,
-	}, opts.ConfigListener, g.targets, g.presence, g.counter, g.exclusions, g.poison.copy)
+	}, opts.ConfigListener, g.targets, g.presence, g.counter, g.windows, tally.NewCheckpointMemory(g.standbyWriter, opts.Log), g.exclusions, g.poison.copy)
 }
 
 // initPeers creates the exchange of reports with linked daemons. runLinks adds the
@@ -223,7 +229,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, run := range []func(context.Context) error{g.mirror.Run, g.relay.Run, g.duties.run, g.announcer.Run, g.counter.Run, g.backlog.Run, g.runLinks, g.standbyWriter.Run, g.runPoisonParts} {
+	for _, run := range []func(context.Context) error{
+		g.mirror.Run, g.relay.Run, g.duties.run, g.announcer.Run, g.counter.Run, g.backlog.Run, g.runLinks,
+		g.standbyWriter.Run, g.windows.Run, g.runPoisonParts,
+	} {
 		group.Go(func() error { return run(ctx) })
 	}
 	group.Go(func() error {
--- a/pkg/peer/kind.go
+++ b/pkg/peer/kind.go
@@ -23,6 +23,10 @@
 	KindBurn Kind = 7
 	// KindBacklog carries a daemon's outstanding work at engines.
 	KindBacklog Kind = 8
+	// KindClosedWindow carries a usage window whose counts are fixed.
+	KindClosedWindow Kind = 9
+	// KindStoreEra carries how often the store has come back from an older copy.
+	KindStoreEra Kind = 10
 	// KindCrashes carries ends of targets with the prompts under which they ended.
-	KindCrashes Kind = 9
+	KindCrashes Kind = 11
 )
--- a/pkg/peer/outbox.go
+++ b/pkg/peer/outbox.go
@@ -18,7 +18,9 @@
 const kindCount = int(KindCrashes) + 1
 
 // sendOrder lists the kinds in order of decreasing priority.
-var sendOrder = [...]Kind{KindCrashes, KindBacklog, KindMembership, KindConfig, KindUsageAck, KindState, KindUsageTail, KindBurn}
+var sendOrder = [...]Kind{
+	KindStoreEra, KindCrashes, KindClosedWindow, KindBacklog, KindMembership, KindConfig, KindUsageAck, KindState, KindUsageTail, KindBurn,
+}
 
 // newOutbox returns an empty outbox for up to limit messages of each kind.
 func newOutbox(limit int) *outbox {
