Let a stop not depend on the time of day

What callers would see: after the time of day was set back, a stop waited until the old time had come again, and the process was killed with its listener open. Cause: the time of the last request was kept as time of day, and the wait for a quiet period was not bounded by the latest time to close the listener. Change: the time is kept on the steady clock, and each wait ends at the latest time.

--- a/pkg/drain/middleware.go
+++ b/pkg/drain/middleware.go
@@ -12,7 +12,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.running.Add(1)
 		defer s.running.Add(-1)
-		s.lastRequestAt.Store(time.Now().UnixNano())
+		s.lastRequestAt.Store(int64(time.Since(s.createdAt)))
 		if s.draining() {
 			w.Header().Set("Connection", "close")
 			next.ServeHTTP(w, r)
--- a/pkg/drain/server.go
+++ b/pkg/drain/server.go
@@ -25,8 +25,9 @@
 	killedAt atomic.Pointer[time.Time]
 	// running is how many requests are being served.
 	running atomic.Int64
-	// lastRequestAt is when the last request arrived, as Unix time in
-	// nanoseconds.
+	// createdAt is when the server was created, on the steady clock.
+	createdAt time.Time
+	// lastRequestAt is when the last request arrived, in nanoseconds since createdAt.
 	lastRequestAt atomic.Int64
 	phase         atomic.Pointer[Phase]
 }
@@ -37,7 +38,7 @@
 // New returns a server that is not running yet. It wraps the handler of
 // opts.Server.
 func New(opts Options) *Server {
-	s := &Server{opts: opts, stopRequested: make(chan struct{}), done: make(chan struct{})}
+	s := &Server{opts: opts, createdAt: time.Now(), stopRequested: make(chan struct{}), done: make(chan struct{})}
 	s.setPhase(Serving)
 	opts.Server.Handler = s.trackRequests(opts.Server.Handler)
 	return s
@@ -144,11 +145,11 @@
 		latest = requestedAt.Add(s.opts.MaxCloseDelay)
 	}
 	for ctx.Err() == nil && time.Now().Before(latest) {
-		quiet := time.Since(time.Unix(0, s.lastRequestAt.Load()))
+		quiet := time.Since(s.createdAt) - time.Duration(s.lastRequestAt.Load())
 		if quiet >= quietPeriod {
 			return
 		}
-		clock.Sleep(ctx, quietPeriod-quiet)
+		clock.Sleep(ctx, min(quietPeriod-quiet, time.Until(latest)))
 	}
 }
 
--- a/pkg/drain/server_test.go
+++ b/pkg/drain/server_test.go
@@ -175,3 +175,18 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestStopWaitsForNoLaterRequestTime has the last request be recorded at a time that is
+// still to come, as after a step of the clock. It guards against a stop that waits for
+// that time, so that the process is killed with its listener open.
+func TestStopWaitsForNoLaterRequestTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t.Context())
+		synctest.Wait()
+		s.server.lastRequestAt.Store(int64(time.Hour))
+		began := time.Now()
+		s.server.Stop()
+		must.NoError(t, <-s.runResult)
+		must.LessEq(t, (1+maxExtraBalancerDelays)*s.server.opts.BalancerDelay, time.Since(began))
+	})
+}
