Cut nothing when a process is asked to stop again

What callers would see: a second SIGTERM ended all running requests at once. Cause: any second signal aborted the stop. Change: only a SIGINT after the first signal does, as from a terminal.

--- a/cmd/amaranthplank/main.go
+++ b/cmd/amaranthplank/main.go
@@ -66,7 +66,8 @@
 }
 
 // watchSignals returns a channel that is closed on the first SIGINT or SIGTERM,
-// which requests a graceful shutdown. The second signal calls abort.
+// which requests a graceful shutdown. A SIGINT after that calls abort. A SIGTERM does
+// not, since a platform may repeat its request to stop.
 func watchSignals(abort func()) <-chan struct{} {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
@@ -74,8 +75,11 @@
 	go func() {
 		<-signals
 		close(stop)
-		<-signals
-		abort()
+		for received := range signals {
+			if received == os.Interrupt {
+				abort()
+			}
+		}
 	}()
 	return stop
 }
