Let SIGHUP end no process that reads no files

What callers would see: with -settings and -dev, and in the first moments of -platform, SIGHUP ended the process and its requests. Cause: only the reader of the platform's files handled the signal. Change: it is ignored from the start, until something is there to read files again.

--- a/cmd/amaranthplank/main.go
+++ b/cmd/amaranthplank/main.go
@@ -23,6 +23,9 @@
 	// belong to another caller. It logs through package log, so that output is
 	// discarded; the daemon logs through log/slog.
 	log.SetOutput(io.Discard)
+	// A hangup asks a process to read its files again. It must not end one that has none
+	// to read, or that has not begun to watch them yet.
+	signal.Ignore(syscall.SIGHUP)
 	if err := run(os.Args[1:]); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "amaranthplank:", err)
 		os.Exit(1)
