Answer and log a request whose processing panics

What callers would see: a closed connection, with neither an answer nor a line in the log. No panic of this kind is known. Change: a panic ends its request with a failure that says whether it may have run, or closes the connection if the answer had begun, and is logged with its stack.

--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -28,6 +28,7 @@
 	id, err := h.opts.Format.Begin(w, r)
 	s := newSession(h, newCallerWriter(w, h.opts.WriteTimeout), r, id)
 	defer s.release()
+	defer s.recoverPanic()
 	if err != nil {
 		s.fail(request.NotRun, err)
 		return
