End a whole stream shortly after its last event

What callers saw, with the engines' protocol and streams of services: a whole answer whose target left the response open ended only at the deadline. Cause: the limit on the time after the last event needed a silence timeout, which such streams don't have. Change: the limit starts a timer of its own.

--- a/pkg/relay/watchdog.go
+++ b/pkg/relay/watchdog.go
@@ -126,14 +126,15 @@
 	}
 }
 
-// limitTo ends the exchange after the given time.
+// limitTo ends the exchange after the given time, also one that had no timeout.
 func (w *watchdog) limitTo(d time.Duration) {
-	if w.timer == nil {
-		return
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.mayLeave, w.stopped = func() bool { return true }, false
+	if w.timer == nil {
+		w.timer = time.AfterFunc(d, w.expire)
+		return
+	}
 	w.timer.Reset(d)
 }
 
