Keep the attempts of a hedged request apart

What callers would see where hedging is on: a sound first target left for silence since the hedge's own target counted as one to send to, and asked again; and, by a data race, usage counted twice. Change: hedged attempts are not left for silence; what both write is written atomically, and an attempt keeps for itself whether it continues an answer.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -38,6 +38,9 @@
 	mayPrefill bool
 	// silenceLogged is set once the attempt has logged that its target is silent.
 	silenceLogged bool
+	// continues reports whether the caller had a part of the answer when the attempt was
+	// created.
+	continues bool
 	// began is when the attempt was created.
 	began time.Time
 	// phase is how far the attempt has progressed; it never decreases.
@@ -74,7 +77,7 @@
 func newAttempt(c *call, state *fleet.TargetState) *attempt {
 	return &attempt{
 		call: c, id: ident.Attempt(uuid.NewString()), target: state.Record.Target,
-		excluded: append(slices.Clone(c.failedTargets), state.Record.Target), mayPrefill: c.mayPrefill(),
+		excluded: append(slices.Clone(c.failedTargets), state.Record.Target), mayPrefill: c.mayPrefill(), continues: c.begun,
 		address: state.Record.Address, incarnation: state.Incarnation, record: state.Record, resumeBackoff: newResumeBackoff(), lastEvent: c.lastEvent, began: time.Now(),
 	}
 }
@@ -155,5 +158,9 @@
 	a.call.relay.canceler.cancel(a.address, a.id)
 }
 
+// answerBegun reports whether the caller has a part of the answer, from this attempt or
+// from one before it.
+func (a *attempt) answerBegun() bool { return a.continues || a.phase == retry.Streaming }
+
 // advanceTo raises the phase.
 func (a *attempt) advanceTo(phase retry.Phase) { a.phase = max(a.phase, phase) }
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -47,7 +48,12 @@
 	lastEvent uint64
 	// promptCleared is set once the prompt guard was notified that an answer goes on.
 	promptCleared bool
-	result        Result
+	// begun is set once an attempt that ended has written a part of the answer.
+	begun bool
+	// ran is set once a target has begun to run the request. The attempts of a hedged
+	// request share it.
+	ran    atomic.Bool
+	result Result
 }
 
 // newCall returns a call before its first attempt.
@@ -106,6 +112,7 @@
 			return c.endWithoutTarget(err)
 		}
 		decision, err := a.run(ctx)
+		c.begun = c.begun || a.answerBegun()
 		c.relay.opts.Router.Done(c.req, a.target)
 		if a.decode != nil {
 			c.relay.opts.Router.Done(c.req, a.decode.Record.Target)
@@ -205,10 +212,9 @@
 // markRan records the first stream event or unary response from a target that did
 // not reject the request.
 func (c *call) markRan() {
-	if c.result.Ran {
+	if c.ran.Swap(true) {
 		return
 	}
-	c.result.Ran = true
 	if onRun := c.relay.opts.OnRun; onRun != nil && c.req.Workspace != "" {
 		onRun(c.req.Workspace)
 	}
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -86,7 +86,7 @@
 		return a.drainRejection(response)
 	case kind == ResponseStream:
 		err = a.relayStream(w, response, protocol.Events(targetReq, response))
-	case a.idleResumes > 0 || a.call.result.ResponseStarted:
+	case a.idleResumes > 0 || a.answerBegun():
 		return discard(response, trace, retry.Mismatch, errNotStream)
 	default:
 		a.call.markRan()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -44,7 +44,9 @@
 	defer cancel()
 	c := newCall(r, req, w)
 	c.caller = ctx
-	return c.do(deadline)
+	result := c.do(deadline)
+	result.Ran = c.ran.Load()
+	return result
 }
 
 // knobs returns the retry knobs in force for a request.
--- a/pkg/relay/watchdog.go
+++ b/pkg/relay/watchdog.go
@@ -41,7 +41,8 @@
 // after each silence, since it is resumed at the same target; each consecutive resume
 // without an event doubles the timeout. Other streams that may be continued, and
 // idempotent lookups, are left only before their answer has begun and if they can be
-// sent elsewhere. All others may take until the deadline.
+// sent elsewhere. All others may take until the deadline, and so may the attempts of a
+// hedged request, which take each other's place.
 func (a *attempt) startWatchdog(ctx context.Context) *watchdog {
 	w := &watchdog{}
 	w.ctx, w.cancel = context.WithCancelCause(ctx)
@@ -49,7 +50,7 @@
 	switch {
 	case a.keptByTarget():
 		w.start(silence<<a.idleResumes, func() bool { return true })
-	case a.call.result.ResponseStarted:
+	case a.claimAnswer != nil, a.answerBegun():
 	case req.Resumable, req.Idempotent && req.Class == ident.ClassLookup:
 		w.ctx = httptrace.WithClientTrace(w.ctx, &httptrace.ClientTrace{GotConn: w.gotConn})
 		w.start(silence, func() bool { return a.maySendElsewhere(w.phase()) })
