Keep the transport from repeating a GET without a body

A GET without a body on a route whose requests must run once could run twice: a replica that read it on a kept connection and then closed the connection, or reset it, got the same request again on a new one. The relay did not know of it, so that the second arrival was neither an attempt nor taken from the retry budget.

Cause: such a request was built with http.NoBody, which net/http's transport considers safe to repeat on its own when a reused connection ends before the first byte of a response. Client.Do asked for a body that is not nil and did not check it.

The relay alone decides on retries then.

--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -74,12 +74,15 @@
 	}
 }
 
-// Do sends one request. Its body must not be nil, so that the transport doesn't
-// consider it safe to retry. The trace reports whether the request may have left
-// the process.
+// Do sends one request. The trace reports whether the request may have left the
+// process. A missing body is replaced by an empty one of our own type: the transport
+// would repeat a GET without a body by itself after its connection was closed.
 func (c *Client) Do(r *http.Request, reuse Reuse) (*http.Response, *Trace, error) {
 	trace := &Trace{}
 	r.GetBody = nil
+	if r.Body == nil || r.Body == http.NoBody {
+		r.Body = NewBody(nil)
+	}
 	response, err := c.transports[reuse].RoundTrip(r.WithContext(trace.withTrace(r.Context())))
 	return response, trace, err
 }
