End an exchange whose target changes the protocol

A target in trouble may send any bytes. A response of status 101 with bytes without end was taken for an answer: sent fast, the caller's connection ended without an answer; sent slowly, the request had not ended when the test was killed after more than eight minutes, far beyond its deadline of 0.4 s.

Cause: after 101 the transport hands its connection over as the response's body and no longer closes it when the request's context ends, so that the relay read on without any bound on time.

Client.Do now closes such a connection at once and fails with ErrProtocolChanged, for every protocol: no request of the daemons asks for another one. The relay treats that as a lost connection, so that the request ends as unknown or is sent to another target.

TestEndlessAnswers/after_another_protocol failed before with EOF, and its slow variant never ended. The other kinds in that test (header lines, one header line, a status line, informational responses, garbage, chunk extensions and lengths, trailers, a declared length above the limit) passed at once, each fast and a byte at a time: the replica could write at most 16 MiB, all connections were closed, and no goroutine of an exchange was left.

--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Reuse selects the pooled connections that an exchange may use.
@@ -84,9 +86,19 @@
 		r.Body = NewBody(nil)
 	}
 	response, err := c.transports[reuse].RoundTrip(r.WithContext(trace.withTrace(r.Context())))
+	if err == nil && response.StatusCode < http.StatusOK {
+		// After a change of protocol the request's context no longer ends the
+		// connection.
+		_ = response.Body.Close()
+		return nil, trace, ErrProtocolChanged
+	}
 	return response, trace, err
 }
 
+// ErrProtocolChanged means that a target left HTTP instead of responding, which no
+// request asks for.
+var ErrProtocolChanged = errors.New("the target changed the protocol")
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	for _, transport := range c.transports {
