Continue a stream elsewhere after an event without end

A replica in trouble that sent bytes without a blank line ended the caller's stream although the route allowed another replica to continue it, and kept its place in the routing: its failure counted as a response above the size limit, which is not retried and not reported to the router, since the response to a large request would be as large everywhere.

Whole responses above their limit end the request as before.

TestEndlessStreams failed before for seven kinds (an event, a first event, lines of an event, an ID, comment lines, garbage, carriage returns), each sent fast: the caller's stream broke off, or the response was 502. Comments, repeated events, events without IDs, garbage lines, chunk extensions and trailers, each kind sent slowly, and all of TestEndlessPrefills passed at once.

--- a/pkg/relay/failure.go
+++ b/pkg/relay/failure.go
@@ -76,9 +76,11 @@
 		return retry.Silence
 	case ctx.Err() != nil:
 		return retry.DeadlinePassed
-	case errors.Is(err, target.ErrFrameTooLarge), errors.Is(err, errTooLarge):
+	case errors.Is(err, errTooLarge):
 		return retry.TooLarge
-	case errors.Is(err, target.ErrFrameMalformed):
+	case errors.Is(err, target.ErrFrameMalformed), errors.Is(err, target.ErrFrameTooLarge):
+		// An event above the limit is one that doesn't end, as of a target in
+		// trouble; another target may answer properly.
 		return retry.Mismatch
 	case errors.As(err, &operation) && operation.Op == "dial":
 		return retry.ConnectFailed
