Take blank lines of a stream as part of the next event

Blank lines without end kept a stream alive until the request's deadline: each counted as an event without an ID, which restarted the silence timeout, counted as a run, and used the processor, so that no other replica continued the stream. Blank lines between events were dropped, although a body is to be forwarded unchanged. An event with two blank lines after it was held back until the next one came, since the reader took these lines for a complete event and the relay did not flush.

Blank lines before an event are now forwarded with it and count to its limit of 256 KiB; those after the last event are forwarded with the end of the stream. Ready skips them.

Seen to fail before: TestEndlessStreams/blank_lines (EOF at the deadline instead of the stream of another replica), TestStreamsThatEndWithTheirConnection/blank_lines_around_events and TestStreamIsCompleteOnlyAtCleanEnd (blank lines missing), and TestBlankLinesAreNotReady.

--- a/pkg/target/framereader.go
+++ b/pkg/target/framereader.go
@@ -24,6 +24,8 @@
 	scanned int
 	// lineStart is the start of the line that contains scanned.
 	lineStart int
+	// blank is whether the current frame has only blank lines so far.
+	blank bool
 	// acceptAnyField accepts frames with fields of any name, and returns their whole
 	// text.
 	acceptAnyField bool
@@ -35,17 +37,18 @@
 }
 
 // NewEventReader returns a reader that accepts any server-sent event with an ID.
-// The Text of its frames is the whole event.
+// The Text of its frames is the whole event, with the blank lines before it.
 func NewEventReader(source io.Reader) *FrameReader {
 	reader := NewFrameReader(source)
 	reader.acceptAnyField = true
 	return reader
 }
 
-// Next returns the next frame. It returns io.EOF at the end of the stream, and
-// io.ErrUnexpectedEOF if the stream ends within a frame.
+// Next returns the next frame. It returns io.EOF at the end of the stream, with the
+// blank lines after the last event as the frame's Text, and io.ErrUnexpectedEOF if the
+// stream ends within a frame.
 func (f *FrameReader) Next() (Frame, error) {
-	f.scanned, f.lineStart = f.start, f.start
+	f.scanned, f.lineStart, f.blank = f.start, f.start, true
 	for {
 		if stop := f.findFrameEnd(); stop > 0 {
 			text := f.buffer[f.start:stop]
@@ -56,14 +59,16 @@
 			return parseFrame(text)
 		}
 		if err := f.fill(); err != nil {
-			return Frame{}, err
+			return Frame{Text: f.buffer[f.start:f.end]}, err
 		}
 	}
 }
 
-// Ready reports whether the next frame is already buffered.
+// Ready reports whether the next frame is already buffered. It may report false for one
+// that is, and ignores blank lines, after which no frame need follow.
 func (f *FrameReader) Ready() bool {
-	return bytes.Contains(f.buffer[f.start:f.end], []byte("\n\n"))
+	buffered := bytes.TrimLeft(f.buffer[f.start:f.end], "\r\n")
+	return bytes.Contains(buffered, []byte("\n\n"))
 }
 
 // findFrameEnd returns the position after the blank line that ends the frame, or
@@ -78,7 +83,8 @@
 		stop := f.scanned + i
 		text := trimCR(f.buffer[f.lineStart:stop])
 		f.scanned, f.lineStart = stop+1, stop+1
-		if len(text) == 0 {
+		f.blank = f.blank && len(text) == 0
+		if len(text) == 0 && (!f.blank || !f.acceptAnyField) {
 			return stop + 1
 		}
 	}
@@ -96,12 +102,18 @@
 	if n > 0 || err == nil {
 		return nil
 	}
-	if err == io.EOF && f.end > f.start {
+	if err == io.EOF && f.end > f.start && !f.onlyBlankLines() {
 		return io.ErrUnexpectedEOF
 	}
 	return err
 }
 
+// onlyBlankLines reports whether a stream of events has only blank lines since the last
+// one, and ends with a line.
+func (f *FrameReader) onlyBlankLines() bool {
+	return f.acceptAnyField && f.blank && f.lineStart == f.end
+}
+
 // makeRoom moves the current frame to the front of the buffer. If it is there
 // already, makeRoom doubles the buffer.
 func (f *FrameReader) makeRoom() error {
--- a/pkg/target/framereader_test.go
+++ b/pkg/target/framereader_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// TestBlankLinesAreNotReady guards against an event that is held back because blank
+// lines, after which nothing follows, arrived with it.
+func TestBlankLinesAreNotReady(t *testing.T) {
+	reader := NewEventReader(strings.NewReader("id: 1\n\n\n\r\n\n\nid: 2\n\n"))
+	_, err := reader.Next()
+	must.NoError(t, err)
+	must.True(t, reader.Ready())
+	reader = NewEventReader(strings.NewReader("id: 1\n\n\n\r\n\n\n"))
+	_, err = reader.Next()
+	must.NoError(t, err)
+	must.False(t, reader.Ready())
+}
+
 func FuzzFrameReader(f *testing.F) {
 	f.Add("id: 1\ndata: {}\n\nid: 2\ndata: [DONE]\n\n")
 	f.Add(": x\r\n\r\nid:1\r\ndata:\r\n\r\n\n\n")
