Bound what a malformed response adds to the log

A response that is no HTTP was quoted in the error of the exchange, and so in the log line of the request that failed: one line had 35,394 bytes, and a replica in trouble could write one with each request.

TestGarbageIsNotLogged failed before with that line; its bound is 2 KiB. TestEndlessBytesAfterAnswers (bytes, answers, blank lines and informational responses after a complete answer) and TestEndlessBody passed at once.

--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
 )
 
 // Reuse selects the pooled connections that an exchange may use.
@@ -92,7 +94,7 @@
 		_ = response.Body.Close()
 		return nil, trace, ErrProtocolChanged
 	}
-	return response, trace, err
+	return response, trace, fault.Shorten(err)
 }
 
 // ErrProtocolChanged means that a target left HTTP instead of responding, which no
