Take an event without an ID for malformed, whatever its blanks

Lines of blanks and carriage returns, like CR CR LF LF, were no blank lines to the reader of a replica's stream and no event to the parser, and so counted as an event without an ID: sent without end they kept a stream until the request's deadline, as blank lines had before.

--- a/pkg/target/framereader.go
+++ b/pkg/target/framereader.go
@@ -142,7 +142,7 @@
 			frame.ID = parseID(trimLeadingSpace(value))
 		}
 	}
-	if frame.ID == 0 && len(bytes.TrimSpace(text)) > 0 {
+	if frame.ID == 0 {
 		return Frame{}, ErrFrameMalformed
 	}
 	return frame, nil
