--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -5,6 +5,10 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/go-faster/errors"
+
+	"amaranthplank.example/amaranthplank/pkg/fault"
 )
 
 // Reuse selects the pooled connections that an exchange may use.
@@ -74,9 +78,9 @@
 	}
 }
 
-// Do sends one request. An absent body is replaced by an empty one, since the
-// transport sends requests without a body again when a reused connection breaks. The
-// trace reports whether the request may have left the process.
+// Do sends one request. The trace reports whether the request may have left the
+// process. An absent body is replaced by an empty one, since the transport sends requests
+// without a body again when a reused connection breaks.
 func (c *Client) Do(r *http.Request, reuse Reuse) (*http.Response, *Trace, error) {
 	trace := &Trace{}
 	r.GetBody = nil
@@ -84,9 +88,19 @@
 		r.Body = NewBody(nil)
 	}
 	response, err := c.transports[reuse].RoundTrip(r.WithContext(trace.withTrace(r.Context())))
-	return response, trace, err
+	if err == nil && response.StatusCode < http.StatusOK {
+		// After a change of protocol the request's context no longer ends the
+		// connection.
+		_ = response.Body.Close()
+		return nil, trace, ErrProtocolChanged
+	}
+	return response, trace, fault.Shorten(err)
 }
 
+// ErrProtocolChanged means that a target left HTTP instead of responding, which no
+// request asks for.
+var ErrProtocolChanged = errors.New("the target changed the protocol")
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	for _, transport := range c.transports {
