--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -71,5 +71,5 @@
 		g.opts.Log.Warn("store era of another daemon rejected", "peer", from, "error", err)
 		return
 	}
-	g.store.Hear(received.Era)
+	g.store.ObserveEra(received.Era)
 }
--- a/pkg/lease/era_test.go
+++ b/pkg/lease/era_test.go
@@ -80,7 +80,7 @@
 		holder := c.holder()
 		holder.process.SetPartitioned(faultstore.SideStore, true)
 		c.memory.Restore(c.snapshot)
-		holder.guard.Hear(1)
+		holder.guard.ObserveEra(1)
 		must.ErrorIs(t, holder.authorities[c.duties[0]].Check(), lease.ErrLost)
 		c.stop()
 	})
--- a/pkg/poison/answers.go
+++ b/pkg/poison/answers.go
@@ -10,10 +10,10 @@
 	// answerRecent is how long after an answer to a prompt with a part here that part
 	// is not reported for a crash: the crash has another cause.
 	answerRecent = 2 * time.Second
-	// vouchCrashes is the number of crashes from which on a daemon sends the others its
-	// answer to prompts with a part, and vouchInterval the least time until the next.
-	vouchCrashes  = minCrashes / 2
-	vouchInterval = answeredFor / 2
+	// reportCrashes is the number of crashes from which on a daemon sends the others its
+	// answer to prompts with a part, and answerReportInterval the least time until the next.
+	reportCrashes        = minCrashes / 2
+	answerReportInterval = answeredFor / 2
 )
 
 // Answered records a complete answer. It clears the parts of the prompt, and is sent
@@ -45,25 +45,25 @@
 		return e
 	}
 	for _, answer := range e.Answers {
-		d.vouched[answer.Part] = now.UnixMilli()
+		d.answersReported[answer.Part] = now.UnixMilli()
 	}
 	d.update(&e, now)
 	return e
 }
 
-// vouchFor returns the answers of the last minute to prompts with a part that others
+// answersToReport returns the answers of the last minute to prompts with a part that others
 // report for several crashes, unless such an answer was sent shortly before.
-func (d *Detector) vouchFor(crashes []Crash, now time.Time) Evidence {
+func (d *Detector) answersToReport(crashes []Crash, now time.Time) Evidence {
 	var e Evidence
 	for _, crash := range crashes {
 		for _, prompt := range crash.Lost {
 			for _, part := range prompt.Parts {
 				at := d.table.answered[part]
 				recent := now.UnixMilli()-at <= answeredFor.Milliseconds()
-				told := now.UnixMilli()-d.vouched[part] < vouchInterval.Milliseconds()
-				if recent && !told && len(d.table.crashesOf(part)) >= vouchCrashes {
+				reported := now.UnixMilli()-d.answersReported[part] < answerReportInterval.Milliseconds()
+				if recent && !reported && len(d.table.crashesOf(part)) >= reportCrashes {
 					e.Answers = append(e.Answers, Answer{Part: part, At: at})
-					d.vouched[part] = now.UnixMilli()
+					d.answersReported[part] = now.UnixMilli()
 				}
 			}
 		}
--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -55,15 +55,15 @@
 	// pending holds, by Crash.Incarnation, the lost requests at targets that are not
 	// known to have ended yet.
 	pending map[uint64]*Crash
-	// vouched holds when an answer to a prompt with a part was last sent to the other
+	// answersReported holds when an answer to a prompt with a part was last sent to the other
 	// daemons or received, in Unix milliseconds.
-	vouched map[uint64]int64
+	answersReported map[uint64]int64
 }
 
 // New returns a detector without evidence.
 func New(opts Options) *Detector {
 	d := &Detector{
-		opts: opts, table: NewTable(), suspects: make(map[uint64]bool), pending: make(map[uint64]*Crash), vouched: make(map[uint64]int64),
+		opts: opts, table: NewTable(), suspects: make(map[uint64]bool), pending: make(map[uint64]*Crash), answersReported: make(map[uint64]int64),
 		refused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "amaranthplank_poison_refusals_total", Help: "Sends that were refused because of a suspect part of the prompt.",
 		}),
@@ -114,28 +114,28 @@
 
 // Receive adds the evidence of another daemon, and returns the part that was new.
 func (d *Detector) Receive(e *Evidence) Evidence {
-	fresh, vouching := d.merge(e)
-	if !vouching.empty() {
-		d.opts.Send(&vouching)
+	fresh, answers := d.merge(e)
+	if !answers.empty() {
+		d.opts.Send(&answers)
 	}
 	return fresh
 }
 
 // merge adds evidence. It returns the part that was new, and what other daemons lack
 // to judge it.
-func (d *Detector) merge(e *Evidence) (fresh, vouching Evidence) {
+func (d *Detector) merge(e *Evidence) (fresh, answers Evidence) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Now()
 	fresh = d.table.Merge(e, now)
 	if fresh.empty() {
-		return fresh, vouching
+		return fresh, answers
 	}
 	d.update(&fresh, now)
 	for _, answer := range fresh.Answers {
-		d.vouched[answer.Part] = now.UnixMilli()
+		d.answersReported[answer.Part] = now.UnixMilli()
 	}
-	return fresh, d.vouchFor(fresh.Crashes, now)
+	return fresh, d.answersToReport(fresh.Crashes, now)
 }
 
 // SuspectEvidence returns the evidence on the parts that are suspect, for a daemon
@@ -153,7 +153,7 @@
 		defer d.mu.Unlock()
 		now := d.opts.Now()
 		d.table.Prune(now)
-		maps.DeleteFunc(d.vouched, func(_ uint64, at int64) bool { return now.UnixMilli()-at > vouchInterval.Milliseconds() })
+		maps.DeleteFunc(d.answersReported, func(_ uint64, at int64) bool { return now.UnixMilli()-at > answerReportInterval.Milliseconds() })
 		for part := range d.suspects {
 			d.updatePart(part, now)
 		}
--- a/pkg/poison/exchange_test.go
+++ b/pkg/poison/exchange_test.go
@@ -279,9 +279,9 @@
 	})
 }
 
-// TestAnswersElsewhereVouchForAPart has a part in flight at crashes that one daemon
+// TestAnswersElsewhereClearAPart has a part in flight at crashes that one daemon
 // reports, while another has answered it shortly before.
-func TestAnswersElsewhereVouchForAPart(t *testing.T) {
+func TestAnswersElsewhereClearAPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(2, nil)
 		n.daemons["h-0"].detector.Answered(prompt(session, 99))
--- a/pkg/poison/losses.go
+++ b/pkg/poison/losses.go
@@ -78,8 +78,8 @@
 	if !ended {
 		return
 	}
-	fresh, vouching := d.merge(&Evidence{Crashes: []Crash{*crash}})
-	fresh.Answers = append(fresh.Answers, vouching.Answers...)
+	fresh, answers := d.merge(&Evidence{Crashes: []Crash{*crash}})
+	fresh.Answers = append(fresh.Answers, answers.Answers...)
 	if !fresh.empty() {
 		d.opts.Send(&fresh)
 	}
--- a/pkg/storeera/fleet_test.go
+++ b/pkg/storeera/fleet_test.go
@@ -280,7 +280,7 @@
 		var era external.Era
 		era, risen = d.guard.Era()
 		for _, other := range d.peers() {
-			other.guard.Hear(era)
+			other.guard.ObserveEra(era)
 		}
 	}
 }
--- a/pkg/storeera/guard.go
+++ b/pkg/storeera/guard.go
@@ -42,9 +42,9 @@
 // is known.
 func (g *Guard) Era() (external.Era, <-chan struct{}) { return g.eras.watch() }
 
-// Hear records an era that another daemon knows. Answers of an earlier era are refused
+// ObserveEra records an era that another daemon knows. Answers of an earlier era are refused
 // from then on.
-func (g *Guard) Hear(era external.Era) { g.eras.observe(era) }
+func (g *Guard) ObserveEra(era external.Era) { g.eras.observe(era) }
 
 // answer describes the answer to one call.
 type answer struct {
--- a/pkg/storeera/guard_test.go
+++ b/pkg/storeera/guard_test.go
@@ -162,7 +162,7 @@
 // was before it came back, although another daemon already knows of the rise.
 func TestAnswersOfEarlierEraAreRefused(t *testing.T) {
 	f := newFixture(t)
-	f.guard.Hear(1)
+	f.guard.ObserveEra(1)
 	_, err := f.guard.Get(t.Context(), "k")
 	must.ErrorIs(t, err, errOldAnswer)
 	_, err = f.guard.Watch(t.Context(), "", external.StartCursor)
