Put off the deadline of a begun answer when its timeout is lengthened

Callers saw a stream end without its end, beside a change of the configuration: a request keeps the deadline that its route's timeout gave it when it came, and a begun answer was cut then, though the configuration in force allowed more. An answer that had not begun got 504, which is complete.

The deadline is now asked for again when it passes within an answer, and when a begun answer breaks off near it. It is never beyond what the caller waits, nor beyond the kill of a stopping process.

TestExpiryThatCrossesAPutOffEndsNothing fails without the check for a timer that expires as the deadline is put off.

--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -35,8 +35,12 @@
 	activeClaim *claims.ActiveClaim
 	// revision is that of the configuration by which the request was read, or zero.
 	revision ident.Revision
-	// hasDeadline reports whether the caller sent a deadline of its own.
-	hasDeadline bool
+	// wait is how long the caller waits, or zero if it sent no deadline of its own.
+	wait time.Duration
+	// readAt is when the request had been read, from which its timeouts count.
+	readAt time.Time
+	// deadline is when the request must have ended.
+	deadline time.Time
 	// target is the target of the last attempt, attempts the number of attempts.
 	target   ident.Target
 	attempts int
@@ -107,9 +111,17 @@
 	if err != nil {
 		return err
 	}
-	s.hasDeadline = description.Timeout > 0
+	s.wait, s.readAt = description.Timeout, time.Now()
 	s.req, err = buildRequest(snapshot, s.httpReq, s.id, s.caller, &description, body)
-	return err
+	if err != nil {
+		return err
+	}
+	s.deadline = s.req.Deadline
+	// A claim ends at the deadline that it was made with.
+	if !s.needsClaim() {
+		s.req.LaterDeadline = s.laterDeadline
+	}
+	return nil
 }
 
 // endingMargin is the time before the process is killed by which a request must have
@@ -133,7 +145,7 @@
 		return errStopping
 	}
 	if latest := time.Now().Add(left - endingMargin); latest.Before(s.req.Deadline) {
-		s.req.Deadline = latest
+		s.req.Deadline, s.deadline = latest, latest
 	}
 	return nil
 }
@@ -167,6 +179,7 @@
 	s.lifecycle.TransitionTo(request.Attempting)
 	result := s.handler.opts.Relay.Do(s.httpReq.Context(), s.req, s.writer)
 	s.target, s.attempts, s.begun = result.Target, result.Attempts, result.ResponseStarted
+	s.deadline = result.Deadline
 	s.recordResult(result)
 	s.settleClaim(result.Outcome)
 	switch {
@@ -206,8 +219,8 @@
 		Workspace: s.req.Workspace, Route: s.req.Route, Class: s.req.Class, Model: s.req.Model,
 		Outcome: result.Outcome, CallerGone: result.CallerGone, Total: now.Sub(s.startedAt), Events: result.Events,
 	}
-	observation.HasDeadline = s.hasDeadline
-	observation.InTime = result.Outcome == request.Answered && !now.After(s.req.Deadline)
+	observation.HasDeadline = s.wait > 0
+	observation.InTime = result.Outcome == request.Answered && !now.After(s.deadline)
 	class := string(s.req.Class)
 	if result.ResponseStarted {
 		observation.FirstPart = result.FirstAt.Sub(s.startedAt)
@@ -261,7 +274,7 @@
 	if s.req == nil {
 		return 0
 	}
-	return time.Until(s.req.Deadline)
+	return time.Until(s.deadline)
 }
 
 // logLevel returns the level at which a failure is logged. Errors that callers
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -30,9 +30,11 @@
 	req    *request.Request
 	writer http.ResponseWriter
 	// caller is done when the caller has disconnected.
-	caller  context.Context
-	knobs   *config.RetryKnobs
-	retries *retry.Controller
+	caller context.Context
+	// deadline ends the request, and is put off if a timeout is lengthened.
+	deadline *deadline
+	knobs    *config.RetryKnobs
+	retries  *retry.Controller
 	// failedTargets are the targets at which attempts failed.
 	failedTargets []ident.Target
 	// withheld counts the targets that were chosen and then withheld.
@@ -94,6 +96,7 @@
 	if c.result.ResponseStarted {
 		phase = retry.Streaming
 	}
+	c.retries.SetDeadline(c.deadline.reconsider())
 	decision := c.retries.AfterFailure(phase, failure, time.Now())
 	c.relay.metrics.exchangeFailed(phase, failure, decision)
 	return decision
--- /dev/null
+++ b/pkg/relay/deadline_test.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"amaranthplank.example/amaranthplank/pkg/request"
+)
+
+// newTestDeadline returns a deadline in one second, which may be put off to three.
+func newTestDeadline(t *testing.T) (ended <-chan struct{}, d *deadline) {
+	now := time.Now()
+	req := &request.Request{Deadline: now.Add(time.Second), LaterDeadline: func() time.Time { return now.Add(3 * time.Second) }}
+	ctx, d := startDeadline(t.Context(), req)
+	t.Cleanup(d.stop)
+	return ctx.Done(), d
+}
+
+// TestDeadlineIsPutOffWithinAnswers guards against a deadline that is put off before the
+// answer has begun, or that is not put off, or that ends nothing afterwards.
+func TestDeadlineIsPutOffWithinAnswers(t *testing.T) {
+	for begun, want := range map[bool]time.Duration{false: time.Second, true: 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			ended, d := newTestDeadline(t)
+			start := time.Now()
+			if begun {
+				must.True(t, d.beginAnswer())
+			}
+			<-ended
+			must.Eq(t, want, time.Since(start))
+			must.Eq(t, start.Add(want), d.time())
+		})
+	}
+}
+
+// TestExpiryThatCrossesAPutOffEndsNothing has the timer's function run late, after the
+// deadline was put off. It guards against ending the request at its first deadline.
+func TestExpiryThatCrossesAPutOffEndsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended, d := newTestDeadline(t)
+		start := time.Now()
+		must.True(t, d.beginAnswer())
+		must.Eq(t, start.Add(3*time.Second), d.reconsider())
+		d.expire()
+		<-ended
+		must.Eq(t, 3*time.Second, time.Since(start))
+	})
+}
+
+// TestNoAnswerBeginsAfterTheDeadline guards against an answer that begins as the deadline
+// passes and is then cut.
+func TestNoAnswerBeginsAfterTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended, d := newTestDeadline(t)
+		<-ended
+		must.False(t, d.beginAnswer())
+		must.Eq(t, d.time(), d.reconsider())
+	})
+}
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -42,7 +42,7 @@
 func (a *attempt) newTargetRequest() *TargetRequest {
 	return &TargetRequest{
 		Request: a.call.req, Attempt: a.id, Target: a.record, LastEventID: a.lastEvent,
-		Remaining: time.Until(a.call.req.Deadline), Source: a.source, CacheHolder: a.cacheHolder,
+		Remaining: time.Until(a.call.deadline.time()), Source: a.source, CacheHolder: a.cacheHolder,
 	}
 }
 
--- a/pkg/relay/failure.go
+++ b/pkg/relay/failure.go
@@ -46,6 +46,8 @@
 	// errHedgeLost means that the other attempt of a hedged request was answered
 	// first.
 	errHedgeLost = errors.New("another hedged attempt was answered first")
+	// errAnswerLate means that an answer began as the deadline passed.
+	errAnswerLate = errors.New("the answer began after the deadline")
 	// errSilence means that no data arrived within the silence timeout.
 	errSilence = errors.New("no data received within the silence timeout")
 )
--- a/pkg/relay/move.go
+++ b/pkg/relay/move.go
@@ -53,7 +53,7 @@
 	result := &a.call.result
 	left := a.call.req.MaxOutputTokens - int(result.Events)
 	if result.Events < 2 || left <= 0 {
-		return a.call.req.Deadline
+		return a.call.deadline.time()
 	}
 	gap := now.Sub(result.FirstAt) / time.Duration(result.Events-1)
 	return now.Add(gap * time.Duration(left))
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -40,12 +40,12 @@
 // ResponseStarted is false nothing was written, so the caller can still be sent
 // an error.
 func (r *Relay) Do(ctx context.Context, req *request.Request, w http.ResponseWriter) Result {
-	deadline, cancel := context.WithDeadline(ctx, req.Deadline)
-	defer cancel()
 	c := newCall(r, req, w)
 	c.caller = ctx
-	result := c.do(deadline)
-	result.Ran = c.ran.Load()
+	ctx, c.deadline = startDeadline(ctx, req)
+	defer c.deadline.stop()
+	result := c.do(ctx)
+	result.Ran, result.Deadline = c.ran.Load(), c.deadline.time()
 	return result
 }
 
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -71,5 +71,5 @@
 // chosen.
 func (c *call) mayReplaceWithheld() bool {
 	c.withheld++
-	return c.withheld <= maxWithheld && time.Now().Add(minAttemptTime).Before(c.req.Deadline)
+	return c.withheld <= maxWithheld && time.Now().Add(minAttemptTime).Before(c.deadline.time())
 }
--- a/pkg/relay/unary.go
+++ b/pkg/relay/unary.go
@@ -71,6 +71,9 @@
 
 // relayLarge writes the part of a response that was read, then copies the rest.
 func (a *attempt) relayLarge(ctx context.Context, head *bufferedResponse, rest io.Reader) error {
+	if !a.call.deadline.beginAnswer() {
+		return &exchangeError{failure: retry.DeadlinePassed, cause: errAnswerLate}
+	}
 	writer := a.call.writer
 	a.call.relay.protocol.CopyHeaders(writer.Header(), head.header)
 	if head.length > 0 {
--- a/pkg/retry/controller.go
+++ b/pkg/retry/controller.go
@@ -39,6 +39,13 @@
 	return &Controller{caps: caps, limits: limits, budget: budget}
 }
 
+// SetDeadline replaces the deadline.
+func (c *Controller) SetDeadline(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits.Deadline = deadline
+}
+
 // BeginAttempt counts a new attempt.
 func (c *Controller) BeginAttempt() {
 	c.mu.Lock()
