Name requests that come again in the log

Requests of plain services were not looked at when a target ended.

`request not answered` names it if the request was sent, and a new line, `target ended under requests`, names those of at most eight of the requests lost there. Only the log changes.

--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -239,7 +239,16 @@
 	s.handler.metrics.requestEnded(route, outcome, string(fault.KindOf(err)))
 	s.handler.opts.Log.Log(s.httpReq.Context(), logLevel(fault.KindOf(err)), "request not answered",
 		"request", s.id, "workspace", s.caller.workspace, "route", route, "outcome", outcome,
-		"target", s.target, "attempts", s.attempts, "begun", s.begun, "after", time.Since(s.startedAt), "left", s.timeLeft(), "error", err)
+		"target", s.target, "attempts", s.attempts, "begun", s.begun, "after", time.Since(s.startedAt), "left", s.timeLeft(), "fingerprint", s.fingerprint(), "error", err)
+}
+
+// fingerprint returns the fingerprint of a request that was sent to a target or refused
+// for its fingerprint, and otherwise the empty text: hashing costs more than the line.
+func (s *session) fingerprint() string {
+	if s.req == nil || (s.attempts == 0 && !s.req.HasFingerprint()) {
+		return ""
+	}
+	return s.req.Fingerprint().String()
 }
 
 // timeLeft returns the time until the request's deadline, or zero if the request was
--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -54,7 +54,7 @@
 	suspects map[uint64]bool
 	// pending holds, by Crash.Incarnation, the lost requests at targets that are not
 	// known to have ended yet.
-	pending map[uint64]*Crash
+	pending map[uint64]*pendingCrash
 	// answersReported holds when an answer to a prompt with a part was last sent to the other
 	// daemons or received, in Unix milliseconds.
 	answersReported map[uint64]int64
@@ -63,7 +63,7 @@
 // New returns a detector without evidence.
 func New(opts Options) *Detector {
 	d := &Detector{
-		opts: opts, table: NewTable(), suspects: make(map[uint64]bool), pending: make(map[uint64]*Crash), answersReported: make(map[uint64]int64),
+		opts: opts, table: NewTable(), suspects: make(map[uint64]bool), pending: make(map[uint64]*pendingCrash), answersReported: make(map[uint64]int64),
 		refused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "amaranthplank_poison_refusals_total", Help: "Sends that were refused because of a suspect part of the prompt.",
 		}),
--- a/pkg/poison/exchange_test.go
+++ b/pkg/poison/exchange_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -295,3 +296,24 @@
 		}
 	})
 }
+
+// TestEndOfATargetNamesItsRequests guards against ends of targets whose requests can't be
+// found: one that comes again has another ID each time. The line is bounded.
+func TestEndOfATargetNamesItsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newNetwork(1, nil).daemons["h-0"].detector
+		var lines strings.Builder
+		d.opts.Log = slog.New(slog.NewTextHandler(&lines, nil))
+		for i := range 2 * maxLoggedRequests {
+			d.Lost(&request.Request{ID: ident.Request(fmt.Sprint(i)), Path: fmt.Sprint("/", i)}, "app-1", "")
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		must.StrContains(t, lines.String(), "target ended under requests")
+		must.StrContains(t, lines.String(), fmt.Sprint("target=app-1 incarnation=", hashIncarnation("app-1", 1_800_000_000_000), " lost=", 2*maxLoggedRequests))
+		for i := range 2 * maxLoggedRequests {
+			repeated := &request.Request{ID: "another", Path: fmt.Sprint("/", i)}
+			must.Eq(t, i < maxLoggedRequests, strings.Contains(lines.String(), repeated.Fingerprint().String()))
+		}
+	})
+}
--- a/pkg/poison/losses.go
+++ b/pkg/poison/losses.go
@@ -26,14 +26,34 @@
 // its listener.
 var confirmDelays = [...]time.Duration{20 * time.Millisecond, 100 * time.Millisecond}
 
+// maxLoggedRequests bounds the fingerprints in a log line.
+const maxLoggedRequests = 8
+
+// pendingCrash are the requests that were lost at a target that may have ended.
+type pendingCrash struct {
+	Crash
+	target ident.Target
+	// lost counts the requests, and requests holds the fingerprints of the first ones.
+	lost     int
+	requests []string
+}
+
+// add adds a request and its prompt, unless the latter has no parts.
+func (p *pendingCrash) add(req *request.Request, prompt Prompt) {
+	p.lost++
+	if len(p.requests) < maxLoggedRequests {
+		p.requests = append(p.requests, req.Fingerprint().String())
+	}
+	if len(prompt.Parts) > 0 && len(p.Lost) < maxLost {
+		p.Lost = append(p.Lost, prompt)
+	}
+}
+
 // Lost records that the connection to a target was lost before it had answered a
 // request. It counts once the target refuses a connection or closes it at once: the
 // answer alone may have been lost too.
 func (d *Detector) Lost(req *request.Request, name ident.Target, address string) {
-	prompt, ok := promptOf(req)
-	if !ok {
-		return
-	}
+	prompt, _ := promptOf(req)
 	incarnation, ok := d.opts.Incarnation(name)
 	if !ok {
 		return
@@ -45,20 +65,16 @@
 	prompt.Parts = slices.DeleteFunc(slices.Clone(prompt.Parts), func(part uint64) bool {
 		return now.UnixMilli()-d.table.answered[part] < answerRecent.Milliseconds()
 	})
-	if len(prompt.Parts) == 0 {
-		return
-	}
-	if pending := d.pending[key]; pending != nil {
-		if len(pending.Lost) < maxLost {
-			pending.Lost = append(pending.Lost, prompt)
+	pending := d.pending[key]
+	if pending == nil {
+		if len(d.pending) >= maxPending {
+			return
 		}
-		return
+		pending = &pendingCrash{Crash: Crash{Incarnation: key, At: now.UnixMilli()}, target: name}
+		d.pending[key] = pending
+		go d.confirm(key, address)
 	}
-	if len(d.pending) >= maxPending {
-		return
-	}
-	d.pending[key] = &Crash{Incarnation: key, At: now.UnixMilli(), Lost: []Prompt{prompt}}
-	go d.confirm(key, address)
+	pending.add(req, prompt)
 }
 
 // confirm adds the pending crash of a target to the evidence if the target refuses a
@@ -78,7 +94,11 @@
 	if !ended {
 		return
 	}
-	fresh, answers := d.merge(&Evidence{Crashes: []Crash{*crash}})
+	d.opts.Log.Warn("target ended under requests", "target", crash.target, "incarnation", crash.Incarnation, "lost", crash.lost, "requests", crash.requests)
+	if len(crash.Lost) == 0 {
+		return
+	}
+	fresh, answers := d.merge(&Evidence{Crashes: []Crash{crash.Crash}})
 	fresh.Answers = append(fresh.Answers, answers.Answers...)
 	if !fresh.empty() {
 		d.opts.Send(&fresh)
--- a/pkg/relay/promptguard.go
+++ b/pkg/relay/promptguard.go
@@ -36,12 +36,14 @@
 // reportPrompt reports an attempt's result to the prompt guard.
 func (c *call) reportPrompt(a *attempt, err error) {
 	guard := c.relay.opts.PromptGuard
-	if guard == nil || c.req.Model == "" {
+	if guard == nil {
 		return
 	}
 	switch {
 	case err == nil && (c.result.Events > 0 || !c.req.Stream):
-		guard.Answered(c.req)
+		if c.req.Model != "" {
+			guard.Answered(c.req)
+		}
 	case err == nil:
 		// A stream without events may have been cut off before its first one.
 		if a.phase == retry.Streaming {
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -66,6 +66,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// fingerprint is computed by the first call of Fingerprint.
+	fingerprint Fingerprint
 }
 
 // BoundaryHashes returns the hashes that identify prompts with a common prefix:
