Refuse a request for good once three targets ended under it

Cause: the evidence on crashes is by parts of prompts and wants two different prompts, so that one request which comes again is never suspect; requests of plain services were not looked at; a refusal lasts a minute and then lets one through at each host; and one arrival ends as many targets as its route has attempts.

Change: the fingerprint of a request is a second kind of key in the same table and the same messages, with its own threshold: three crashes since its newest answer, at least one of which no other request with more crashes and no part explains. A record in the store, without a lease, keeps that over restarts of all daemons and over a return of the store from an older copy. One probe in the whole fleet, claimed by a compare-and-swap on the record, is the way out. A retry that might overtake the third crash's confirmation waits for it, at most 0.5 s, and there is no third attempt after two targets have ended. Answers that were lost at targets that go on don't count. Nothing is hashed while no target has ended under requests within half an hour.

The tests' prompts of other requests get bodies and paths of their own, as callers' have.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -128,7 +128,7 @@
 	g.poison = g.newPoisonParts()
 	g.mirror = mirror.New(mirror.Options{
 		Store: opts.Store, Pause: mirror.PauseFor(opts.PropagationBound), CallTimeout: mirror.DefaultCallTimeout, Log: opts.Log,
-	}, opts.ConfigListener, g.targets, g.presence, g.counter, g.windows, tally.NewCheckpointMemory(g.standbyWriter, opts.Log), g.exclusions, g.poison.copy)
+	}, g.poison.records, opts.ConfigListener, g.targets, g.presence, g.counter, g.windows, tally.NewCheckpointMemory(g.standbyWriter, opts.Log), g.exclusions, g.poison.copy)
 }
 
 // initPeers creates the exchange of reports with linked daemons. runLinks adds the
--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"golang.org/x/sync/errgroup"
 
@@ -10,11 +11,12 @@
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
-// poisonParts are the components that refuse prompts which crash targets.
+// poisonParts are the components that refuse requests which crash targets.
 type poisonParts struct {
 	detector *poison.Detector
 	exchange *poison.Exchange
 	copy     *poison.StoreCopy
+	records  *poison.Records
 }
 
 // newPoisonParts creates the components. runLinks adds the links later.
@@ -23,7 +25,9 @@
 	p.detector = poison.New(poison.Options{
 		Now: g.time.Now, Incarnation: g.incarnationOf, Dial: target.NewDialer().DialContext,
 		Send: func(e *poison.Evidence) { p.exchange.Send(e) }, Log: g.opts.Log, Registerer: g.registry,
+		Process: fmt.Sprint(g.opts.Host, "/", g.incarnation),
 	})
+	p.records = poison.NewRecords(p.detector, g.opts.Store)
 	p.copy = poison.NewStoreCopy(g.opts.Host, g.opts.Store, p.detector.Receive, g.opts.Log)
 	p.exchange = poison.NewExchange(p.detector.Receive, p.copy.Add, g.opts.Log)
 	return p
@@ -33,6 +37,7 @@
 func (g *Gateway) runPoisonParts(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return g.poison.copy.Run(ctx) })
+	group.Go(func() error { return g.poison.records.Run(ctx) })
 	group.Go(func() error { return g.poison.exchange.Run(ctx, g.poison.detector.SuspectEvidence) })
 	group.Go(func() error { return g.poison.detector.Run(ctx) })
 	return group.Wait()
--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -28,7 +28,9 @@
 	Dial target.Dial
 	// Send sends evidence to the other daemons. It must not block.
 	Send func(e *Evidence)
-	Log  *slog.Logger
+	// Process is the name of this process, which no other has.
+	Process string
+	Log     *slog.Logger
 	// Registerer registers the metrics; if nil, they are not registered.
 	Registerer prometheus.Registerer
 }
@@ -46,55 +48,80 @@
 // time.
 type Detector struct {
 	opts    Options
-	refused prometheus.Counter
+	refused *prometheus.CounterVec
+	// records claims probes. It is nil if there is no store.
+	records *Records
+	// hashRequests is set while targets ended under requests of late or requests are
+	// refused. Otherwise requests are not hashed.
+	hashRequests atomic.Bool
 
 	mu    sync.Mutex
 	table *Table
 	// suspects are the suspect parts that were logged.
 	suspects map[uint64]bool
+	// suspicions are the requests that are refused.
+	suspicions *suspicions
 	// pending holds, by Crash.Incarnation, the lost requests at targets that are not
 	// known to have ended yet.
 	pending map[uint64]*pendingCrash
-	// answersReported holds when an answer to a prompt with a part was last sent to the other
-	// daemons or received, in Unix milliseconds.
-	answersReported map[uint64]int64
+	// answersReported holds when an answer to a key was last sent to the other daemons or
+	// received, in Unix milliseconds.
+	answersReported map[Key]int64
 }
 
 // New returns a detector without evidence.
 func New(opts Options) *Detector {
 	d := &Detector{
-		opts: opts, table: NewTable(), suspects: make(map[uint64]bool), pending: make(map[uint64]*pendingCrash), answersReported: make(map[uint64]int64),
-		refused: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "amaranthplank_poison_refusals_total", Help: "Sends that were refused because of a suspect part of the prompt.",
-		}),
+		opts: opts, table: NewTable(), suspects: make(map[uint64]bool), suspicions: newSuspicions(),
+		pending: make(map[uint64]*pendingCrash), answersReported: make(map[Key]int64),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "amaranthplank_poison_refusals_total", Help: "Sends that were refused because the request or a part of its prompt is suspect.",
+		}, []string{"kind"}),
 	}
 	if opts.Registerer != nil {
-		opts.Registerer.MustRegister(d.refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "amaranthplank_poison_suspects", Help: "Parts of prompts that are suspected of crashing targets.",
-		}, d.countSuspects))
+		opts.Registerer.MustRegister(d.refused, d.suspectsGauge(PartKind), d.suspectsGauge(RequestKind))
 	}
 	return d
 }
 
-// countSuspects returns the number of suspect parts.
-func (d *Detector) countSuspects() float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return float64(len(d.suspects))
+// suspectsGauge returns the metric of the suspect keys of one kind.
+func (d *Detector) suspectsGauge(kind Kind) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "amaranthplank_poison_suspects", Help: "Requests and parts of prompts that are suspected of crashing targets.",
+		ConstLabels: prometheus.Labels{"kind": kind.String()},
+	}, func() float64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if kind == RequestKind {
+			return float64(d.suspicions.count())
+		}
+		return float64(len(d.suspects))
+	})
 }
 
-// Check returns an error if a request must not be sent to a target.
-func (d *Detector) Check(req *request.Request) error {
-	prompt, ok := promptOf(req)
-	if !ok {
+// Check returns an error if a request must not be sent to a target. It reports whether
+// this send is a probe, which must not be repeated and must reach one target only.
+func (d *Detector) Check(req *request.Request) (probe bool, err error) {
+	if err := d.checkParts(promptOf(req)); err != nil {
+		return false, err
+	}
+	if !d.hashRequests.Load() {
+		return false, nil
+	}
+	return d.checkRequest(uint64(req.Fingerprint()))
+}
+
+// checkParts returns an error if a prompt has a suspect part.
+func (d *Detector) checkParts(prompt Prompt) error {
+	if len(prompt.Parts) == 0 {
 		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Now()
 	for _, part := range prompt.Parts {
-		if verdict := d.table.Judge(part, now); verdict.Suspect {
-			d.refused.Inc()
+		if verdict := d.table.Judge(partKey(part), now); verdict.Suspect {
+			d.refused.WithLabelValues(PartKind.String()).Inc()
 			return fault.New(fault.Unavailable, "targets crashed under requests with a part of this prompt",
 				"leave that part out; the same prompt is refused for some time").WithRetryAfter(min(verdict.Until.Sub(now), maxRetryAfter))
 		}
@@ -102,48 +129,84 @@
 	return nil
 }
 
-// promptOf returns the description of a request's prompt, or false if it has no part
+// errSuspectRequest refuses a request under which targets crashed.
+var errSuspectRequest = fault.New(fault.Unavailable, "targets crashed under this request each time",
+	"change the request; the same one is refused unless a later probe of it is answered").WithRetryAfter(maxRetryAfter)
+
+// checkRequest returns an error if a request is refused, and reports whether it is sent as
+// its probe.
+func (d *Detector) checkRequest(hash uint64) (bool, error) {
+	d.mu.Lock()
+	outcome := noProbe
+	refused := d.suspicions.has(requestKey(hash))
+	if refused {
+		outcome = d.suspicions.ask(hash, d.opts.Process, d.opts.Now())
+	}
+	d.mu.Unlock()
+	switch {
+	case !refused:
+		return false, nil
+	case outcome == sendProbe, outcome == claimProbe && d.records != nil && d.records.claim(hash):
+		d.opts.Log.Warn("refused request probed", "fingerprint", requestKey(hash).name())
+		return true, nil
+	}
+	d.refused.WithLabelValues(RequestKind.String()).Inc()
+	return false, errSuspectRequest
+}
+
+// promptOf returns the description of a request's prompt, without parts if it has none
 // that other requests may have.
-func promptOf(req *request.Request) (Prompt, bool) {
+func promptOf(req *request.Request) Prompt {
 	last := len(req.PartIDs) - 1
 	if last < 1 {
-		return Prompt{}, false
+		return Prompt{}
 	}
-	return Prompt{Own: req.PartIDs[last], Parts: req.PartIDs[:min(last, maxParts)]}, true
+	return Prompt{Own: req.PartIDs[last], Parts: req.PartIDs[:min(last, maxParts)]}
 }
 
 // Receive adds the evidence of another daemon, and returns the part that was new.
 func (d *Detector) Receive(e *Evidence) Evidence {
-	fresh, answers := d.merge(e)
+	fresh, answers := d.merge(e, false)
 	if !answers.empty() {
 		d.opts.Send(&answers)
 	}
 	return fresh
 }
 
-// merge adds evidence. It returns the part that was new, and what other daemons lack
-// to judge it.
-func (d *Detector) merge(e *Evidence) (fresh, answers Evidence) {
+// merge adds evidence, of this daemon itself if own is set. It returns the part that was
+// new, and what other daemons lack to judge it.
+func (d *Detector) merge(e *Evidence, own bool) (fresh, answers Evidence) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	defer d.noteRequests()
 	now := d.opts.Now()
+	for _, suspicion := range e.Suspicions[:min(len(e.Suspicions), maxSuspicions)] {
+		d.suspect(requestKey(suspicion.Request), min(suspicion.At, now.UnixMilli()), now, false)
+	}
 	fresh = d.table.Merge(e, now)
 	if fresh.empty() {
 		return fresh, answers
 	}
-	d.update(&fresh, now)
+	d.update(&fresh, now, own)
 	for _, answer := range fresh.Answers {
-		d.answersReported[answer.Part] = now.UnixMilli()
+		d.answersReported[answer.key()] = now.UnixMilli()
 	}
 	return fresh, d.answersToReport(fresh.Crashes, now)
 }
 
-// SuspectEvidence returns the evidence on the parts that are suspect, for a daemon
-// that lacks it.
+// SuspectEvidence returns the evidence on what is suspect, and on requests that may
+// become so, for a daemon that lacks it.
 func (d *Detector) SuspectEvidence() Evidence {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.table.EvidenceOn(d.table.Suspects(d.opts.Now()))
+	e := d.table.EvidenceOn(d.table.Suspects(d.opts.Now()))
+	e.Suspicions = d.suspicions.all()
+	return e
+}
+
+// noteRequests notes whether requests have to be hashed. d.mu must be held.
+func (d *Detector) noteRequests() {
+	d.hashRequests.Store(d.table.requests > 0 || len(d.suspicions.held) > 0)
 }
 
 // Run ends suspicions until ctx ends.
@@ -153,7 +216,9 @@
 		defer d.mu.Unlock()
 		now := d.opts.Now()
 		d.table.Prune(now)
-		maps.DeleteFunc(d.answersReported, func(_ uint64, at int64) bool { return now.UnixMilli()-at > answerReportInterval.Milliseconds() })
+		d.suspicions.expire(now)
+		d.noteRequests()
+		maps.DeleteFunc(d.answersReported, func(_ Key, at int64) bool { return now.UnixMilli()-at > answerReportInterval.Milliseconds() })
 		for part := range d.suspects {
 			d.updatePart(part, now)
 		}
@@ -161,33 +226,58 @@
 	})
 }
 
-// update logs which of the parts in new evidence are suspect now, and which are no
-// longer. d.mu must be held.
-func (d *Detector) update(e *Evidence, now time.Time) {
-	for _, crash := range e.Crashes {
-		for _, prompt := range crash.Lost {
-			for _, part := range prompt.Parts {
-				d.updatePart(part, now)
+// update refuses the requests that are suspect by new evidence, and no longer those that
+// were answered. It logs that, and which parts are suspect now. d.mu must be held.
+func (d *Detector) update(e *Evidence, now time.Time, own bool) {
+	for i := range e.Crashes {
+		for _, key := range e.Crashes[i].keys() {
+			if key.Kind == PartKind {
+				d.updatePart(key.Hash, now)
+				continue
+			}
+			if verdict := d.table.Judge(key, now); verdict.Suspect {
+				d.suspect(key, d.newestCrash(key), now, own)
 			}
 		}
 	}
-	for _, answer := range e.Answers {
-		d.updatePart(answer.Part, now)
+	for i := range e.Answers {
+		key := e.Answers[i].key()
+		if key.Kind == PartKind {
+			d.updatePart(key.Hash, now)
+		} else if d.suspicions.answered(key.Hash, d.table.answered[key], now, own) {
+			d.opts.Log.Info("request no longer suspected", "fingerprint", key.name())
+		}
+	}
+}
+
+// newestCrash returns when the last crash under a key was noticed, in Unix milliseconds.
+func (d *Detector) newestCrash(key Key) int64 {
+	crashes := d.table.crashesOf(key)
+	return crashes[len(crashes)-1].at
+}
+
+// suspect refuses a request from now on, unless it was answered after the given time. own
+// is set if this daemon noticed the last crash. d.mu must be held.
+func (d *Detector) suspect(key Key, at int64, now time.Time, own bool) {
+	if d.table.answered[key] >= at {
+		return
+	}
+	if d.suspicions.add(key.Hash, at, now, own) {
+		crashes := len(d.table.crashesOf(key))
+		d.opts.Log.Warn("request suspected", "fingerprint", key.name(), "from", "crashes", "at", time.UnixMilli(at), "crashes", crashes)
 	}
 }
 
 // updatePart logs the beginning or the end of a part's suspicion. d.mu must be held.
 func (d *Detector) updatePart(part uint64, now time.Time) {
-	verdict, logged := d.table.Judge(part, now), d.suspects[part]
+	key := partKey(part)
+	verdict, logged := d.table.Judge(key, now), d.suspects[part]
 	switch {
 	case verdict.Suspect && !logged && len(d.suspects) < maxSuspects:
 		d.suspects[part] = true
-		d.opts.Log.Warn("prompt part suspected", "part", partName(part), "crashes", verdict.Crashes, "until", verdict.Until)
+		d.opts.Log.Warn("prompt part suspected", "part", key.name(), "crashes", verdict.Crashes, "until", verdict.Until)
 	case !verdict.Suspect && logged:
 		delete(d.suspects, part)
-		d.opts.Log.Info("prompt part no longer suspected", "part", partName(part), "cleared", verdict.Until.IsZero())
+		d.opts.Log.Info("prompt part no longer suspected", "part", key.name(), "cleared", verdict.Until.IsZero())
 	}
 }
-
-// partName returns a part's hash for the log.
-func partName(part uint64) string { return fmt.Sprintf("%016x", part) }
--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -15,6 +15,8 @@
 	// Relayed is set if the message covers the sender's cell and is not to be sent
 	// on; see backlog.Topology.
 	Relayed bool
+	// Suspicions are sent to a daemon that may lack the crashes they rest on.
+	Suspicions []Suspicion
 }
 
 // Crash is the end of one incarnation of a target under requests that it had not
@@ -25,6 +27,8 @@
 	// At is when the sender noticed it, in Unix milliseconds.
 	At   int64
 	Lost []Prompt
+	// Requests are the fingerprints of the requests.
+	Requests []uint64
 }
 
 // Prompt describes the prompt of a request.
@@ -35,15 +39,28 @@
 	Parts []uint64
 }
 
-// Answer is the newest complete answer to a prompt with a part.
+// Answer is the newest complete answer to a prompt with a part, or to a request.
 type Answer struct {
+	// Part is the hash of the part, or the fingerprint of the request.
 	Part uint64
 	// At is when the answer ended, in Unix milliseconds.
+	At   int64
+	Kind Kind
+}
+
+// key returns what was answered.
+func (a *Answer) key() Key { return Key{Kind: a.Kind, Hash: a.Part} }
+
+// Suspicion is a request that is refused because targets crashed under it.
+type Suspicion struct {
+	Request uint64
+	// At is when the last of the crashes that it rests on was noticed, in Unix
+	// milliseconds.
 	At int64
 }
 
 // empty reports whether there is nothing to send.
-func (e *Evidence) empty() bool { return len(e.Crashes)+len(e.Answers) == 0 }
+func (e *Evidence) empty() bool { return len(e.Crashes)+len(e.Answers)+len(e.Suspicions) == 0 }
 
 // hashIncarnation returns the hash of a target's name and incarnation.
 func hashIncarnation(name ident.Target, incarnation ident.Incarnation) uint64 {
--- a/pkg/poison/exchange_test.go
+++ b/pkg/poison/exchange_test.go
@@ -140,14 +140,23 @@
 // how long that took.
 func refusedAfter(d *Detector, part uint64) time.Duration {
 	began := time.Now()
-	for d.Check(prompt(part, 300)) == nil && time.Since(began) < 10*time.Second {
+	for refusal(d, prompt(part, 300)) == nil && time.Since(began) < 10*time.Second {
 		time.Sleep(time.Millisecond)
 	}
 	return time.Since(began)
 }
 
-// prompt returns a request whose prompt has parts; the last is its own.
-func prompt(parts ...uint64) *request.Request { return &request.Request{PartIDs: parts} }
+// prompt returns a request whose prompt has parts; the last is its own. Requests with other
+// parts have other fingerprints, as their bodies differ.
+func prompt(parts ...uint64) *request.Request {
+	return &request.Request{PartIDs: parts, Path: fmt.Sprint(parts)}
+}
+
+// refusal returns the error with which a detector refuses a request, or nil.
+func refusal(d *Detector, req *request.Request) error {
+	_, err := d.Check(req)
+	return err
+}
 
 // TestEvidenceReachesEveryDaemonOnce guards against crashes that a large fleet notices
 // in parts. For ten seconds ten parts a second crash four targets each, noticed by a
@@ -166,9 +175,9 @@
 		most, sum := 0, 0
 		for host, d := range n.daemons {
 			for part := range uint64(seconds * parts) {
-				must.Error(t, d.detector.Check(prompt(common, hashOf(part), 300)), must.Sprint(host))
+				must.Error(t, refusal(d.detector, prompt(common, hashOf(part), 300)), must.Sprint(host))
 			}
-			must.NoError(t, d.detector.Check(prompt(hashOf(1000), 301)), must.Sprint(host))
+			must.NoError(t, refusal(d.detector, prompt(hashOf(1000), 301)), must.Sprint(host))
 			received, bytes := d.usage()
 			must.LessEq(t, seconds*parts*minCrashes, received)
 			most, sum = max(most, bytes), sum+bytes
@@ -193,10 +202,10 @@
 		n.setCut("h-1", true)
 		time.Sleep(time.Second)
 		fresh := n.add("h-1", nil)
-		must.NoError(t, fresh.detector.Check(prompt(bad, 300)))
+		must.NoError(t, refusal(fresh.detector, prompt(bad, 300)))
 		n.setCut("h-1", false)
 		time.Sleep(time.Second)
-		must.Error(t, fresh.detector.Check(prompt(bad, 300)))
+		must.Error(t, refusal(fresh.detector, prompt(bad, 300)))
 	})
 }
 
@@ -255,28 +264,28 @@
 			return near
 		}
 		lose()
-		must.NoError(t, d.Check(prompt(bad, 300)))
+		must.NoError(t, refusal(d, prompt(bad, 300)))
 		dial = func() net.Conn {
 			near, far := net.Pipe()
 			time.AfterFunc(time.Millisecond, func() { _ = far.Close() })
 			return near
 		}
 		lose()
-		must.Error(t, d.Check(prompt(bad, 300)), must.Sprint("connections that are closed at once"))
+		must.Error(t, refusal(d, prompt(bad, 300)), must.Sprint("connections that are closed at once"))
 		d.Answered(prompt(bad, 400))
-		must.NoError(t, d.Check(prompt(bad, 300)))
+		must.NoError(t, refusal(d, prompt(bad, 300)))
 		time.Sleep(time.Minute)
 		dial = func() net.Conn { return nil }
 		for i := range uint64(minCrashesAnswered) {
 			d.Lost(prompt(bad, 100+i), ident.Target(fmt.Sprint("f-", i)), "")
 			time.Sleep(time.Second)
 		}
-		err := d.Check(prompt(bad, 300))
+		err := refusal(d, prompt(bad, 300))
 		must.Eq(t, fault.Unavailable, fault.KindOf(err))
 		must.Eq(t, maxRetryAfter, fault.RetryAfterOf(err))
-		must.NoError(t, d.Check(prompt(bad)), must.Sprint("the last part is the request's own"))
+		must.NoError(t, refusal(d, prompt(bad)), must.Sprint("the last part is the request's own"))
 		d.Answered(prompt(bad, 400))
-		must.NoError(t, d.Check(prompt(bad, 300)))
+		must.NoError(t, refusal(d, prompt(bad, 300)))
 	})
 }
 
@@ -292,7 +301,7 @@
 		}
 		time.Sleep(time.Second)
 		for _, d := range n.daemons {
-			must.NoError(t, d.detector.Check(prompt(session, 300)))
+			must.NoError(t, refusal(d.detector, prompt(session, 300)))
 		}
 	})
 }
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// maxCrashes and maxKeptParts bound the crashes that are kept and the parts of
-	// their prompts together, and maxLost the prompts of one crash. Beyond them the
-	// oldest crashes are dropped.
-	maxCrashes   = 512
-	maxKeptParts = 32768
-	maxLost      = 256
-	// maxAnswers bounds the parts whose newest answer is kept.
+	// maxCrashes and maxKeptKeys bound the crashes that are kept and the parts of
+	// their prompts and their requests together, and maxLost the prompts and the requests
+	// of one crash. Beyond them the oldest crashes are dropped.
+	maxCrashes  = 512
+	maxKeptKeys = 32768
+	maxLost     = 256
+	// maxAnswers bounds the keys whose newest answer is kept.
 	maxAnswers = 8192
 	// maxParts bounds the parts of one prompt that are looked at.
 	maxParts = 16
@@ -24,8 +24,9 @@
 
 // crash is a crash that is kept.
 type crash struct {
-	at   int64
-	lost []Prompt
+	at       int64
+	lost     []Prompt
+	requests []uint64
 }
 
 // Table holds the evidence of all daemons. Its verdicts depend on the evidence but
@@ -34,17 +35,18 @@
 type Table struct {
 	// crashes holds the crashes by Crash.Incarnation.
 	crashes map[uint64]*crash
-	// parts holds for each part the crashes under prompts with it.
-	parts map[uint64][]uint64
-	// kept is the number of parts of the kept crashes' prompts.
-	kept int
-	// answered holds the time of each part's newest answer in Unix milliseconds.
-	answered map[uint64]int64
+	// keys holds for each key the crashes under requests with it.
+	keys map[Key][]uint64
+	// kept is the number of keys of the kept crashes, and requests that of the
+	// different requests among them.
+	kept, requests int
+	// answered holds the time of each key's newest answer in Unix milliseconds.
+	answered map[Key]int64
 }
 
 // NewTable returns a table without evidence.
 func NewTable() *Table {
-	return &Table{crashes: make(map[uint64]*crash), parts: make(map[uint64][]uint64), answered: make(map[uint64]int64)}
+	return &Table{crashes: make(map[uint64]*crash), keys: make(map[Key][]uint64), answered: make(map[Key]int64)}
 }
 
 // Merge adds evidence, and returns the part of it that is new.
@@ -56,7 +58,7 @@
 		}
 	}
 	for i := range e.Crashes {
-		if added := t.mergeCrash(&e.Crashes[i], now); len(added.Lost) > 0 {
+		if added := t.mergeCrash(&e.Crashes[i], now); len(added.Lost)+len(added.Requests) > 0 {
 			fresh.Crashes = append(fresh.Crashes, added)
 		}
 	}
@@ -66,23 +68,23 @@
 // mergeAnswer records an answer and reports whether it is newer than the known one.
 func (t *Table) mergeAnswer(answer Answer, now time.Time) bool {
 	at := min(answer.At, now.UnixMilli())
-	if at <= t.answered[answer.Part] {
+	if answer.Kind >= kinds || at <= t.answered[answer.key()] {
 		return false
 	}
 	if len(t.answered) >= maxAnswers {
 		t.dropOldestAnswers()
 	}
-	t.answered[answer.Part] = at
+	t.answered[answer.key()] = at
 	return true
 }
 
 // dropOldestAnswers drops half of the answers.
 func (t *Table) dropOldestAnswers() {
 	middle := slices.Sorted(maps.Values(t.answered))[len(t.answered)/2]
-	maps.DeleteFunc(t.answered, func(_ uint64, at int64) bool { return at <= middle })
+	maps.DeleteFunc(t.answered, func(_ Key, at int64) bool { return at <= middle })
 }
 
-// mergeCrash adds a crash, and returns it with those prompts that are new.
+// mergeCrash adds a crash, and returns it with those prompts and requests that are new.
 func (t *Table) mergeCrash(c *Crash, now time.Time) Crash {
 	added := Crash{Incarnation: c.Incarnation, At: min(c.At, now.UnixMilli())}
 	if now.Sub(time.UnixMilli(c.At)) > maxAge {
@@ -102,9 +104,16 @@
 		}
 		known.lost = append(known.lost, prompt)
 		added.Lost = append(added.Lost, prompt)
-		t.index(key, prompt.Parts)
 	}
-	for len(t.crashes) > maxCrashes || t.kept > maxKeptParts {
+	for _, fingerprint := range c.Requests {
+		if len(known.requests) >= maxLost || slices.Contains(known.requests, fingerprint) {
+			continue
+		}
+		known.requests = append(known.requests, fingerprint)
+		added.Requests = append(added.Requests, fingerprint)
+	}
+	t.index(key, added.keys())
+	for len(t.crashes) > maxCrashes || t.kept > maxKeptKeys {
 		t.dropOldestCrash()
 	}
 	return added
@@ -115,12 +124,15 @@
 	return p.Own == other.Own && slices.Equal(p.Parts, other.Parts)
 }
 
-// index adds a crash to those of its parts.
-func (t *Table) index(key uint64, parts []uint64) {
-	t.kept += len(parts)
-	for _, part := range parts {
-		if !slices.Contains(t.parts[part], key) {
-			t.parts[part] = append(t.parts[part], key)
+// index adds a crash to those of its keys.
+func (t *Table) index(incarnation uint64, keys []Key) {
+	t.kept += len(keys)
+	for _, key := range keys {
+		if key.Kind == RequestKind && len(t.keys[key]) == 0 {
+			t.requests++
+		}
+		if !slices.Contains(t.keys[key], incarnation) {
+			t.keys[key] = append(t.keys[key], incarnation)
 		}
 	}
 }
@@ -134,17 +146,25 @@
 }
 
 // drop removes a crash.
-func (t *Table) drop(key uint64) {
-	for _, prompt := range t.crashes[key].lost {
-		t.kept -= len(prompt.Parts)
-		for _, part := range prompt.Parts {
-			t.parts[part] = slices.DeleteFunc(t.parts[part], func(k uint64) bool { return k == key })
-			if len(t.parts[part]) == 0 {
-				delete(t.parts, part)
-			}
+func (t *Table) drop(incarnation uint64) {
+	known := t.crashes[incarnation]
+	keys := keysOf(known.lost, known.requests)
+	t.kept -= len(keys)
+	for _, key := range keys {
+		crashes, found := t.keys[key]
+		if !found {
+			continue
+		}
+		t.keys[key] = slices.DeleteFunc(crashes, func(other uint64) bool { return other == incarnation })
+		if len(t.keys[key]) > 0 {
+			continue
+		}
+		delete(t.keys, key)
+		if key.Kind == RequestKind {
+			t.requests--
 		}
 	}
-	delete(t.crashes, key)
+	delete(t.crashes, incarnation)
 }
 
 // Prune drops what is too old to matter.
@@ -155,5 +175,5 @@
 			t.drop(key)
 		}
 	}
-	maps.DeleteFunc(t.answered, func(_ uint64, at int64) bool { return at < limit })
+	maps.DeleteFunc(t.answered, func(_ Key, at int64) bool { return at < limit })
 }
--- a/pkg/poison/verdict.go
+++ b/pkg/poison/verdict.go
@@ -26,23 +26,31 @@
 	firstHold = time.Minute
 )
 
-// Verdict is what the evidence says of one part.
+// Verdict is what the evidence says of one key.
 type Verdict struct {
-	// Suspect is whether requests with the part must not be sent, and Until when the
-	// suspicion ends if nothing new is learnt.
+	// Suspect is whether requests with the key must not be sent. Until is when the
+	// suspicion of a part ends if nothing new is learnt; that of a request lasts.
 	Suspect bool
 	Until   time.Time
 	// Crashes is the number of crashes that count.
 	Crashes int
 }
 
-// Judge returns the verdict on a part.
-func (t *Table) Judge(part uint64, now time.Time) Verdict {
-	if len(t.parts[part]) < minCrashes {
+// Judge returns the verdict on a key.
+func (t *Table) Judge(key Key, now time.Time) Verdict {
+	if key.Kind == RequestKind {
+		return t.judgeRequest(key)
+	}
+	return t.judgePart(key, now)
+}
+
+// judgePart returns the verdict on a part.
+func (t *Table) judgePart(part Key, now time.Time) Verdict {
+	if len(t.keys[part]) < minCrashes {
 		return Verdict{}
 	}
 	counted, threshold := t.crashesOf(part), minCrashes
-	if len(counted) < minCrashes {
+	if len(counted) < minCrashes || t.underOneRequest(counted) {
 		return Verdict{Crashes: len(counted)}
 	}
 	count := len(counted)
@@ -61,11 +69,11 @@
 // maxDoublings bounds the shift that doubles the hold; maxAge bounds the hold itself.
 const maxDoublings = 10
 
-// crashesOf returns the crashes under a part since its newest answer, sorted by time.
-func (t *Table) crashesOf(part uint64) []*crash {
+// crashesOf returns the crashes under a key since its newest answer, sorted by time.
+func (t *Table) crashesOf(key Key) []*crash {
 	var found []*crash
-	for _, key := range t.parts[part] {
-		if known := t.crashes[key]; known.at > t.answered[part] {
+	for _, incarnation := range t.keys[key] {
+		if known := t.crashes[incarnation]; known.at > t.answered[key] {
 			found = append(found, known)
 		}
 	}
@@ -75,17 +83,18 @@
 
 // answeredBefore reports whether a part was answered shortly before the first of its
 // crashes.
-func (t *Table) answeredBefore(part uint64, crashes []*crash) bool {
+func (t *Table) answeredBefore(part Key, crashes []*crash) bool {
 	at, ok := t.answered[part]
 	return ok && len(crashes) > 0 && crashes[0].at-at <= answeredFor.Milliseconds()
 }
 
 // explained reports whether another part of a crash's prompts, one with at least
 // minCrashes and no answer before them, explains the crash.
-func (t *Table) explained(c *crash, part uint64) bool {
+func (t *Table) explained(c *crash, part Key) bool {
 	for _, prompt := range c.lost {
-		for _, other := range prompt.Parts {
-			if other == part || len(t.parts[other]) < minCrashes {
+		for _, hash := range prompt.Parts {
+			other := partKey(hash)
+			if other == part || len(t.keys[other]) < minCrashes {
 				continue
 			}
 			crashes := t.crashesOf(other)
@@ -114,11 +123,11 @@
 
 // countPrompts counts the different prompts with a part under which targets crashed,
 // up to minPrompts.
-func countPrompts(crashes []*crash, part uint64) int {
+func countPrompts(crashes []*crash, part Key) int {
 	own := make([]uint64, 0, minPrompts)
 	for _, c := range crashes {
 		for _, prompt := range c.lost {
-			if !slices.Contains(prompt.Parts, part) || slices.Contains(own, prompt.Own) {
+			if !slices.Contains(prompt.Parts, part.Hash) || slices.Contains(own, prompt.Own) {
 				continue
 			}
 			if own = append(own, prompt.Own); len(own) == minPrompts {
@@ -129,30 +138,54 @@
 	return len(own)
 }
 
-// Suspects returns the parts that are suspect.
-func (t *Table) Suspects(now time.Time) map[uint64]Verdict {
-	suspects := make(map[uint64]Verdict)
-	for part := range t.parts {
-		if verdict := t.Judge(part, now); verdict.Suspect {
-			suspects[part] = verdict
+// Suspects returns the keys that are suspect.
+func (t *Table) Suspects(now time.Time) map[Key]Verdict {
+	suspects := make(map[Key]Verdict)
+	for key := range t.keys {
+		if verdict := t.Judge(key, now); verdict.Suspect {
+			suspects[key] = verdict
 		}
 	}
 	return suspects
 }
 
-// EvidenceOn returns the evidence on parts, for a daemon that lacks it.
-func (t *Table) EvidenceOn(parts map[uint64]Verdict) Evidence {
+// maxRequestCrashes bounds the crashes in EvidenceOn that only requests are known of.
+const maxRequestCrashes = 64
+
+// EvidenceOn returns the evidence on suspect parts, and the newest on requests, suspect
+// or not, for a daemon that lacks it.
+func (t *Table) EvidenceOn(suspects map[Key]Verdict) Evidence {
 	var e Evidence
-	for key, known := range t.crashes {
-		var lost []Prompt
+	newest := t.newestCrashes(maxRequestCrashes)
+	for incarnation, known := range t.crashes {
+		found := Crash{Incarnation: incarnation, At: known.at}
 		for _, prompt := range known.lost {
-			if slices.ContainsFunc(prompt.Parts, func(part uint64) bool { _, ok := parts[part]; return ok }) {
-				lost = append(lost, prompt)
+			if slices.ContainsFunc(prompt.Parts, func(part uint64) bool { return suspects[partKey(part)].Suspect }) {
+				found.Lost = append(found.Lost, prompt)
 			}
 		}
-		if len(lost) > 0 {
-			e.Crashes = append(e.Crashes, Crash{Incarnation: key, At: known.at, Lost: lost})
+		if newest[incarnation] {
+			found.Requests = known.requests
+		}
+		if len(found.Lost)+len(found.Requests) > 0 {
+			e.Crashes = append(e.Crashes, found)
 		}
 	}
 	return e
 }
+
+// newestCrashes returns the newest crashes under requests.
+func (t *Table) newestCrashes(count int) map[uint64]bool {
+	all := make([]uint64, 0, len(t.crashes))
+	for incarnation, known := range t.crashes {
+		if len(known.requests) > 0 {
+			all = append(all, incarnation)
+		}
+	}
+	slices.SortFunc(all, func(a, b uint64) int { return cmp.Compare(t.crashes[b].at, t.crashes[a].at) })
+	newest := make(map[uint64]bool)
+	for _, incarnation := range all[:min(count, len(all))] {
+		newest[incarnation] = true
+	}
+	return newest
+}
--- a/pkg/poison/verdict_test.go
+++ b/pkg/poison/verdict_test.go
@@ -45,13 +45,13 @@
 	table := NewTable()
 	for i := range 4 {
 		now := after(int64(i) * 250)
-		must.False(t, table.Judge(bad, now).Suspect)
+		must.False(t, table.Judge(partKey(bad), now).Suspect)
 		e := Evidence{Crashes: []Crash{end(i, int64(i)*250, uint64(100+i), common, bad, uint64(200+i))}}
 		e.Answers = []Answer{answer(int64(i)*250+100, common)}
 		table.Merge(&e, now.Add(100*time.Millisecond))
 	}
 	must.Eq(t, 1, len(table.Suspects(after(1000))))
-	must.True(t, table.Judge(bad, after(1000)).Suspect)
+	must.True(t, table.Judge(partKey(bad), after(1000)).Suspect)
 }
 
 // TestPartThatWasAnsweredIsNotBlamed has no answer at all between the crashes: they
@@ -62,8 +62,8 @@
 	for i := range 20 {
 		table.Merge(&Evidence{Crashes: []Crash{end(i, int64(i)*300, uint64(100+i), common, bad)}}, after(10_000))
 	}
-	must.True(t, table.Judge(bad, after(10_000)).Suspect)
-	must.False(t, table.Judge(common, after(10_000)).Suspect)
+	must.True(t, table.Judge(partKey(bad), after(10_000)).Suspect)
+	must.False(t, table.Judge(partKey(common), after(10_000)).Suspect)
 }
 
 // TestPartThatTurnsBadIsSuspect has crashes under a part that was answered before.
@@ -71,10 +71,10 @@
 	table := NewTable()
 	table.Merge(&Evidence{Answers: []Answer{answer(0, bad)}}, after(0))
 	for i := range minCrashesAnswered {
-		must.False(t, table.Judge(bad, after(10_000)).Suspect)
+		must.False(t, table.Judge(partKey(bad), after(10_000)).Suspect)
 		table.Merge(&Evidence{Crashes: []Crash{end(i, int64(i)*300+1, uint64(100+i), bad)}}, after(10_000))
 	}
-	must.True(t, table.Judge(bad, after(10_000)).Suspect)
+	must.True(t, table.Judge(partKey(bad), after(10_000)).Suspect)
 }
 
 // TestRetriesOfOneRequestBlameNobody has one request and its retries end targets.
@@ -109,8 +109,8 @@
 			table.Merge(&Evidence{Crashes: []Crash{c}}, after(3000))
 		}
 		for id, verdict := range table.Suspects(after(3000)) {
-			must.Greater(t, 10, id)
-			must.GreaterEq(t, minCrashes, len(slices.Compact(slices.Sorted(slices.Values(seen[id])))))
+			must.Greater(t, 10, id.Hash)
+			must.GreaterEq(t, minCrashes, len(slices.Compact(slices.Sorted(slices.Values(seen[id.Hash])))))
 			must.True(t, verdict.Suspect)
 		}
 	})
@@ -123,17 +123,17 @@
 	for i := range 5 {
 		crashes = append(crashes, end(i, int64(i)*1000, uint64(i), bad))
 	}
-	must.Eq(t, after(3000).Add(firstHold), tableOf(crashes[:4]...).Judge(bad, after(3000)).Until)
+	must.Eq(t, after(3000).Add(firstHold), tableOf(crashes[:4]...).Judge(partKey(bad), after(3000)).Until)
 	table := tableOf(crashes...)
-	must.Eq(t, after(4000).Add(2*firstHold), table.Judge(bad, after(4000)).Until)
-	must.False(t, table.Judge(bad, after(4000).Add(2*firstHold)).Suspect)
+	must.Eq(t, after(4000).Add(2*firstHold), table.Judge(partKey(bad), after(4000)).Until)
+	must.False(t, table.Judge(partKey(bad), after(4000).Add(2*firstHold)).Suspect)
 	table.Merge(&Evidence{Crashes: []Crash{end(5, 130_000, 9, bad)}}, after(130_000))
-	must.Eq(t, after(130_000).Add(4*firstHold), table.Judge(bad, after(130_000)).Until, must.Sprint("one crash is enough afterwards"))
+	must.Eq(t, after(130_000).Add(4*firstHold), table.Judge(partKey(bad), after(130_000)).Until, must.Sprint("one crash is enough afterwards"))
 	table.Merge(&Evidence{Answers: []Answer{answer(131_000, bad)}}, after(131_000))
 	must.MapEmpty(t, table.Suspects(after(131_000)))
 	table.Prune(after(130_000).Add(maxAge + time.Second))
 	must.MapEmpty(t, table.crashes)
-	must.MapEmpty(t, table.parts)
+	must.MapEmpty(t, table.keys)
 	must.Eq(t, 0, table.kept)
 }
 
@@ -181,13 +181,16 @@
 			}
 			c.Lost = append(c.Lost, p)
 		}
+		for j := range 2 * maxLost {
+			c.Requests = append(c.Requests, uint64(i*10_000+j))
+		}
 		table.Merge(&Evidence{Crashes: []Crash{c}, Answers: []Answer{answer(int64(i), uint64(i))}}, after(10_000))
 	}
 	for i := range 2 * maxAnswers {
 		table.Merge(&Evidence{Answers: []Answer{answer(int64(i), uint64(i))}}, after(100_000))
 	}
 	must.LessEq(t, maxCrashes, len(table.crashes))
-	must.LessEq(t, maxKeptParts, table.kept)
-	must.LessEq(t, maxKeptParts, len(table.parts))
+	must.LessEq(t, maxKeptKeys, table.kept)
+	must.LessEq(t, maxKeptKeys, len(table.keys))
 	must.LessEq(t, maxAnswers, len(table.answered))
 }
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -48,6 +48,8 @@
 	lastEvent uint64
 	// promptCleared is set once the prompt guard was notified that an answer goes on.
 	promptCleared bool
+	// losses are the targets that may have ended under the request.
+	losses losses
 	// begun is set once an attempt that ended has written a part of the answer.
 	begun bool
 	// ran is set once a target has begun to run the request. The attempts of a hedged
@@ -120,6 +122,7 @@
 		c.reportResult(a, err)
 		c.reportPrompt(a, err)
 		a.reportWork(err)
+		decision = c.afterLoss(ctx, decision)
 		if decision != retry.Again {
 			return c.finish(a, decision, err)
 		}
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -60,7 +60,7 @@
 		case got := <-results:
 			running--
 			if decision, over := c.handleHedgeResult(got); over || running == 0 {
-				return c.finishHedge(got, decision)
+				return c.finishHedge(got, c.afterLoss(ctx, decision))
 			}
 		}
 	}
--- a/pkg/relay/promptguard.go
+++ b/pkg/relay/promptguard.go
@@ -8,16 +8,20 @@
 	"amaranthplank.example/amaranthplank/pkg/retry"
 )
 
-// PromptGuard refuses requests whose prompts crash targets.
+// PromptGuard refuses requests that crash targets, or whose prompts do.
 type PromptGuard interface {
-	// Check returns an error if the request must not be sent to a target.
-	Check(req *request.Request) error
+	// Check returns an error if the request must not be sent to a target. It reports
+	// whether this send is a probe of a request that is refused otherwise: it must
+	// reach one target only.
+	Check(req *request.Request) (probe bool, err error)
 	// Answered records that a target answered the request completely, or has done so
 	// for long enough that the prompt can't have crashed it.
 	Answered(req *request.Request)
 	// Lost records that the connection to a target was lost before it had answered
-	// the request, or shortly after it had begun to.
-	Lost(req *request.Request, name ident.Target, address string)
+	// the request, or shortly after it had begun to. The channel receives whether the
+	// target has ended, soon; it is nil if that is not examined. await is set if the
+	// request may be refused if so.
+	Lost(req *request.Request, name ident.Target, address string) (ended <-chan bool, await bool)
 }
 
 // answerStart is the time after the first event of an answer in which the loss of the
@@ -27,10 +31,20 @@
 // checkPrompt returns an error if the request must not be sent to a target. It is
 // called before each send.
 func (c *call) checkPrompt() error {
-	if guard := c.relay.opts.PromptGuard; guard != nil && c.req.Model != "" {
-		return guard.Check(c.req)
+	guard := c.relay.opts.PromptGuard
+	if guard == nil {
+		return nil
 	}
-	return nil
+	probe, err := guard.Check(c.req)
+	// A prompt that is computed apart would reach a second target.
+	c.prefilled = c.prefilled || probe
+	return err
+}
+
+// lostAtStart reports whether an attempt failed as at a target that ends when it begins
+// to run the request.
+func (c *call) lostAtStart(a *attempt, failure retry.Failure) bool {
+	return failure == retry.ConnectionLost && a.phase != retry.Unsent && !c.wellBegun(a)
 }
 
 // reportPrompt reports an attempt's result to the prompt guard.
@@ -41,16 +55,14 @@
 	}
 	switch {
 	case err == nil && (c.result.Events > 0 || !c.req.Stream):
-		if c.req.Model != "" {
-			guard.Answered(c.req)
-		}
+		guard.Answered(c.req)
 	case err == nil:
 		// A stream without events may have been cut off before its first one.
 		if a.phase == retry.Streaming {
-			guard.Lost(c.req, a.target, a.address)
+			c.losses.add(guard.Lost(c.req, a.target, a.address))
 		}
-	case failureOf(err) == retry.ConnectionLost && a.phase != retry.Unsent && !c.wellBegun(a):
-		guard.Lost(c.req, a.target, a.address)
+	case c.lostAtStart(a, failureOf(err)):
+		c.losses.add(guard.Lost(c.req, a.target, a.address))
 	}
 }
 
@@ -58,7 +70,7 @@
 // Long answers would otherwise clear their prompts' parts only at their end.
 func (a *attempt) reportBegun() {
 	guard := a.call.relay.opts.PromptGuard
-	if guard != nil && a.call.req.Model != "" && !a.call.promptCleared && a.call.wellBegun(a) {
+	if guard != nil && !a.call.promptCleared && a.call.wellBegun(a) {
 		a.call.promptCleared = true
 		guard.Answered(a.call.req)
 	}
