Compare a conditional write with the era in which its version was checked

A write, a deletion or a renewal checked its version or lease against the era that was known, and then read the known era again as the one in which it was sent. If another daemon named a rise in between, an answer of the new era was taken for a success although the version or the lease was one of the old era, which the store gives out again. What is checked is now also what the answer is compared with.

--- a/pkg/storeera/guard.go
+++ b/pkg/storeera/guard.go
@@ -60,6 +60,12 @@
 // call makes one call to the store and records the era of its answer.
 func (g *Guard) call(ctx context.Context, call func(ctx context.Context) error) (answer, error) {
 	sentIn, known := g.eras.current()
+	return g.callFrom(ctx, sentIn, known, call)
+}
+
+// callFrom makes one call whose versions and leases were checked in an era. known is
+// false if no era was known then.
+func (g *Guard) callFrom(ctx context.Context, sentIn external.Era, known bool, call func(ctx context.Context) error) (answer, error) {
 	recorder := &external.EraRecorder{}
 	err := call(external.WithEraRecorder(ctx, recorder))
 	low, high, answered := recorder.Eras()
@@ -101,13 +107,13 @@
 // risen may have found another value at the same revision, or another process's lease,
 // and fails with ErrStoreUnknown.
 func (g *Guard) CompareAndSwap(ctx context.Context, swap external.Swap) (version external.Version, err error) {
-	era, _ := g.eras.current()
+	era, known := g.eras.current()
 	if swap.Base != external.NoVersion && swap.Base.Era() != era {
 		return external.NoVersion, external.ErrVersionConflict
 	}
 	swap.Base = external.Version(swap.Base.Revision())
 	swap.Lease = leaseIn(era, swap.Lease)
-	got, err := g.call(ctx, func(ctx context.Context) (err error) {
+	got, err := g.callFrom(ctx, era, known, func(ctx context.Context) (err error) {
 		version, err = g.store.CompareAndSwap(ctx, swap)
 		return err
 	})
@@ -124,10 +130,11 @@
 // Delete removes the key if it is at the given version. Versions of an earlier era and
 // answers after a rise are treated as in CompareAndSwap.
 func (g *Guard) Delete(ctx context.Context, key external.Key, version external.Version) error {
-	if era, _ := g.eras.current(); version.Era() != era {
+	era, known := g.eras.current()
+	if version.Era() != era {
 		return external.ErrVersionConflict
 	}
-	got, err := g.call(ctx, func(ctx context.Context) error {
+	got, err := g.callFrom(ctx, era, known, func(ctx context.Context) error {
 		return g.store.Delete(ctx, key, external.Version(version.Revision()))
 	})
 	if err == nil && got.crossed {
@@ -165,8 +172,8 @@
 
 // callLease makes a call for one lease.
 func (g *Guard) callLease(ctx context.Context, lease external.LeaseID, call func(ctx context.Context, lease external.LeaseID) error) error {
-	era, _ := g.eras.current()
-	got, err := g.call(ctx, func(ctx context.Context) error { return call(ctx, leaseIn(era, lease)) })
+	era, known := g.eras.current()
+	got, err := g.callFrom(ctx, era, known, func(ctx context.Context) error { return call(ctx, leaseIn(era, lease)) })
 	if err == nil && got.crossed {
 		return external.ErrLeaseNotFound
 	}
--- a/pkg/storeera/guard_test.go
+++ b/pkg/storeera/guard_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -212,3 +213,27 @@
 	_, err = f.guard.Watch(t.Context(), "", external.NewCursor(entry.Version.Era(), 1))
 	must.ErrorIs(t, err, external.ErrHistoryGone)
 }
+
+// TestRiseBetweenCheckAndSendIsNoSuccess guards against a renewal whose lease is checked
+// against the era before a rise and whose answer is compared with the era after it,
+// since another daemon names the new era in between. The moment is met by many tries.
+func TestRiseBetweenCheckAndSendIsNoSuccess(t *testing.T) {
+	f := newFixture(t)
+	var next atomic.Uint64
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			f.guard.ObserveEra(external.Era(next.Load()))
+		}
+	}()
+	for era := uint64(1); era <= 2000; era++ {
+		lease, err := f.guard.Grant(t.Context(), time.Minute)
+		must.NoError(t, err)
+		f.store.Restore(f.store.Snapshot())
+		next.Store(2*era - 1)
+		must.ErrorIs(t, f.guard.KeepAlive(t.Context(), lease), external.ErrLeaseNotFound)
+		f.store.Restore(f.store.Snapshot().WithoutLeases())
+		next.Store(2 * era)
+	}
+}
