Write other daemons' usage checkpoints no more often than they would

A refused daemon now has its checkpoint written as often as it would write it itself; in between it is only held. The stored checkpoint is known from the mirror, so that it is read only after a conflict, and what its own daemon has written since costs no call.

--- a/pkg/gateway/checkpoint.go
+++ b/pkg/gateway/checkpoint.go
@@ -15,15 +15,15 @@
 
 // sendCheckpoint sends a usage checkpoint to a linked daemon, which holds it and
 // writes it to the store if this daemon can't. If no daemon is linked, the counts
-// are only saved by the counter's next write.
-func (g *Gateway) sendCheckpoint(checkpoint tally.CheckpointMessage) {
+// are only saved by the counter's next write. It reports whether the checkpoint was sent.
+func (g *Gateway) sendCheckpoint(checkpoint tally.CheckpointMessage) bool {
 	links := g.links.Load()
 	if links == nil {
-		return
+		return false
 	}
 	hosts := links.Linked()
 	if len(hosts) == 0 {
-		return
+		return false
 	}
 	to := slices.Min(hosts)
 	if checkpoint.Refused {
@@ -34,11 +34,13 @@
 	payload, err := peer.EncodeCompact(checkpoint)
 	if err != nil {
 		g.opts.Log.Error("usage checkpoint message not encoded", "peer", to, "error", err)
-		return
+		return false
 	}
 	if err := links.Send(to, peer.Message{Kind: peer.KindUsageTail, Version: checkpointVersion, Payload: payload}); err != nil {
 		g.opts.Log.Debug("usage checkpoint not sent", "peer", to, "error", err)
+		return false
 	}
+	return true
 }
 
 // receiveCheckpoint passes another daemon's checkpoint to the standby writer.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -118,9 +118,10 @@
 	}, opts.Log)
 	g.counter = tally.NewCounter(tally.CounterOptions{
 		Host: opts.Host, Incarnation: g.incarnation, Store: opts.Store, Time: g.time, Window: opts.UsageWindow,
-		Daemons: g.presence.Daemons, HandOver: g.sendCheckpoint, Log: opts.Log,
+		Daemons: g.presence.Daemons, HandOver: func(message tally.CheckpointMessage) { g.sendCheckpoint(message) }, Log: opts.Log,
 	})
 	g.standbyWriter = tally.NewStandbyWriter(opts.Store, opts.Log)
+	g.standbyWriter.ForwardWith(g.sendCheckpoint)
 	g.windows = tally.NewWindowMemory(opts.Store, g.time, opts.Log)
 	g.exclusions = exclusion.New(exclusion.Options{
 		Host: opts.Host, Store: opts.Store, OnAnnouncement: func(exclusions []backlog.Exclusion) { g.router.Models.Exclude(exclusions) }, Log: opts.Log,
--- a/pkg/tally/checkpoint_memory.go
+++ b/pkg/tally/checkpoint_memory.go
@@ -52,6 +52,7 @@
 
 // Apply remembers changed checkpoints.
 func (m *CheckpointMemory) Apply(entries []external.Entry, whole bool, now time.Time) {
+	m.standby.observe(entries, whole)
 	before := m.stored
 	if whole {
 		m.stored = make(map[external.Key][]byte, len(entries))
--- a/pkg/tally/checkpoint_message.go
+++ b/pkg/tally/checkpoint_message.go
@@ -7,4 +7,7 @@
 	// Refused is set if the sender could not write the checkpoint itself.
 	// Otherwise the receiver writes it only if the sender stops sending.
 	Refused bool
+	// Hops is how often the checkpoint was passed on by daemons that the store
+	// refused too.
+	Hops int
 }
--- a/pkg/tally/counter.go
+++ b/pkg/tally/counter.go
@@ -64,6 +64,9 @@
 	// checkpoint in the store.
 	publishing sync.Mutex
 	version    external.Version
+	// refusedAt is when a checkpoint was last handed over for another daemon to
+	// write. It is guarded by publishing.
+	refusedAt time.Time
 }
 
 // NewCounter returns an empty counter.
@@ -168,11 +171,26 @@
 		// checkpoint was removed as stale.
 		c.version = c.storedVersion(ctx, key)
 	default:
-		c.handOver(CheckpointMessage{Checkpoint: value, Refused: true})
+		c.handOver(CheckpointMessage{Checkpoint: value, Refused: c.mustBeWritten(left)})
 	}
 	return err
 }
 
+// mustBeWritten reports whether another daemon is to write a checkpoint that the store
+// refused: as often as this daemon would, and each second of a stop. In between it is
+// only held. publishing must be locked.
+func (c *Counter) mustBeWritten(left bool) bool {
+	interval := max(c.writeInterval(), checkpointInterval)
+	if left {
+		interval = checkpointInterval
+	}
+	if !c.refusedAt.IsZero() && time.Since(c.refusedAt) < interval-checkpointInterval/2 {
+		return false
+	}
+	c.refusedAt = time.Now()
+	return true
+}
+
 // refreshVersion reads the version of the checkpoint in the store.
 func (c *Counter) refreshVersion(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
