--- a/pkg/storeera/guard_test.go
+++ b/pkg/storeera/guard_test.go
@@ -214,6 +214,26 @@
 	must.ErrorIs(t, err, external.ErrHistoryGone)
 }
 
+// TestReusedRevisionIsNotDeleted guards against deleting another value whose revision was
+// given out again, and against taking a deletion that the rise overtakes for a success.
+func TestReusedRevisionIsNotDeleted(t *testing.T) {
+	for _, overtaken := range []bool{false, true} {
+		f := newFixture(t)
+		base := f.put(f.guard, external.Swap{Key: "k", Base: f.get(f.guard).Version, Value: []byte("mine")})
+		f.store.Restore(f.store.snapshot)
+		f.put(f.store.Store, external.Swap{Key: "k", Base: 1, Value: []byte("theirs")})
+		want := external.ErrStoreUnknown
+		if !overtaken {
+			f.get(f.guard)
+			want = external.ErrVersionConflict
+		}
+		must.ErrorIs(t, f.guard.Delete(t.Context(), "k", base), want)
+		if !overtaken {
+			must.Eq(t, "theirs", string(f.get(f.guard).Value))
+		}
+	}
+}
+
 // TestRiseBetweenCheckAndSendIsNoSuccess guards against a renewal whose lease is checked
 // against the era before a rise and whose answer is compared with the era after it,
 // since another daemon names the new era in between. The moment is met by many tries.
--- a/pkg/tally/era_test.go
+++ b/pkg/tally/era_test.go
@@ -258,6 +258,16 @@
 	}
 }
 
+// TestSharedWindowOutlivesItsCheckpoints guards against a window that its holder reports
+// and nobody else remembers, because it and the holder end at once, when the checkpoints
+// that it was counted from are gone too.
+func TestSharedWindowOutlivesItsCheckpoints(t *testing.T) {
+	withEraFleet(t, []string{offCheckpoints}, func(f *eraFleet) {
+		conflicts, _ := f.loseReport(0)
+		must.SliceEmpty(t, conflicts)
+	})
+}
+
 // TestSwitchedOffMemoryIsDetected switches off what remembers a window that was fixed
 // some seconds or just before the store went back.
 func TestSwitchedOffMemoryIsDetected(t *testing.T) {
