Order no role of an engine that states meanwhile that it leaves

Whether an engine leaves was asked when the changes were chosen. Telling the other daemons of a change takes up to seconds, and an engine that stated within them that it leaves still got the order. It is asked again right before the order, as pauses are.

TestEngineThatLeavesMeanwhileIsNotOrdered failed before.

--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -220,7 +220,7 @@
 func (k *Keeper) order(ctx context.Context, authority lease.Authority, state *fleet.TargetState, role fleet.Role) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	if k.opts.Paused != nil && k.opts.Paused(state) {
+	if k.leaving(state) || k.opts.Paused != nil && k.opts.Paused(state) {
 		return nil
 	}
 	incarnation := incarnationOf(state)
--- a/pkg/rolekeeper/keeper_test.go
+++ b/pkg/rolekeeper/keeper_test.go
@@ -32,6 +32,8 @@
 	leaving, ordered map[ident.Target]bool
 	// pausedUntil is when the engines' pauses end.
 	pausedUntil map[ident.Target]time.Time
+	// onExclude is called with the engines of each exclusion, or is nil.
+	onExclude func(targets []ident.Target)
 	// work returns the Work of the keeper's Options; nil means that none is set.
 	work func() Work
 	// err is the error that Order returns. If lateBy is positive, the orders
@@ -150,6 +152,9 @@
 	time.Sleep(propagationDelay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.onExclude != nil {
+		f.onExclude(targets)
+	}
 	for _, target := range targets {
 		f.excludedUntil[target] = time.Now().Add(d)
 	}
--- a/pkg/rolekeeper/leaving_test.go
+++ b/pkg/rolekeeper/leaving_test.go
@@ -39,3 +39,22 @@
 		}
 	})
 }
+
+// TestEngineThatLeavesMeanwhileIsNotOrdered guards against an order to an engine that
+// states that it leaves while the other daemons are told of the change.
+func TestEngineThatLeavesMeanwhileIsNotOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := runKeeper(t, 0.5, &authority{}, 40*time.Second, func(f *fakeEngines) {
+			f.leaving, f.ordered = map[ident.Target]bool{}, map[ident.Target]bool{}
+			f.onExclude = func(targets []ident.Target) {
+				if len(f.leaving) == 0 {
+					f.leaving[targets[0]] = true
+				}
+			}
+		})
+		must.Positive(t, len(f.ordered))
+		for name := range f.leaving {
+			must.False(t, f.ordered[name], must.Sprint(name))
+		}
+	})
+}
