Exclude no engine from routing that gets no order for its pause

An engine that asked for a pause gets no role order until it ends, but the change was still announced to the other daemons at each check, twice a second. They left it out although it had asked only this daemon for a pause, and each announcement costs two calls to the store. Paused engines are taken out of the changes before that.

TestPausedEngineIsNotExcluded failed before.

--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
@@ -139,6 +140,7 @@
 		return nil
 	}
 	budget := max(1, int(maxChangingShare*float64(len(engines)))) - changing
+	changes = slices.DeleteFunc(changes, func(c Change) bool { return k.paused(snapshot.Target(c.Target)) })
 	changes = changes[:max(0, min(budget, len(changes)))]
 	if err := k.excludeTargets(ctx, model, changes); err != nil {
 		k.opts.Log.Info("role changes put off, not all daemons know of them", "model", model, "changes", len(changes), "error", err)
@@ -216,11 +218,16 @@
 	return k.opts.Leaving != nil && k.opts.Leaving(engine)
 }
 
+// paused reports whether an engine wants nothing from this daemon for now.
+func (k *Keeper) paused(engine *fleet.TargetState) bool {
+	return k.opts.Paused != nil && k.opts.Paused(engine)
+}
+
 // order sends one order and records its outcome.
 func (k *Keeper) order(ctx context.Context, authority lease.Authority, state *fleet.TargetState, role fleet.Role) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	if k.leaving(state) || k.opts.Paused != nil && k.opts.Paused(state) {
+	if k.leaving(state) || k.paused(state) {
 		return nil
 	}
 	incarnation := incarnationOf(state)
--- a/pkg/rolekeeper/leaving_test.go
+++ b/pkg/rolekeeper/leaving_test.go
@@ -58,3 +58,22 @@
 		}
 	})
 }
+
+// TestPausedEngineIsNotExcluded guards against taking an engine that gets no order for
+// its pause out of the choice of the other daemons, again and again.
+func TestPausedEngineIsNotExcluded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := runKeeper(t, 0.5, &authority{}, 60*time.Second, func(f *fakeEngines) {
+			f.pausedUntil = map[ident.Target]time.Time{}
+			for name := range f.roles {
+				f.pausedUntil[name] = time.Now().Add(20 * time.Second)
+			}
+			f.onExclude = func(targets []ident.Target) {
+				for _, target := range targets {
+					must.False(t, time.Now().Add(-propagationDelay).Before(f.pausedUntil[target]), must.Sprint(target))
+				}
+			}
+		})
+		must.Positive(t, f.orders)
+	})
+}
