Keep removed targets out when their returned entries are read again

An older copy of the store brings the entry of a target back that was removed since. It was dropped from the first complete list after the rise only: when all entries were read again in the same era, as after a loss of history, or after another rise over a minute later, the target was taken for one that is ready. An entry that was dropped now stays so for as long as it is listed at the same version, that is until its target writes it again.

--- a/pkg/registry/era_test.go
+++ b/pkg/registry/era_test.go
@@ -82,3 +82,44 @@
 	riseWith(r, start, in(1, 1, testEntry{Name: "a", Incarnation: 7}))
 	must.Eq(t, 8, int(r.Snapshot().Targets[0].Incarnation))
 }
+
+// TestRemovedTargetStaysRemovedWhenReadAgain guards against taking the entry of a removed
+// target, which an older copy of the store brought back and nobody writes again, when
+// all entries are read again later: in the same era, or after another rise.
+func TestRemovedTargetStaysRemovedWhenReadAgain(t *testing.T) {
+	for _, later := range []time.Duration{time.Second, 2 * goneMemory} {
+		r := newRegistry()
+		r.Apply([]external.Entry{in(0, 1, testEntry{Name: "a", Incarnation: 7}), in(0, 2, testEntry{Name: "b", Incarnation: 7})}, true, start)
+		r.Apply([]external.Entry{deletedEntry("b")}, false, start)
+		list := func(era external.Era) []external.Entry {
+			return []external.Entry{in(era, 1, testEntry{Name: "a", Incarnation: 7}), in(era, 2, testEntry{Name: "b", Incarnation: 7})}
+		}
+		riseWith(r, start, list(1)...)
+		r.Apply(list(1), true, start.Add(later))
+		must.Eq(t, []string{"a"}, targetNames(r), must.Sprint("read again after ", later))
+		riseWith(r, start.Add(2*later), list(2)...)
+		must.Eq(t, []string{"a"}, targetNames(r), must.Sprint("another rise after ", later))
+		r.Apply([]external.Entry{in(2, 3, testEntry{Name: "b", Incarnation: 7})}, false, start.Add(2*later))
+		must.Eq(t, []string{"a", "b"}, targetNames(r), must.Sprint("written again"))
+	}
+}
+
+// TestReturnedEntriesAreForgotten guards against memory that grows with each target whose
+// entry an older copy of the store ever brought back.
+func TestReturnedEntriesAreForgotten(t *testing.T) {
+	kept := in(1, 1, testEntry{Name: "a", Incarnation: 7})
+	for name, end := range map[string]func(r *Registry){
+		"deleted":  func(r *Registry) { r.Apply([]external.Entry{deletedEntry("b")}, false, start.Add(time.Second)) },
+		"unlisted": func(r *Registry) { r.Apply([]external.Entry{kept}, true, start.Add(time.Second)) },
+	} {
+		r := newRegistry()
+		r.Apply([]external.Entry{in(0, 1, testEntry{Name: "a", Incarnation: 7}), in(0, 2, testEntry{Name: "b", Incarnation: 7})}, true, start)
+		r.Apply([]external.Entry{deletedEntry("b")}, false, start)
+		riseWith(r, start, kept, in(1, 2, testEntry{Name: "b", Incarnation: 7}))
+		r.Apply(nil, false, start.Add(2*goneMemory))
+		must.MapLen(t, 1, r.gone, must.Sprint(name))
+		end(r)
+		r.Apply(nil, false, start.Add(4*goneMemory))
+		must.MapEmpty(t, r.gone, must.Sprint(name))
+	}
+}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -84,10 +84,11 @@
 	changed := false
 	r.forgetGone(now)
 	if whole {
-		entries = r.dropOutdated(entries)
+		entries = r.dropOutdated(entries, now)
 	}
 	for i := range entries {
 		if entries[i].Deleted {
+			r.forgetReturned(entries[i].Key, now)
 			changed = r.remove(entries[i].Key, now) || changed
 			continue
 		}
