--- a/pkg/storeera/fleet_test.go
+++ b/pkg/storeera/fleet_test.go
@@ -67,6 +67,11 @@
 	sink    sink
 	// violations holds the first violations found.
 	violations []string
+	// more adds the faults of moreFault. late holds writes until the next rise, lateLeft
+	// is how many more are to be held.
+	more     bool
+	late     []func()
+	lateLeft int
 }
 
 // sink checks what the platform receives.
@@ -98,8 +103,15 @@
 	// unlinked is set while the daemon has no links.
 	unlinked atomic.Bool
 	cancel   context.CancelFunc
-	work     sync.WaitGroup
-	endedAt  time.Time
+	// stopDuty ends the daemon's candidacy for the duty, and releases it.
+	stopDuty context.CancelFunc
+	counter  *tally.Counter
+	// frozenUntil is when the last freeze ends, and stopping is set once it was asked to
+	// stop.
+	frozenUntil time.Time
+	stopping    bool
+	work        sync.WaitGroup
+	endedAt     time.Time
 	// revision is the newest configuration seen in force, and left holds the targets
 	// that were leaving or gone.
 	revision ident.Revision
@@ -143,7 +155,7 @@
 	log := slog.New(slog.DiscardHandler)
 	incarnation := ident.Incarnation(time.Now().UnixNano())
 	d := &daemon{fleet: f, host: host, process: faultstore.NewProcess(), left: make(map[ident.Target]bool), known: make(map[ident.Target]bool), startedAt: time.Now()}
-	d.guard = storeera.New(faultstore.NewProcessStore(d.process, f.store), log, prometheus.NewRegistry())
+	d.guard = storeera.New(faultstore.NewProcessStore(d.process, lateStore{f.store, f}), log, prometheus.NewRegistry())
 	ctx, cancel := context.WithCancel(f.ctx)
 	d.cancel = cancel
 	d.forgetConfig()
@@ -178,8 +190,10 @@
 		Store: d.storeFor(nothing), Sink: d, Time: f.time, Window: windowLength, ReportDeadline: 10 * time.Second,
 		Windows: d.windows, Share: d.share, Ended: f.ended, Log: log,
 	}
-	runs = append(runs, follower.Run, d.sendEras, func(ctx context.Context) error {
-		return manager.Run(ctx, usageDuty, func(ctx context.Context, authority lease.Authority) error {
+	duty, stopDuty := context.WithCancel(ctx)
+	d.stopDuty, d.counter = stopDuty, counter
+	runs = append(runs, follower.Run, d.sendEras, func(context.Context) error {
+		return manager.Run(duty, usageDuty, func(ctx context.Context, authority lease.Authority) error {
 			d.authority.Store(&authority)
 			return reporter.Work(ctx, authority)
 		})
@@ -287,13 +301,16 @@
 
 // Report checks and records a report of the daemon.
 func (d *daemon) Report(_ context.Context, window tally.Window, counts tally.Counts, token ident.FencingToken) error {
+	if err := d.process.Enter(faultstore.SidePlatform); err != nil {
+		return err
+	}
 	f := d.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if d.process.Killed() {
-		return external.ErrStoreUnavailable
-	}
 	s := &f.sink
+	if err := f.refuseFrozen(d, token); err != nil {
+		return err
+	}
 	if token < s.token {
 		f.violate("token %d of %s after %d of %s", token, d.host, s.token, s.holder)
 	}
--- a/pkg/storeera/random_test.go
+++ b/pkg/storeera/random_test.go
@@ -30,13 +30,16 @@
 )
 
 // run plays one random run with one mechanism switched off, and returns the violations.
-func run(t *testing.T, seed uint64, off mechanism) (violations []string) {
+func run(t *testing.T, seed uint64, off mechanism) []string { return runWith(t, seed, off, false) }
+
+// runWith is run, with the faults of moreFault if more is set.
+func runWith(t *testing.T, seed uint64, off mechanism, more bool) (violations []string) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := clock.NewRuntime()
 		memory := memstore.New(c)
 		f := &fleet{
-			off: off, random: rand.New(rand.NewPCG(seed, 1)), ctx: ctx, memory: memory, store: faultstore.New(memory),
+			off: off, more: more, random: rand.New(rand.NewPCG(seed, 1)), ctx: ctx, memory: memory, store: faultstore.New(memory),
 			time: tally.NewSteadyWallClock(c), sink: sink{reports: make(map[tally.Window]tally.Counts)},
 			world: world{
 				targets: make(map[ident.Target]int), leaving: make(map[ident.Target]time.Time), seen: make(map[ident.Target]time.Time),
--- a/pkg/storeera/world_test.go
+++ b/pkg/storeera/world_test.go
@@ -39,6 +39,8 @@
 	down, returned time.Time
 	// away is set while the store is away, and rewritten once all was written again.
 	away, rewritten bool
+	// again is how many further times the store is to go back at once.
+	again int
 	// goBack is the copy that the store comes back from, counted from the newest.
 	goBack int
 	// checked is set once the daemons were compared after the last return.
@@ -140,9 +142,15 @@
 	f.memory.Restore(snapshot)
 	f.store.Set(faultstore.Faults{})
 	w.away, w.rewritten, w.checked, w.returned = false, false, false, time.Now()
+	f.releaseLate()
 	if f.random.IntN(2) == 0 {
 		f.rewriteAtOnce()
 	}
+	if w.again > 0 {
+		w.again--
+		w.returned = time.Time{}
+		f.drill()
+	}
 }
 
 // rewriteAtOnce writes everything again before a daemon calls the store, with a newer
@@ -175,6 +183,10 @@
 	w := &f.world
 	daemons := f.running()
 	d := daemons[f.random.IntN(len(daemons))]
+	if f.more && f.random.IntN(2) == 0 {
+		f.moreFault(d)
+		return
+	}
 	switch f.random.IntN(5) {
 	case 0, 1:
 		f.drill()
@@ -307,7 +319,7 @@
 func (f *fleet) compare() {
 	for _, d := range f.daemons {
 		_, cut := f.world.cut[d]
-		if cut || d.process.Killed() || time.Since(d.startedAt) < agreeTime || time.Since(d.healedAt) < agreeTime {
+		if cut || d.process.Killed() || time.Since(d.startedAt) < agreeTime || time.Since(d.healedAt) < agreeTime || time.Since(d.frozenUntil) < agreeTime {
 			continue
 		}
 		// The configuration may have changed within the time that a change may take.
