Grant retries where a daemon's part of the slack is below one

A bucket that holds less than one retry never grants any, whatever requests add: with 330 daemons and a slack of 56 none of 1,000 failures in a row was retried. Ways weighed: a bucket of one for each daemon (330 at once, 56 allowed); turns by the time of day in which some daemons hold one (needs agreed time and order). Taken: below one, a daemon's retries of the last window are at most half of the ratio times its requests of that window. In any window those of all daemons are then at most half of the ratio times the requests of it and of the one before it, so the fleet keeps to the limit without the slack, however many daemons there are, restart or are cut off. With fewer than 13 requests in a window a daemon still retries nothing.

TestManyDaemonsRetry was TestKnownRedManyDaemonsRetry and failed before. TestManyDaemonsKeepToTheLimit sums over 330 daemons in storms, series of kills and a cut with restarts; TestChangedKindOfShareGrantsNothingForAWindow the change between the ways.

--- a/pkg/gateway/retryshares.go
+++ b/pkg/gateway/retryshares.go
@@ -34,6 +34,6 @@
 	count := s.daemons.observe(daemons, now)
 	return retry.Share{
 		Ratio: retryMargin * limits.RetryRatio, Burst: retryMargin * limits.RetrySlack / float64(count),
-		FullAt: s.startedAt.Add(limits.RetryWindow + s.viewLag),
+		FullAt: s.startedAt.Add(limits.RetryWindow + s.viewLag), Window: limits.RetryWindow,
 	}
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -20,12 +20,19 @@
 	spent  float64
 	// level is the number of retries left, between zero and the share's burst.
 	level float64
+	// recent holds the counts of the last window, at the time now of the newest request.
+	recent recent
+	now    time.Time
+	// closedUntil is when a window has passed since the share's Burst rose to one or
+	// fell below it. Until then nothing is granted, since the two ways of bounding
+	// retries count different requests.
+	closedUntil time.Time
 }
 
 // NewBudget returns a budget that is full if the share allows it at the given time,
 // and empty otherwise.
 func NewBudget(share Share, now time.Time) *Budget {
-	b := &Budget{}
+	b := &Budget{share: share}
 	b.Configure(share, now)
 	return b
 }
@@ -36,8 +43,15 @@
 func (b *Budget) Configure(share Share, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.share = share
+	if share.byRecent() != b.share.byRecent() {
+		b.level, b.closedUntil = 0, now.Add(max(share.Window, b.share.Window))
+	}
+	b.share, b.now = share, now
 	b.level = min(b.level, share.Burst)
+	if share.byRecent() {
+		b.recent.advance(now, share.Window)
+		return
+	}
 	if !b.filled && !now.Before(share.FullAt) {
 		b.filled, b.level = true, max(b.level, share.Burst-b.spent)
 	}
@@ -48,6 +62,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.level = min(b.share.Burst, b.level+b.share.Ratio)
+	b.recent.current().requests++
 }
 
 // Withdraw takes one retry. It reports false if less than one is left.
@@ -63,6 +78,12 @@
 func (b *Budget) take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.now.Before(b.closedUntil) {
+		return false
+	}
+	if b.share.byRecent() {
+		return b.takeRecent()
+	}
 	if b.level < 1 {
 		return false
 	}
@@ -72,3 +93,13 @@
 	}
 	return true
 }
+
+// takeRecent takes one retry if the requests of the last window allow it. b.mu must be
+// held.
+func (b *Budget) takeRecent() bool {
+	if !b.recent.allows(b.share.Ratio / 2) {
+		return false
+	}
+	b.recent.current().retries++
+	return true
+}
