Refuse no longer what only shared its targets with a worse request

A suspicion stayed then until its probe.

New crashes have all suspicions judged again now, and one whose crashes another request explains ends. TestRequestThatSharedTargetsGetsOut failed before. Tests for two requests with the same three crashes, and of what a request does after a target may have ended, are added; each fails if its rule is switched off.

--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -227,15 +227,14 @@
 }
 
 // update refuses the requests that are suspect by new evidence, and no longer those that
-// were answered. It logs that, and which parts are suspect now. d.mu must be held.
+// were answered or whose crashes others explain now. It logs that, and which parts are
+// suspect. d.mu must be held.
 func (d *Detector) update(e *Evidence, now time.Time, own bool) {
 	for i := range e.Crashes {
 		for _, key := range e.Crashes[i].keys() {
 			if key.Kind == PartKind {
 				d.updatePart(key.Hash, now)
-				continue
-			}
-			if verdict := d.table.Judge(key, now); verdict.Suspect {
+			} else if verdict := d.table.Judge(key, now); verdict.Suspect {
 				d.suspect(key, d.newestCrash(key), now, own)
 			}
 		}
@@ -245,7 +244,22 @@
 		if key.Kind == PartKind {
 			d.updatePart(key.Hash, now)
 		} else if d.suspicions.answered(key.Hash, d.table.answered[key], now, own) {
-			d.opts.Log.Info("request no longer suspected", "fingerprint", key.name())
+			d.opts.Log.Info("request no longer suspected", "fingerprint", key.name(), "reason", "answered")
+		}
+	}
+	if len(e.Crashes) > 0 {
+		d.reconsider(now, own)
+	}
+}
+
+// reconsider ends the suspicions of requests that only shared their targets with another
+// one, which has ended more by now. d.mu must be held.
+func (d *Detector) reconsider(now time.Time, own bool) {
+	for hash := range d.suspicions.held {
+		key := requestKey(hash)
+		if verdict := d.table.Judge(key, now); d.suspicions.has(key) && verdict.Crashes >= requestCrashes && !verdict.Suspect {
+			d.suspicions.drop(hash, now, own)
+			d.opts.Log.Info("request no longer suspected", "fingerprint", key.name(), "reason", "explained")
 		}
 	}
 }
--- a/pkg/poison/records_test.go
+++ b/pkg/poison/records_test.go
@@ -131,6 +131,7 @@
 
 // inFleet runs a test with a fleet of eight daemons in fake time.
 func inFleet(t *testing.T, test func(f *recordFleet)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := newRecordFleet(t, 8)
 		defer f.stop()
@@ -196,6 +197,30 @@
 	})
 }
 
+// TestRequestThatSharedTargetsGetsOut guards against a sound request that stays refused since
+// it was lost at the same three targets as one that ended them, and then one more.
+func TestRequestThatSharedTargetsGetsOut(t *testing.T) {
+	inFleet(t, func(f *recordFleet) {
+		shared := repeated()
+		shared.Path = "/sound"
+		for i := range 4 {
+			for _, d := range f.daemons {
+				d.detector.Lost(repeated(), ident.Target(fmt.Sprint("t-", i)), "")
+				if i < 3 {
+					d.detector.Lost(shared, ident.Target(fmt.Sprint("t-", i)), "")
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		for _, d := range f.daemons {
+			must.Error(t, refusal(d.detector, repeated()))
+			must.NoError(t, refusal(d.detector, shared))
+		}
+		time.Sleep(standInAfter + standInSpread + 2*time.Second)
+		must.Eq(t, 1, f.stored())
+	})
+}
+
 // TestRefusalOutlastsTheStoreBeingAway guards against a suspicion that is lost since the
 // store was away at the third crash, when no probe may be sent either.
 func TestRefusalOutlastsTheStoreBeingAway(t *testing.T) {
@@ -222,7 +247,7 @@
 	inFleet(t, func(f *recordFleet) {
 		before := f.memory.Snapshot()
 		f.crash(0, 3)
-		time.Sleep(time.Second)
+		time.Sleep(standInAfter + standInSpread + 5*time.Second)
 		unprobed := f.memory.Snapshot()
 		f.memory.Restore(before)
 		must.Eq(t, 0, f.stored())
--- a/pkg/poison/requestverdict_test.go
+++ b/pkg/poison/requestverdict_test.go
@@ -97,6 +97,13 @@
 	})
 }
 
+// TestTwoRequestsAtTheSameTargetsAreBothSuspect guards against two requests that end the
+// same three targets together, so that each could explain the other's crashes.
+func TestTwoRequestsAtTheSameTargetsAreBothSuspect(t *testing.T) {
+	table := tableOf(lost(0, 0, deadly, second), lost(1, 500, deadly, second), lost(2, 1000, deadly, second))
+	must.Eq(t, []uint64{deadly, second}, suspectRequests(table))
+}
+
 // TestThreeRequestsInTurnAreSuspect guards against evidence on one request that keeps the
 // next from being found.
 func TestThreeRequestsInTurnAreSuspect(t *testing.T) {
