Let one daemon write a refusal at once, and crashes before the first link count

The daemon that noticed the newest of the crashes writes the record now, whichever message completes the evidence. Over a new link a daemon sends the newest 32 crashes with at most 16 requests each, also of requests that are not suspect yet. TestCrashBeforeTheFirstLinkCounts fails without the latter.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -126,6 +126,7 @@
 		Host: opts.Host, Store: opts.Store, OnAnnouncement: func(exclusions []backlog.Exclusion) { g.router.Models.Exclude(exclusions) }, Log: opts.Log,
 	})
 	g.poison = g.newPoisonParts()
+	// The records come before the targets, which make the process ready.
 	g.mirror = mirror.New(mirror.Options{
 		Store: opts.Store, Pause: mirror.PauseFor(opts.PropagationBound), CallTimeout: mirror.DefaultCallTimeout, Log: opts.Log,
 	}, g.poison.records, opts.ConfigListener, g.targets, g.presence, g.counter, g.windows, tally.NewCheckpointMemory(g.standbyWriter, opts.Log), g.exclusions, g.poison.copy)
--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,12 +182,15 @@
 	defer d.noteRequests()
 	now := d.opts.Now()
 	for _, suspicion := range e.Suspicions[:min(len(e.Suspicions), maxSuspicions)] {
-		d.suspect(requestKey(suspicion.Request), min(suspicion.At, now.UnixMilli()), now, false)
+		d.suspect(requestKey(suspicion.Request), min(suspicion.At, now.UnixMilli()), now)
 	}
 	fresh = d.table.Merge(e, now)
 	if fresh.empty() {
 		return fresh, answers
 	}
+	if own {
+		d.table.markOwn(fresh.Crashes)
+	}
 	d.update(&fresh, now, own)
 	for _, answer := range fresh.Answers {
 		d.answersReported[answer.key()] = now.UnixMilli()
@@ -235,7 +239,7 @@
 			if key.Kind == PartKind {
 				d.updatePart(key.Hash, now)
 			} else if verdict := d.table.Judge(key, now); verdict.Suspect {
-				d.suspect(key, d.newestCrash(key), now, own)
+				d.suspect(key, verdict.Newest, now)
 			}
 		}
 	}
@@ -264,21 +268,16 @@
 	}
 }
 
-// newestCrash returns when the last crash under a key was noticed, in Unix milliseconds.
-func (d *Detector) newestCrash(key Key) int64 {
-	crashes := d.table.crashesOf(key)
-	return crashes[len(crashes)-1].at
-}
-
-// suspect refuses a request from now on, unless it was answered after the given time. own
-// is set if this daemon noticed the last crash. d.mu must be held.
-func (d *Detector) suspect(key Key, at int64, now time.Time, own bool) {
+// suspect refuses a request from now on, unless it was answered since its last crash, which
+// was at a time. The daemon that noticed that one writes the record. d.mu must be held.
+func (d *Detector) suspect(key Key, at int64, now time.Time) {
 	if d.table.answered[key] >= at {
 		return
 	}
+	crashes := d.table.crashesOf(key)
+	own := slices.ContainsFunc(crashes, func(c *crash) bool { return c.own && c.at >= at })
 	if d.suspicions.add(key.Hash, at, now, own) {
-		crashes := len(d.table.crashesOf(key))
-		d.opts.Log.Warn("request suspected", "fingerprint", key.name(), "from", "crashes", "at", time.UnixMilli(at), "crashes", crashes)
+		d.opts.Log.Warn("request suspected", "fingerprint", key.name(), "from", "crashes", "at", time.UnixMilli(at), "crashes", len(crashes))
 	}
 }
 
--- a/pkg/poison/records_test.go
+++ b/pkg/poison/records_test.go
@@ -197,6 +197,30 @@
 	})
 }
 
+// TestCrashBeforeTheFirstLinkCounts guards against a crash that a daemon notices before it
+// has links, and that no other ever learns of.
+func TestCrashBeforeTheFirstLinkCounts(t *testing.T) {
+	inFleet(t, func(f *recordFleet) {
+		f.cancel["h-3"]()
+		f.setCut("h-3", true)
+		time.Sleep(time.Second)
+		fresh := f.add("h-3", f.store)
+		f.run("h-3")
+		f.daemons["h-0"].detector.Lost(repeated(), "t-0", "")
+		fresh.detector.Lost(repeated(), "t-1", "")
+		time.Sleep(time.Second)
+		f.setCut("h-3", false)
+		time.Sleep(time.Second)
+		fresh.detector.Lost(repeated(), "t-2", "")
+		time.Sleep(100 * time.Millisecond)
+		must.Error(t, refusal(fresh.detector, repeated()))
+		f.daemons["h-0"].detector.Lost(repeated(), "t-3", "")
+		time.Sleep(100 * time.Millisecond)
+		refused, _ := f.refusing()
+		must.Eq(t, 8, refused)
+	})
+}
+
 // TestRequestThatSharedTargetsGetsOut guards against a sound request that stays refused since
 // it was lost at the same three targets as one that ended them, and then one more.
 func TestRequestThatSharedTargetsGetsOut(t *testing.T) {
--- a/pkg/poison/requestverdict.go
+++ b/pkg/poison/requestverdict.go
@@ -21,7 +21,7 @@
 		return Verdict{Crashes: count}
 	}
 	own := slices.ContainsFunc(crashes, func(c *crash) bool { return !t.explainedByOther(c, key, len(crashes)) })
-	return Verdict{Suspect: own, Crashes: count}
+	return Verdict{Suspect: own, Crashes: count, Newest: crashes[len(crashes)-1].at}
 }
 
 // nearlySuspect reports whether one more crash may make a request suspect.
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -27,6 +27,8 @@
 	at       int64
 	lost     []Prompt
 	requests []uint64
+	// own is set if this daemon noticed the crash.
+	own bool
 }
 
 // Table holds the evidence of all daemons. Its verdicts depend on the evidence but
@@ -65,6 +67,15 @@
 	return fresh
 }
 
+// markOwn marks crashes as noticed by this daemon.
+func (t *Table) markOwn(crashes []Crash) {
+	for _, c := range crashes {
+		if known := t.crashes[c.Incarnation]; known != nil {
+			known.own = true
+		}
+	}
+}
+
 // mergeAnswer records an answer and reports whether it is newer than the known one.
 func (t *Table) mergeAnswer(answer Answer, now time.Time) bool {
 	at := min(answer.At, now.UnixMilli())
--- a/pkg/poison/verdict.go
+++ b/pkg/poison/verdict.go
@@ -34,6 +34,9 @@
 	Until   time.Time
 	// Crashes is the number of crashes that count.
 	Crashes int
+	// Newest is when the last crash under a suspect request was noticed, in Unix
+	// milliseconds.
+	Newest int64
 }
 
 // Judge returns the verdict on a key.
@@ -149,8 +152,12 @@
 	return suspects
 }
 
-// maxRequestCrashes bounds the crashes in EvidenceOn that only requests are known of.
-const maxRequestCrashes = 64
+// maxRequestCrashes bounds the crashes in EvidenceOn of which requests are named, and
+// maxCrashRequests the requests of each.
+const (
+	maxRequestCrashes = 32
+	maxCrashRequests  = 16
+)
 
 // EvidenceOn returns the evidence on suspect parts, and the newest on requests, suspect
 // or not, for a daemon that lacks it.
@@ -165,7 +172,7 @@
 			}
 		}
 		if newest[incarnation] {
-			found.Requests = known.requests
+			found.Requests = t.mostCrashes(known.requests)
 		}
 		if len(found.Lost)+len(found.Requests) > 0 {
 			e.Crashes = append(e.Crashes, found)
@@ -174,6 +181,15 @@
 	return e
 }
 
+// mostCrashes returns the requests that were lost at most crashes, up to maxCrashRequests.
+func (t *Table) mostCrashes(requests []uint64) []uint64 {
+	sorted := slices.Clone(requests)
+	slices.SortFunc(sorted, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(len(t.keys[requestKey(b)]), len(t.keys[requestKey(a)])), cmp.Compare(a, b))
+	})
+	return sorted[:min(len(sorted), maxCrashRequests)]
+}
+
 // newestCrashes returns the newest crashes under requests.
 func (t *Table) newestCrashes(count int) map[uint64]bool {
 	all := make([]uint64, 0, len(t.crashes))
