--- a/pkg/poison/requestverdict_test.go
+++ b/pkg/poison/requestverdict_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"encoding/json"
 	"slices"
 	"testing"
 
@@ -251,18 +252,21 @@
 		Crashes: []Crash{{Incarnation: 7, At: 9, Lost: []Prompt{{Own: 1, Parts: []uint64{bad}}}, Requests: []uint64{deadly}}},
 		Answers: []Answer{{Part: sound, At: 8, Kind: RequestKind}}, Relayed: true, Suspicions: []Suspicion{{Request: deadly, At: 9}},
 	}
-	for _, encode := range []func(any) ([]byte, error){peer.Encode, peer.EncodeCompact} {
-		payload, err := encode(&now)
+	for _, form := range []struct {
+		encode func(any) ([]byte, error)
+		decode func([]byte, any) error
+	}{{peer.Encode, peer.Decode}, {peer.EncodeCompact, peer.Decode}, {json.Marshal, json.Unmarshal}} {
+		payload, err := form.encode(&now)
 		must.NoError(t, err)
 		var former formerEvidence
-		must.NoError(t, peer.Decode(payload, &former))
+		must.NoError(t, form.decode(payload, &former))
 		must.Eq(t, formerEvidence{
 			Crashes: []formerCrash{{Incarnation: 7, At: 9, Lost: now.Crashes[0].Lost}}, Answers: []formerAnswer{{Part: sound, At: 8}}, Relayed: true,
 		}, former)
-		payload, err = encode(&former)
+		payload, err = form.encode(&former)
 		must.NoError(t, err)
 		var got Evidence
-		must.NoError(t, peer.Decode(payload, &got))
+		must.NoError(t, form.decode(payload, &got))
 		must.Eq(t, []Prompt{{Own: 1, Parts: []uint64{bad}}}, got.Crashes[0].Lost)
 		must.Eq(t, partKey(sound), got.Answers[0].key())
 		must.True(t, got.Relayed)
