--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,12 +182,15 @@
 	defer d.noteRequests()
 	now := d.opts.Now()
 	for _, suspicion := range e.Suspicions[:min(len(e.Suspicions), maxSuspicions)] {
-		d.suspect(requestKey(suspicion.Request), min(suspicion.At, now.UnixMilli()), now, false)
+		d.suspect(requestKey(suspicion.Request), min(suspicion.At, now.UnixMilli()), now)
 	}
 	fresh = d.table.Merge(e, now)
 	if fresh.empty() {
 		return fresh, answers
 	}
+	if own {
+		d.table.markOwn(fresh.Crashes)
+	}
 	d.update(&fresh, now, own)
 	for _, answer := range fresh.Answers {
 		d.answersReported[answer.key()] = now.UnixMilli()
@@ -227,16 +231,15 @@
 }
 
 // update refuses the requests that are suspect by new evidence, and no longer those that
-// were answered. It logs that, and which parts are suspect now. d.mu must be held.
+// were answered or whose crashes others explain now. It logs that, and which parts are
+// suspect. d.mu must be held.
 func (d *Detector) update(e *Evidence, now time.Time, own bool) {
 	for i := range e.Crashes {
 		for _, key := range e.Crashes[i].keys() {
 			if key.Kind == PartKind {
 				d.updatePart(key.Hash, now)
-				continue
-			}
-			if verdict := d.table.Judge(key, now); verdict.Suspect {
-				d.suspect(key, d.newestCrash(key), now, own)
+			} else if verdict := d.table.Judge(key, now); verdict.Suspect {
+				d.suspect(key, verdict.Newest, now)
 			}
 		}
 	}
@@ -245,26 +248,36 @@
 		if key.Kind == PartKind {
 			d.updatePart(key.Hash, now)
 		} else if d.suspicions.answered(key.Hash, d.table.answered[key], now, own) {
-			d.opts.Log.Info("request no longer suspected", "fingerprint", key.name())
+			d.opts.Log.Info("request no longer suspected", "fingerprint", key.name(), "reason", "answered")
 		}
 	}
+	if len(e.Crashes) > 0 {
+		d.reconsider(now, own)
+	}
 }
 
-// newestCrash returns when the last crash under a key was noticed, in Unix milliseconds.
-func (d *Detector) newestCrash(key Key) int64 {
-	crashes := d.table.crashesOf(key)
-	return crashes[len(crashes)-1].at
+// reconsider ends the suspicions of requests that only shared their targets with another
+// one, which has ended more by now. d.mu must be held.
+func (d *Detector) reconsider(now time.Time, own bool) {
+	for hash := range d.suspicions.held {
+		key := requestKey(hash)
+		if verdict := d.table.Judge(key, now); d.suspicions.has(key) && verdict.Crashes >= requestCrashes && !verdict.Suspect {
+			d.suspicions.drop(hash, now, own)
+			d.opts.Log.Info("request no longer suspected", "fingerprint", key.name(), "reason", "explained")
+		}
+	}
 }
 
-// suspect refuses a request from now on, unless it was answered after the given time. own
-// is set if this daemon noticed the last crash. d.mu must be held.
-func (d *Detector) suspect(key Key, at int64, now time.Time, own bool) {
+// suspect refuses a request from now on, unless it was answered since its last crash, which
+// was at a time. The daemon that noticed that one writes the record. d.mu must be held.
+func (d *Detector) suspect(key Key, at int64, now time.Time) {
 	if d.table.answered[key] >= at {
 		return
 	}
+	crashes := d.table.crashesOf(key)
+	own := slices.ContainsFunc(crashes, func(c *crash) bool { return c.own && c.at >= at })
 	if d.suspicions.add(key.Hash, at, now, own) {
-		crashes := len(d.table.crashesOf(key))
-		d.opts.Log.Warn("request suspected", "fingerprint", key.name(), "from", "crashes", "at", time.UnixMilli(at), "crashes", crashes)
+		d.opts.Log.Warn("request suspected", "fingerprint", key.name(), "from", "crashes", "at", time.UnixMilli(at), "crashes", len(crashes))
 	}
 }
 
