Send final answers without waiting for the verdict on a target

A request that had ended a second target and is not retried got its 502 only once the end of the target was confirmed, up to 0.5 s later, so that its caller's retry would not overtake that. An answer that is final is to be sent at once; the bound on later sends holds without the wait, since what overtakes the verdict falls within the time after the third crash. Only retries of the daemon's own wait now.

--- a/pkg/relay/losses.go
+++ b/pkg/relay/losses.go
@@ -51,16 +51,18 @@
 	l.pending, l.await = nil, false
 }
 
-// afterLoss returns how a request continues after an attempt ended with a decision. If the
-// last loss may have the request refused it waits for that, so that neither the request's
-// own retry nor the caller's overtakes it. After maxEnds targets have ended there is no
-// other retry.
+// afterLoss returns how a request continues after an attempt ended with a decision. A retry
+// waits for the verdict on the last target if that may have the request refused. After
+// maxEnds targets have ended there is no other retry. The end of a request never waits.
 func (c *call) afterLoss(ctx context.Context, decision retry.Decision) retry.Decision {
 	l := &c.losses
-	if l.await || (decision == retry.Again && l.ended+len(l.pending) >= maxEnds) {
+	if decision != retry.Again {
+		return decision
+	}
+	if l.await || l.ended+len(l.pending) >= maxEnds {
 		l.decide(ctx)
 	}
-	if decision == retry.Again && l.ended >= maxEnds {
+	if l.ended >= maxEnds {
 		return retry.EndUnknown
 	}
 	return decision
