Begin no answer with an event that is rejected

A stream's first event that is out of order is rejected before any of it is written to the caller, but it counted as the beginning of the answer. The deadline of a request whose caller had nothing could then be put off, so that it got 504 only at the lengthened timeout, and not at the one that its targets were sent.

The order of the event is now checked first. TestRejectedEventBeginsNoAnswer failed before: the request was answered after 0.6 s, twice its deadline.

--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -53,12 +53,12 @@
 		return &exchangeError{failure: retry.Silence, cause: errSilence}
 	}
 	a.call.markRan()
-	if (event.ID != 0 || event.Last) && !a.call.deadline.beginAnswer() {
-		return &exchangeError{failure: retry.DeadlinePassed, cause: errAnswerLate}
-	}
 	if event.ID != 0 && !events.Follows(a.lastEvent, event.ID) {
 		return &exchangeError{failure: retry.Mismatch, cause: errEventOrder}
 	}
+	if (event.ID != 0 || event.Last) && !a.call.deadline.beginAnswer() {
+		return &exchangeError{failure: retry.DeadlinePassed, cause: errAnswerLate}
+	}
 	return nil
 }
 
