End a request at once whose deadline has passed already

A context with a deadline has ended when it is made, if the deadline has passed. The timer that took its place ends it a moment later, so that a request could be sent to a target first, with the least time as its deadline.

TestPassedDeadlineEndsAtOnce failed before.

--- a/pkg/relay/deadline.go
+++ b/pkg/relay/deadline.go
@@ -28,7 +28,11 @@
 	d := &deadline{cancel: cancel, later: req.LaterDeadline, at: req.Deadline}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.timer = time.AfterFunc(time.Until(d.at), d.expire)
+	left := time.Until(d.at)
+	d.timer = time.AfterFunc(left, d.expire)
+	if left <= 0 {
+		d.end()
+	}
 	return ctx, d
 }
 
@@ -36,7 +40,7 @@
 func (d *deadline) expire() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.putOff() {
+	if d.passed || d.putOff() {
 		return
 	}
 	// The deadline was put off after the timer had expired.
@@ -44,6 +48,11 @@
 		d.timer.Reset(left)
 		return
 	}
+	d.end()
+}
+
+// end ends the context. d.mu must be held.
+func (d *deadline) end() {
 	d.passed = true
 	d.cancel()
 }
--- a/pkg/relay/deadline_test.go
+++ b/pkg/relay/deadline_test.go
@@ -60,3 +60,14 @@
 		must.Eq(t, d.time(), d.reconsider())
 	})
 }
+
+// TestPassedDeadlineEndsAtOnce guards against sending a request whose deadline has passed
+// before it came to the relay.
+func TestPassedDeadlineEndsAtOnce(t *testing.T) {
+	for range 100 {
+		ctx, d := startDeadline(t.Context(), &request.Request{Deadline: time.Now()})
+		must.Error(t, ctx.Err())
+		must.False(t, d.beginAnswer())
+		d.stop()
+	}
+}
