Begin no answer after a deadline whose timer is late

An answer that came after the deadline, but before the timer had run, was begun and then cut by the timer: an incomplete response instead of 504. The time is now compared as well. TestLateTimerLetsNoAnswerBegin failed before. Not seen in a process.

--- a/pkg/relay/deadline.go
+++ b/pkg/relay/deadline.go
@@ -82,11 +82,11 @@
 }
 
 // beginAnswer records that the answer begins. It reports false if the deadline has passed,
-// so that no answer may begin.
+// so that no answer may begin. The timer may be late, so the time is compared as well.
 func (d *deadline) beginAnswer() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.begun = d.begun || !d.passed
+	d.begun = d.begun || (!d.passed && time.Now().Before(d.at))
 	return d.begun
 }
 
--- a/pkg/relay/deadline_test.go
+++ b/pkg/relay/deadline_test.go
@@ -71,3 +71,14 @@
 		d.stop()
 	}
 }
+
+// TestLateTimerLetsNoAnswerBegin has the timer's function run late. It guards against an
+// answer that begins after the deadline and is then cut.
+func TestLateTimerLetsNoAnswerBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, d := newTestDeadline(t)
+		d.timer.Stop()
+		time.Sleep(time.Second)
+		must.False(t, d.beginAnswer())
+	})
+}
