Put no deadline off after its request has ended

If the timer expired as the request ended, the deadline of its begun answer could be put off, and the timer went on for a request that was over, with all that it holds, until the lengthened timeout. TestEndedDeadlineIsNotPutOff failed before for a request that had ended; its other case fails if a passed deadline can be put off, which no test noticed. Not seen in a process.

--- a/pkg/relay/deadline.go
+++ b/pkg/relay/deadline.go
@@ -99,6 +99,8 @@
 
 // stop ends the context and frees the timer.
 func (d *deadline) stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.timer.Stop()
-	d.cancel()
+	d.end()
 }
--- a/pkg/relay/deadline_test.go
+++ b/pkg/relay/deadline_test.go
@@ -82,3 +82,34 @@
 		must.False(t, d.beginAnswer())
 	})
 }
+
+// TestEndedDeadlineIsNotPutOff has the timer's function run after the request has ended,
+// or after the deadline has. It guards against a timer that goes on for a request that is
+// over, and against a retry of one whose context has ended.
+func TestEndedDeadlineIsNotPutOff(t *testing.T) {
+	for name, end := range map[string]func(*deadline){
+		"request": func(d *deadline) { d.stop() },
+		"deadline": func(*deadline) {
+			time.Sleep(3 * time.Second)
+			synctest.Wait()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, d := newTestDeadline(t)
+				must.True(t, d.beginAnswer())
+				end(d)
+				asked := 0
+				d.later = func() time.Time {
+					asked++
+					return time.Now().Add(time.Second)
+				}
+				before := d.time()
+				d.expire()
+				time.Sleep(5 * time.Second)
+				must.Eq(t, before, d.reconsider())
+				must.Eq(t, 0, asked)
+			})
+		})
+	}
+}
