Send the caller what was written before a stream fails

An event that comes together with the next one is not flushed, since the next one follows at once. If that one is malformed or out of order and no target may continue the stream, the connection is closed with the first event unsent: callers saw neither an answer nor a refusal, not even a status. What was written is now flushed when a stream fails.

TestEventBeforeMalformedOneReachesCaller failed before, with status 0.

--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -13,8 +13,19 @@
 // instead of kept for reuse.
 const drainTimeout = 20 * time.Millisecond
 
-// relayStream writes a stream's events to the caller, up to the last one.
+// relayStream writes a stream's events to the caller, up to the last one. On a failure
+// the caller has been sent all that was written.
 func (a *attempt) relayStream(w *watchdog, response *http.Response, events EventReader) error {
+	err := a.relayEvents(w, response, events)
+	if err != nil && a.call.result.ResponseStarted {
+		// The failure that ends the stream is returned.
+		_ = http.NewResponseController(a.call.writer).Flush()
+	}
+	return err
+}
+
+// relayEvents writes a stream's events to the caller, up to the last one.
+func (a *attempt) relayEvents(w *watchdog, response *http.Response, events EventReader) error {
 	controller := http.NewResponseController(a.call.writer)
 	for {
 		event, err := events.Next()
