Hold no event back that comes with a comment

An event is not flushed if the next frame is in memory already. If that frame is a comment, nothing was written or flushed after it, so that the caller got the event only with the next one, and never if the stream was cut first. The relay now flushes after a comment, unless the next frame is in memory too.

TestEventBeforeCommentIsNotHeldBack failed before: its target waits for the flush, and the request ended at its deadline.

--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -36,6 +36,9 @@
 			return err
 		}
 		if event.ID == 0 && !event.Last {
+			if err := a.flushBefore(events); err != nil {
+				return err
+			}
 			continue
 		}
 		if err := a.writeEvent(response, event); err != nil {
@@ -58,6 +61,18 @@
 	}
 }
 
+// flushBefore sends the caller what was written, unless the next event is in memory. An
+// event that came together with a comment was not sent yet.
+func (a *attempt) flushBefore(events EventReader) error {
+	if !a.call.result.ResponseStarted || events.Ready() {
+		return nil
+	}
+	if err := http.NewResponseController(a.call.writer).Flush(); err != nil {
+		return &exchangeError{failure: retry.CallerGone, cause: err}
+	}
+	return nil
+}
+
 // acceptEvent checks that an event may be written to the caller as the next one.
 func (a *attempt) acceptEvent(w *watchdog, events EventReader, event Event) error {
 	if !a.watchNext(w, event) {
