--- a/pkg/relay/deadline_test.go
+++ b/pkg/relay/deadline_test.go
@@ -60,3 +60,56 @@
 		must.Eq(t, d.time(), d.reconsider())
 	})
 }
+
+// TestPassedDeadlineEndsAtOnce guards against sending a request whose deadline has passed
+// before it came to the relay.
+func TestPassedDeadlineEndsAtOnce(t *testing.T) {
+	for range 100 {
+		ctx, d := startDeadline(t.Context(), &request.Request{Deadline: time.Now()})
+		must.Error(t, ctx.Err())
+		must.False(t, d.beginAnswer())
+		d.stop()
+	}
+}
+
+// TestLateTimerLetsNoAnswerBegin has the timer's function run late. It guards against an
+// answer that begins after the deadline and is then cut.
+func TestLateTimerLetsNoAnswerBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, d := newTestDeadline(t)
+		d.timer.Stop()
+		time.Sleep(time.Second)
+		must.False(t, d.beginAnswer())
+	})
+}
+
+// TestEndedDeadlineIsNotPutOff has the timer's function run after the request has ended,
+// or after the deadline has. It guards against a timer that goes on for a request that is
+// over, and against a retry of one whose context has ended.
+func TestEndedDeadlineIsNotPutOff(t *testing.T) {
+	for name, end := range map[string]func(*deadline){
+		"request": func(d *deadline) { d.stop() },
+		"deadline": func(*deadline) {
+			time.Sleep(3 * time.Second)
+			synctest.Wait()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, d := newTestDeadline(t)
+				must.True(t, d.beginAnswer())
+				end(d)
+				asked := 0
+				d.later = func() time.Time {
+					asked++
+					return time.Now().Add(time.Second)
+				}
+				before := d.time()
+				d.expire()
+				time.Sleep(5 * time.Second)
+				must.Eq(t, before, d.reconsider())
+				must.Eq(t, 0, asked)
+			})
+		})
+	}
+}
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -13,8 +13,19 @@
 // instead of kept for reuse.
 const drainTimeout = 20 * time.Millisecond
 
-// relayStream writes a stream's events to the caller, up to the last one.
+// relayStream writes a stream's events to the caller, up to the last one. On a failure
+// the caller has been sent all that was written.
 func (a *attempt) relayStream(w *watchdog, response *http.Response, events EventReader) error {
+	err := a.relayEvents(w, response, events)
+	if err != nil && a.call.result.ResponseStarted {
+		// The failure that ends the stream is returned.
+		_ = http.NewResponseController(a.call.writer).Flush()
+	}
+	return err
+}
+
+// relayEvents writes a stream's events to the caller, up to the last one.
+func (a *attempt) relayEvents(w *watchdog, response *http.Response, events EventReader) error {
 	controller := http.NewResponseController(a.call.writer)
 	for {
 		event, err := events.Next()
@@ -25,6 +36,9 @@
 			return err
 		}
 		if event.ID == 0 && !event.Last {
+			if err := a.flushBefore(events); err != nil {
+				return err
+			}
 			continue
 		}
 		if err := a.writeEvent(response, event); err != nil {
@@ -47,18 +61,30 @@
 	}
 }
 
+// flushBefore sends the caller what was written, unless the next event is in memory. An
+// event that came together with a comment was not sent yet.
+func (a *attempt) flushBefore(events EventReader) error {
+	if !a.call.result.ResponseStarted || events.Ready() {
+		return nil
+	}
+	if err := http.NewResponseController(a.call.writer).Flush(); err != nil {
+		return &exchangeError{failure: retry.CallerGone, cause: err}
+	}
+	return nil
+}
+
 // acceptEvent checks that an event may be written to the caller as the next one.
 func (a *attempt) acceptEvent(w *watchdog, events EventReader, event Event) error {
 	if !a.watchNext(w, event) {
 		return &exchangeError{failure: retry.Silence, cause: errSilence}
 	}
 	a.call.markRan()
-	if (event.ID != 0 || event.Last) && !a.call.deadline.beginAnswer() {
-		return &exchangeError{failure: retry.DeadlinePassed, cause: errAnswerLate}
-	}
 	if event.ID != 0 && !events.Follows(a.lastEvent, event.ID) {
 		return &exchangeError{failure: retry.Mismatch, cause: errEventOrder}
 	}
+	if (event.ID != 0 || event.Last) && !a.call.deadline.beginAnswer() {
+		return &exchangeError{failure: retry.DeadlinePassed, cause: errAnswerLate}
+	}
 	return nil
 }
 
