Leave a silent target only once another has not refused the request

Callers got 502 for a request whose answer was on the way: a sound target paused before its answer, the request was left for another target, and that refused it (TestKnownRedSoundTargetIsNotLeftForRefusal). The retry was taken before, the acceptance was not known.

The second attempt is now sent while the first goes on, and the first is left once the second has not failed for 250 ms or half of the silence timeout. An answer of the first within that time ends the second; a first that breaks off then is followed by the second. Both are attempts, and the second is one retry from the budget. Answers are written by the request's goroutine alone. A request that was not sent is left at once, as before, so a KV cache is never used twice. The second attempt's prompt is not computed apart.

The known red test is TestSoundTargetIsNotLeftForRefusal now, in fake time, for four kinds of failure of the second target, so that its verdict does not depend on the load. The race detector found, before this commit, a second attempt's watchdog that read the request's list of failed targets while the next attempt wrote it.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -36,6 +36,14 @@
 	excluded []ident.Target
 	// mayPrefill reports whether the next attempt may have the prompt computed apart.
 	mayPrefill bool
+	// sent is the exchange that was begun in advance, or nil.
+	sent *exchange
+	// successor takes the attempt's place, seconds are the attempts that did not. All
+	// were begun while the target was silent.
+	successor *attempt
+	seconds   []*attempt
+	// err is how a second attempt failed.
+	err error
 	// silenceLogged is set once the attempt has logged that its target is silent.
 	silenceLogged bool
 	// continues reports whether the caller had a part of the answer when the attempt was
@@ -75,10 +83,18 @@
 
 // newAttempt returns an attempt that has not sent anything.
 func newAttempt(c *call, state *fleet.TargetState) *attempt {
+	a := newAttemptAt(c, state, c.failedTargets)
+	a.mayPrefill, a.continues, a.lastEvent = c.mayPrefill(), c.begun, c.lastEvent
+	return a
+}
+
+// newAttemptAt returns an attempt at a target that is not among the excluded ones. It may
+// be called while another attempt is in progress.
+func newAttemptAt(c *call, state *fleet.TargetState, excluded []ident.Target) *attempt {
 	return &attempt{
 		call: c, id: ident.Attempt(uuid.NewString()), target: state.Record.Target,
-		excluded: append(slices.Clone(c.failedTargets), state.Record.Target), mayPrefill: c.mayPrefill(), continues: c.begun,
-		address: state.Record.Address, incarnation: state.Incarnation, record: state.Record, resumeBackoff: newResumeBackoff(), lastEvent: c.lastEvent, began: time.Now(),
+		excluded: append(slices.Clone(excluded), state.Record.Target), address: state.Record.Address,
+		incarnation: state.Incarnation, record: state.Record, resumeBackoff: newResumeBackoff(), began: time.Now(),
 	}
 }
 
@@ -101,6 +117,10 @@
 // Otherwise it returns the error and how to continue.
 func (a *attempt) run(ctx context.Context) (retry.Decision, error) {
 	err := a.sendFirst(ctx)
+	if a.successor != nil {
+		a.handOver(err)
+		return retry.Again, err
+	}
 	if errors.Is(err, errWithheld) {
 		return a.call.afterWithheld(), err
 	}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -48,6 +48,8 @@
 	// lastEvent is the ID of the last event that was written to the caller, or
 	// that the caller had received before it sent the request.
 	lastEvent uint64
+	// next is the next attempt if it was begun in advance, or nil.
+	next *attempt
 	// promptCleared is set once the prompt guard was notified that an answer goes on.
 	promptCleared bool
 	// begun is set once an attempt that ended has written a part of the answer.
@@ -123,6 +125,7 @@
 		c.reportResult(a, err)
 		c.reportPrompt(a, err)
 		a.reportWork(err)
+		c.reportSeconds(a)
 		if decision != retry.Again {
 			return c.finish(a, decision, err)
 		}
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -15,27 +15,58 @@
 // maxRejectionBytes bounds how much of a rejection's body is read.
 const maxRejectionBytes = 4 << 10
 
-// sendFirst sends the request and relays the response.
+// exchange is a request that is sent to a target.
+type exchange struct {
+	watchdog *watchdog
+	response *http.Response
+	trace    *target.Trace
+	err      error
+	// done is closed once the response or the error is known.
+	done chan struct{}
+}
+
+// newExchange returns an exchange in which nothing was sent.
+func (a *attempt) newExchange(ctx context.Context) *exchange {
+	return &exchange{watchdog: a.startWatchdog(ctx), done: make(chan struct{})}
+}
+
+// sendFirst sends the request, unless that was done in advance, and relays the response.
 func (a *attempt) sendFirst(ctx context.Context) error {
-	w := a.startWatchdog(ctx)
-	defer w.stop()
-	outgoing, err := a.call.relay.protocol.Request(w.ctx, a.newTargetRequest())
+	e := a.sent
+	if e == nil {
+		e = a.newExchange(ctx)
+		a.exchange(e)
+	}
+	defer e.watchdog.stop()
+	<-e.done
+	if e.err != nil {
+		return e.err
+	}
+	a.advanceTo(retry.Answering)
+	return a.handleResponse(e.watchdog, e.response, e.trace)
+}
+
+// exchange sends the request and waits for the head of the response.
+func (a *attempt) exchange(e *exchange) {
+	defer close(e.done)
+	ctx := e.watchdog.ctx
+	outgoing, err := a.call.relay.protocol.Request(ctx, a.newTargetRequest())
 	if err != nil {
-		return &exchangeError{failure: retry.ConnectFailed, cause: err}
+		e.err = &exchangeError{failure: retry.ConnectFailed, cause: err}
+		return
 	}
 	reuse := target.ReuseRecent
 	if a.call.req.Idempotent {
 		reuse = target.ReuseAny
 	}
-	response, trace, err := a.send(outgoing, reuse)
-	if err != nil {
-		if trace.Abort() {
-			a.advanceTo(retry.Sent)
-		}
-		return a.call.classify(w.ctx, err)
+	e.response, e.trace, err = a.send(outgoing, reuse) //nolint:bodyclose // handleResponse and settleSecond close it.
+	if err == nil {
+		return
 	}
-	a.advanceTo(retry.Answering)
-	return a.handleResponse(w, response, trace)
+	if e.trace.Abort() {
+		a.advanceTo(retry.Sent)
+	}
+	e.err = a.call.classify(ctx, err)
 }
 
 // newTargetRequest returns the TargetRequest from which the protocol builds its request.
@@ -77,9 +108,7 @@
 	if kind == ResponseMismatched {
 		return discard(response, trace, retry.Mismatch, errWrongAttempt)
 	}
-	if load, ok := protocol.Load(response); ok {
-		a.reportLoad(load)
-	}
+	a.observeLoad(response)
 	var err error
 	switch {
 	case kind == ResponseRejected:
@@ -99,6 +128,13 @@
 	return err
 }
 
+// observeLoad reports the load in a response, if there is one.
+func (a *attempt) observeLoad(response *http.Response) {
+	if load, ok := a.call.relay.protocol.Load(response); ok {
+		a.reportLoad(load)
+	}
+}
+
 // reportLoad records a target's load and reports it to a router that implements
 // routing.LoadObserver.
 func (a *attempt) reportLoad(load fleet.LoadReport) {
--- a/pkg/relay/next.go
+++ b/pkg/relay/next.go
@@ -19,6 +19,12 @@
 // retry budget. A prompt is computed apart only once: after that, an attempt either
 // takes over the KV cache or runs at one engine.
 func (c *call) nextAttempt(ctx context.Context) (*attempt, error) {
+	if a := c.next; a != nil {
+		c.next = nil
+		c.result.Attempts++
+		c.result.Target = a.target
+		return a, nil
+	}
 	prefiller, canPrefill := c.relay.protocol.(Prefiller)
 	for {
 		if err := c.checkPrompt(); err != nil {
--- a/pkg/relay/watchdog.go
+++ b/pkg/relay/watchdog.go
@@ -25,16 +25,23 @@
 	connected atomic.Bool
 	// silence is zero for exchanges that are never left.
 	silence time.Duration
-	// mayLeave reports whether the exchange may be left. If not, it is asked again
-	// after another silence.
-	mayLeave func() bool
+	// ask reports whether the exchange may be left. If not, it is asked again after
+	// another silence. settle, unless nil, is then called with whether it was left.
+	ask func() (may bool, settle func(left bool))
+	// over is closed when the answer begins or the exchange ends.
+	over chan struct{}
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// stopped is set once the watchdog must not end the exchange any more.
-	stopped bool
-	// left is set once the watchdog has ended the exchange.
-	left bool
+	// limit ends the exchange after a time that was set by limitTo.
+	limit *time.Timer
+	// heard is set once data has arrived since the last decision began.
+	heard atomic.Bool
+	// deciding is closed at the end of the last decision; nil if there was none.
+	deciding chan struct{}
+	// answered is set once the answer has begun, ended once the exchange ended before
+	// that, left once the watchdog has ended it.
+	answered, ended, left bool
 }
 
 // startWatchdog starts an exchange's watchdog. A stream that its target keeps is left
@@ -49,11 +56,11 @@
 	req, silence := a.call.req, a.call.knobs.SilenceTimeout.D()
 	switch {
 	case a.keptByTarget():
-		w.start(silence<<a.idleResumes, func() bool { return true })
+		w.start(silence<<a.idleResumes, func() (bool, func(bool)) { return true, nil })
 	case a.claimAnswer != nil, a.answerBegun():
 	case req.Resumable, req.Idempotent && req.Class == ident.ClassLookup:
 		w.ctx = httptrace.WithClientTrace(w.ctx, &httptrace.ClientTrace{GotConn: w.gotConn})
-		w.start(silence, func() bool { return a.maySendElsewhere(w.phase()) })
+		w.start(silence, a.sendElsewhere(ctx, w))
 	}
 	return w
 }
@@ -74,69 +81,68 @@
 	return retry.Unsent
 }
 
-// maySendElsewhere reports whether the request can be sent to another target, and if
-// so reserves the retry. It may be called while the exchange is in progress.
-func (a *attempt) maySendElsewhere(phase retry.Phase) bool {
-	may := a.call.hasAlternative(a.excluded, a.mayPrefill) && a.call.retries.Reserve(phase, time.Now())
-	a.call.relay.metrics.silenceDecided(may)
-	if !a.silenceLogged {
-		a.silenceLogged = true
-		a.call.relay.opts.Log.Info("target silent", "request", a.call.req.ID, "target", a.target,
-			"after", time.Since(a.began), "sendElsewhere", may)
-	}
-	return may
-}
-
 // start sets the timeout and starts the timer.
-func (w *watchdog) start(silence time.Duration, mayLeave func() bool) {
+func (w *watchdog) start(silence time.Duration, ask func() (bool, func(bool))) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.silence, w.mayLeave = silence, mayLeave
+	w.silence, w.ask, w.over = silence, ask, make(chan struct{})
 	w.timer = time.AfterFunc(silence, w.expire)
 }
 
-// expire ends the exchange if it may be left, unless the answer begins meanwhile.
+// expire asks whether the exchange may be left, and ends it if so, unless its answer
+// begins meanwhile. It does not hold w.mu while it asks, so that an answer which begins
+// does not wait.
 func (w *watchdog) expire() {
-	may := w.decide()
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stopped {
+	if w.answered || w.ended {
+		w.mu.Unlock()
 		return
 	}
-	if !may {
-		w.timer.Reset(w.silence)
-		return
+	deciding := make(chan struct{})
+	w.deciding = deciding
+	w.heard.Store(false)
+	w.mu.Unlock()
+	defer close(deciding)
+	may, settle := w.ask()
+	left := w.conclude(may)
+	if settle != nil {
+		settle(left)
 	}
-	w.left = true
-	w.cancel(errSilence)
 }
 
-// decide asks whether the exchange may be left. It does not hold w.mu while it asks, so
-// that an answer which begins meanwhile does not wait.
-func (w *watchdog) decide() bool {
+// conclude ends the exchange if it may be left, and reports whether that holds. An
+// exchange that ended meanwhile without an answer counts as left.
+func (w *watchdog) conclude(may bool) bool {
 	w.mu.Lock()
-	mayLeave, stopped := w.mayLeave, w.stopped
-	w.mu.Unlock()
-	return !stopped && mayLeave()
+	defer w.mu.Unlock()
+	switch {
+	case w.answered:
+		return false
+	case w.ended:
+		return may
+	case may && w.heard.Load():
+		w.timer.Reset(w.silence)
+		return false
+	case may:
+		w.left = true
+		w.cancel(errSilence)
+	default:
+		w.timer.Reset(w.silence)
+	}
+	return may
 }
 
 // reset restarts the timeout after data was received.
 func (w *watchdog) reset() {
+	w.heard.Store(true)
 	if w.timer != nil {
 		w.timer.Reset(w.silence)
 	}
 }
 
-// limitTo ends the exchange after the given time, also one that had no timeout.
+// limitTo ends the exchange after the given time.
 func (w *watchdog) limitTo(d time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.mayLeave, w.stopped = func() bool { return true }, false
-	if w.timer == nil {
-		w.timer = time.AfterFunc(d, w.expire)
-		return
-	}
-	w.timer.Reset(d)
+	w.limit = time.AfterFunc(d, func() { w.cancel(nil) })
 }
 
 // disarm stops the timer, so that silence no longer ends the exchange. It reports false
@@ -144,16 +150,37 @@
 func (w *watchdog) disarm() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.stopped = true
-	if w.timer != nil {
-		w.timer.Stop()
-	}
+	w.answered = true
+	w.stopTimer()
 	return !w.left
 }
 
-// stop ends the exchange.
+// stopTimer stops the timer and closes over; w.mu must be held.
+func (w *watchdog) stopTimer() {
+	if w.timer == nil {
+		return
+	}
+	w.timer.Stop()
+	select {
+	case <-w.over:
+	default:
+		close(w.over)
+	}
+}
+
+// stop ends the exchange, and waits for the end of a decision.
 func (w *watchdog) stop() {
-	_ = w.disarm()
+	w.mu.Lock()
+	w.ended = !w.answered
+	w.stopTimer()
+	deciding := w.deciding
+	w.mu.Unlock()
+	if deciding != nil {
+		<-deciding
+	}
+	if w.limit != nil {
+		w.limit.Stop()
+	}
 	w.cancel(nil)
 }
 
--- a/pkg/retry/controller.go
+++ b/pkg/retry/controller.go
@@ -6,10 +6,9 @@
 )
 
 // Controller decides how one request continues after each failed attempt. It
-// does no I/O. Reserve may be called concurrently with the other methods, which must
-// not be called concurrently with each other.
+// does no I/O. Its methods may be called concurrently, but no two decisions on the same
+// attempt.
 type Controller struct {
-	// mu guards the fields that Reserve uses: attempts, reserved and the budget.
 	mu     sync.Mutex
 	caps   Capabilities
 	limits Limits
@@ -118,21 +117,42 @@
 }
 
 // RecordProgress records that the attempt has received an event.
-func (c *Controller) RecordProgress() { c.resumes = 0 }
+func (c *Controller) RecordProgress() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resumes = 0
+}
 
 // MayHaveRun reports whether some target may have run the request.
-func (c *Controller) MayHaveRun() bool { return c.mayHaveRun }
+func (c *Controller) MayHaveRun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mayHaveRun
+}
 
-// AfterFailure returns what to do after an attempt failed in the given phase. A
-// resume beyond the limits is treated as if the stream were gone, and a retry
-// beyond them ends the request.
-func (c *Controller) AfterFailure(phase Phase, failure Failure, now time.Time) Decision {
+// RecordFailure records that an attempt failed in the given phase while another one goes
+// on, so that nothing has to be decided.
+func (c *Controller) RecordFailure(phase Phase, failure Failure) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordFailure(phase, failure)
+}
+
+// recordFailure records a failure; c.mu must be held.
+func (c *Controller) recordFailure(phase Phase, failure Failure) {
 	c.mayHaveRun = c.mayHaveRun || (phase != Unsent && failure != Rejected)
 	if phase == Unsent && failure == ConnectFailed && c.skipUnreachable() {
 		c.attempts--
 	}
+}
+
+// AfterFailure returns what to do after an attempt failed in the given phase. A
+// resume beyond the limits is treated as if the stream were gone, and a retry
+// beyond them ends the request.
+func (c *Controller) AfterFailure(phase Phase, failure Failure, now time.Time) Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordFailure(phase, failure)
 	decision := Decide(c.caps, phase, failure)
 	if decision == Resume && !c.mayResume(now) {
 		decision = Decide(c.caps, phase, StreamGone)
