Name the deadline as the cause of what it ends

A request that its deadline ended was logged with "context canceled" since the deadline can be put off, and with "context deadline exceeded" before, which says more. The context's cause is the deadline again.

--- a/pkg/relay/deadline.go
+++ b/pkg/relay/deadline.go
@@ -11,7 +11,7 @@
 // deadline ends a request's context at its deadline. If the answer has begun by then and
 // the configuration in force gives the request more time, the deadline is put off.
 type deadline struct {
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// later is Request.LaterDeadline.
 	later func() time.Time
 
@@ -24,7 +24,7 @@
 
 // startDeadline returns a context that ends at the request's deadline, and the deadline.
 func startDeadline(ctx context.Context, req *request.Request) (context.Context, *deadline) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	d := &deadline{cancel: cancel, later: req.LaterDeadline, at: req.Deadline}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -45,7 +45,7 @@
 		return
 	}
 	d.passed = true
-	d.cancel()
+	d.cancel(context.DeadlineExceeded)
 }
 
 // putOff puts the deadline off if the answer has begun and the configuration in force
@@ -91,5 +91,5 @@
 // stop ends the context and frees the timer.
 func (d *deadline) stop() {
 	d.timer.Stop()
-	d.cancel()
+	d.cancel(nil)
 }
