--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -48,6 +48,8 @@
 	// lastEvent is the ID of the last event that was written to the caller, or
 	// that the caller had received before it sent the request.
 	lastEvent uint64
+	// next is the next attempt if it was begun in advance, or nil.
+	next *attempt
 	// promptCleared is set once the prompt guard was notified that an answer goes on.
 	promptCleared bool
 	// losses are the targets that may have ended under the request.
@@ -125,7 +127,10 @@
 		c.reportResult(a, err)
 		c.reportPrompt(a, err)
 		a.reportWork(err)
-		decision = c.afterLoss(ctx, decision)
+		c.reportSeconds(a)
+		if c.next == nil {
+			decision = c.afterLoss(ctx, decision)
+		}
 		if decision != retry.Again {
 			return c.finish(a, decision, err)
 		}
--- a/pkg/relay/deadline.go
+++ b/pkg/relay/deadline.go
@@ -11,7 +11,7 @@
 // deadline ends a request's context at its deadline. If the answer has begun by then and
 // the configuration in force gives the request more time, the deadline is put off.
 type deadline struct {
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// later is Request.LaterDeadline.
 	later func() time.Time
 
@@ -24,14 +24,14 @@
 
 // startDeadline returns a context that ends at the request's deadline, and the deadline.
 func startDeadline(ctx context.Context, req *request.Request) (context.Context, *deadline) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	d := &deadline{cancel: cancel, later: req.LaterDeadline, at: req.Deadline}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	left := time.Until(d.at)
 	d.timer = time.AfterFunc(left, d.expire)
 	if left <= 0 {
-		d.end()
+		d.end(context.DeadlineExceeded)
 	}
 	return ctx, d
 }
@@ -48,13 +48,13 @@
 		d.timer.Reset(left)
 		return
 	}
-	d.end()
+	d.end(context.DeadlineExceeded)
 }
 
-// end ends the context. d.mu must be held.
-func (d *deadline) end() {
+// end ends the context with a cause. d.mu must be held.
+func (d *deadline) end(cause error) {
 	d.passed = true
-	d.cancel()
+	d.cancel(cause)
 }
 
 // putOff puts the deadline off if the answer has begun and the configuration in force
@@ -102,5 +102,5 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.timer.Stop()
-	d.end()
+	d.end(nil)
 }
--- a/pkg/relay/promptguard.go
+++ b/pkg/relay/promptguard.go
@@ -31,16 +31,21 @@
 // checkPrompt returns an error if the request must not be sent to a target. It is
 // called before each send.
 func (c *call) checkPrompt() error {
-	guard := c.relay.opts.PromptGuard
-	if guard == nil {
-		return nil
-	}
-	probe, err := guard.Check(c.req)
+	probe, err := c.checkGuard()
 	// A prompt that is computed apart would reach a second target.
 	c.prefilled = c.prefilled || probe
 	return err
 }
 
+// checkGuard is PromptGuard.Check, if there is a guard.
+func (c *call) checkGuard() (probe bool, err error) {
+	guard := c.relay.opts.PromptGuard
+	if guard == nil {
+		return false, nil
+	}
+	return guard.Check(c.req)
+}
+
 // lostAtStart reports whether an attempt failed as at a target that ends when it begins
 // to run the request.
 func (c *call) lostAtStart(a *attempt, failure retry.Failure) bool {
