Put a begun answer's deadline off by whichever route has the request now

The route that the configuration in force has for the request decides now. TestRenamedRouteCutsNoBegunAnswer failed before.

--- a/pkg/entry/laterdeadline.go
+++ b/pkg/entry/laterdeadline.go
@@ -6,12 +6,13 @@
 	"amaranthplank.example/amaranthplank/pkg/config"
 )
 
-// laterDeadline returns the request's deadline by the configuration now in force, or the
-// zero time if its route no longer matches it. It is before the process is killed.
+// laterDeadline returns the request's deadline by the route that the configuration now in
+// force has for it, whatever its name, or the zero time if there is none. It is before the
+// process is killed.
 func (s *session) laterDeadline() time.Time {
 	snapshot := s.handler.opts.Config.Current()
 	route := snapshot.Route(s.req.Host, s.req.Method, s.httpReq.URL.Path, s.req.Model)
-	if route == nil || route.Name != s.req.Route {
+	if route == nil {
 		return time.Time{}
 	}
 	knobs := snapshot.Knobs(config.Selector{Workspace: s.req.Workspace, Route: route.Name, Model: s.req.Model, Service: s.req.Service})
