Refuse a request without waiting for its body

A request that is refused before its body was read, such as one without a valid key, got no response as long as its caller sent no body, and kept its connection: net/http reads up to 256 KiB of the body before it sends a response, without a read deadline.

--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -34,6 +34,7 @@
 		return
 	}
 	if err := s.readRequest(); err != nil {
+		s.discardBody()
 		s.fail(request.NotRun, err)
 		return
 	}
--- a/pkg/entry/stalledbody_knownred_test.go
+++ b/pkg/entry/stalledbody_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package entry_test
 
 import (
@@ -15,10 +13,10 @@
 	"amaranthplank.example/amaranthplank/pkg/standin/rig"
 )
 
-// TestKnownRedRefusalWithoutBodyComes sends heads without their bodies. It guards against a
+// TestRefusalWithoutBodyComes sends heads without their bodies. It guards against a
 // refusal that is held back as long as the caller sends no body, and against a connection
 // that a caller without a valid key keeps for any time.
-func TestKnownRedRefusalWithoutBodyComes(t *testing.T) {
+func TestRefusalWithoutBodyComes(t *testing.T) {
 	for key, want := range map[string]int{rig.Key("one"): http.StatusBadRequest, "none": http.StatusUnauthorized} {
 		inFakeTime(t, rig.Options{Ledgers: 1}, func(t *testing.T, r *rig.Rig) {
 			conn, err := r.Network.Dial(t.Context(), "tcp", rig.DaemonAddress)
