Divide the retry slack by the hosts that the store knows of too

A daemon that starts while the fleet is cut in two parts sees those of its own part alone, and took their share of the whole slack: four of eight that restarted in a cut made 76 repeats in 10 s for 80 requests, 72 allowed. The usage checkpoints in the store name all hosts of the last three minutes, and every daemon reads them before it serves, at no further call. Peaks that daemons tell each other don't help if a whole part restarts, and in the presence records each change of the count would cost a write.

A cut of over three minutes remains.

--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -28,10 +28,12 @@
 }
 
 // retryBudget returns this daemon's share of the fleet's retry limit for the
-// request's model or service, and the key that identifies the model or service.
+// request's model or service, and the key that identifies the model or service. Hosts
+// with a stored checkpoint are counted too: a process that starts while the fleet is cut
+// into parts sees only the daemons of its own.
 func (g *Gateway) retryBudget(req *request.Request) (key string, share retry.Share) {
 	now := time.Now()
-	share = g.retryShares.share(g.limits.Load(), g.presence.Daemons(), now)
+	share = g.retryShares.share(g.limits.Load(), max(g.presence.Daemons(), g.standbyWriter.Hosts()), now)
 	g.shareLog.record(share, now)
 	return retryBudgetKey(req), share
 }
--- a/pkg/gateway/retryshares_test.go
+++ b/pkg/gateway/retryshares_test.go
@@ -115,6 +115,17 @@
 			count++
 		}
 	}
+	return max(count, s.storedHosts(step))
+}
+
+// storedHosts returns the number of daemons with a checkpoint in the store. It keeps
+// those of daemons that ended or are cut off for longer than the simulated time.
+func (s *retrySim) storedHosts(step int) (count int) {
+	for _, d := range s.daemons {
+		if d.downSince > 0 || d.downUntil+s.joinLag <= step {
+			count++
+		}
+	}
 	return count
 }
 
@@ -207,6 +218,21 @@
 	})
 }
 
+// TestRestartsDuringCutsGiveNoLargerBursts guards against retries beyond the fleet's
+// limit when daemons restart while the fleet is cut into two parts: a restarted daemon
+// sees only those of its own part.
+func TestRestartsDuringCutsGiveNoLargerBursts(t *testing.T) {
+	s := &retrySim{kills: make([][][2]int, 8), storms: [][2]int{{400, 600}}, apart: 4, cut: [2]int{20, simSteps}}
+	for i := range s.kills {
+		s.daemons = append(s.daemons, &simDaemon{rate: 0.1})
+		if i < s.apart {
+			s.kills[i] = append(s.kills[i], [2]int{200, 5})
+		}
+	}
+	s.run()
+	s.check(t)
+}
+
 // TestChangesOfTheFleetGiveNoLargerBursts guards against retries beyond the fleet's
 // limit while daemons are added, which the others see late, while some go for good and
 // while daemons take changed settings at different times.
--- a/pkg/tally/standby_writer.go
+++ b/pkg/tally/standby_writer.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -43,6 +45,9 @@
 	stored map[external.Key]external.Entry
 	// refusedAt is when the store last refused a write.
 	refusedAt time.Time
+
+	// hosts is the number of hosts that the stored checkpoints are of.
+	hosts atomic.Int64
 }
 
 // heldCheckpoint is a checkpoint that waits to be written.
@@ -83,8 +88,25 @@
 		}
 		w.stored[entries[i].Key] = entries[i]
 	}
+	if whole || len(entries) > 0 {
+		w.hosts.Store(int64(countHosts(w.stored)))
+	}
+}
+
+// countHosts returns the number of hosts that checkpoints are of.
+func countHosts(stored map[external.Key]external.Entry) int {
+	hosts := make(map[string]bool, len(stored))
+	for key := range stored {
+		host, _, _ := strings.Cut(strings.TrimPrefix(string(key), string(CheckpointPrefix)), "/")
+		hosts[host] = true
+	}
+	return len(hosts)
 }
 
+// Hosts returns the number of hosts of which the store has a checkpoint. A host that has
+// ended, or can't reach the store, is counted for removeAfter.
+func (w *StandbyWriter) Hosts() int { return int(w.hosts.Load()) }
+
 // lastStored returns a checkpoint as the store was last seen to hold it, or the zero
 // Entry.
 func (w *StandbyWriter) lastStored(key external.Key) external.Entry {
