Send nothing to targets that refuse connections until they are back

Cause: a refused connection was a failure like any other. The ejection after it holds only while the role has another engine, so that a stage whose engines had all ended got every request, four or five times each, after a prompt had been prefilled for it.

Change: what a send shows is typed evidence. Refused connections, and responses that another process has the address, make a target absent at the second one, at this daemon: it gets nothing and is in no choice until a later incarnation, another target at its address, or a probe that the daemon makes itself. Errors, rejections and silence eject as before. If all that can take a request are absent, it is refused without an attempt, a prefill or a retry, with a jittered Retry-After by how long such targets were away. What returns gets requests gradually, as after a pause. Engines that only prefill get no whole request on the platform. A target's ejection is reported once, not for each attempt.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"amaranthplank.example/amaranthplank/pkg/operator"
 	"amaranthplank.example/amaranthplank/pkg/peer"
 	"amaranthplank.example/amaranthplank/pkg/presence"
+	"amaranthplank.example/amaranthplank/pkg/presenceprobe"
 	"amaranthplank.example/amaranthplank/pkg/registry"
 	"amaranthplank.example/amaranthplank/pkg/relay"
 	"amaranthplank.example/amaranthplank/pkg/routing"
@@ -80,6 +81,7 @@
 	windows       *tally.WindowMemory
 	exclusions    *exclusion.Announcer
 	poison        poisonParts
+	prober        *presenceprobe.Prober
 }
 
 // New returns a gateway that is ready to run.
@@ -146,8 +148,9 @@
 		View: g.targets, Domain: opts.FailureDomain, Now: time.Now, Random: newRandom(),
 		Knobs:   func() *config.RoutingKnobs { return &g.knobs(config.Selector{}).Routing },
 		Daemons: g.presence.Daemons, PeerBacklog: g.backlog.RemoteOutstanding, ReportingShare: g.backlog.Coverage,
-		OnEjected: g.targetEjected, OnNotice: g.targetNoticed,
+		OnEjected: g.targetEjected, OnNotice: g.targetNoticed, OnPresence: g.presenceChanged, PrefillTakesPromptsOnly: true,
 	})
+	g.prober = presenceprobe.New(g.router, target.NewDialer().DialContext)
 	g.relay = relay.New(relay.Options{
 		Router: g.router, Client: target.NewClient(), Config: opts.Published, Protocol: opts.Protocol,
 		Log: opts.Log, Registerer: g.registry, OnRun: g.counter.RequestStarted,
@@ -231,7 +234,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for _, run := range []func(context.Context) error{
 		g.mirror.Run, g.relay.Run, g.duties.run, g.announcer.Run, g.counter.Run, g.backlog.Run, g.runLinks,
-		g.standbyWriter.Run, g.windows.Run, g.runPoisonParts,
+		g.standbyWriter.Run, g.windows.Run, g.runPoisonParts, g.prober.Run,
 	} {
 		group.Go(func() error { return run(ctx) })
 	}
--- /dev/null
+++ b/pkg/presenceprobe/prober.go
@@ -0,0 +1,55 @@
+package presenceprobe
+
+import (
+	"context"
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/routing"
+	"amaranthplank.example/amaranthplank/pkg/target"
+)
+
+// probeTimeout bounds the time to connect.
+const probeTimeout = time.Second
+
+// Prober makes the probes of a source.
+type Prober struct {
+	source routing.ProbeSource
+	dial   target.Dial
+}
+
+// New returns a prober that connects with dial.
+func New(source routing.ProbeSource, dial target.Dial) *Prober {
+	return &Prober{source: source, dial: dial}
+}
+
+// Run makes the probes when they are due, until ctx ends.
+func (p *Prober) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		timer.Stop()
+		if wait, ok := p.source.NextProbe(); ok {
+			timer.Reset(wait)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.source.ProbesChanged():
+		case <-timer.C:
+		}
+		for _, probe := range p.source.TakeProbes() {
+			go p.probe(ctx, probe)
+		}
+	}
+}
+
+// probe makes one connection and closes it.
+func (p *Prober) probe(ctx context.Context, probe routing.Probe) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, "tcp", probe.Address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	p.source.ObserveProbe(probe, err == nil)
+}
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -49,10 +49,25 @@
 		a.notice = reader.Notice(a.newTargetRequest(), response)
 		gate.ObserveNotice(a.target, a.incarnation, a.notice)
 	}
-	send.End(err == nil)
+	send.End(a.evidenceOf(response, err))
 	return response, trace, err
 }
 
+// evidenceOf returns what an exchange shows about whether its target is there.
+func (a *attempt) evidenceOf(response *http.Response, err error) routing.Evidence {
+	switch {
+	case err != nil && target.Refused(err):
+		return routing.EvidenceRefused
+	case err != nil:
+		return routing.EvidenceUnreliable
+	case response.StatusCode != http.StatusMisdirectedRequest:
+		return routing.EvidencePresent
+	case a.call.relay.protocol.Classify(a.newTargetRequest(), response) == ResponseMismatched:
+		return routing.EvidencePresent
+	}
+	return routing.EvidenceMisdirected
+}
+
 // afterWithheld returns how the request continues after an attempt was withheld. The
 // attempt counts neither as one nor as a failure of its target.
 func (c *call) afterWithheld() retry.Decision {
--- /dev/null
+++ b/pkg/routing/absence.go
@@ -0,0 +1,168 @@
+package routing
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+const (
+	// refusalsOfAbsent is the number of refused connections or misdirected requests,
+	// without another response in between, after which a target is absent.
+	refusalsOfAbsent = 2
+	// firstProbePause and lastProbePause bound the pause before a probe. Each probe that
+	// fails multiplies the pause by probePauseGrowth.
+	firstProbePause  = 100 * time.Millisecond
+	lastProbePause   = 800 * time.Millisecond
+	probePauseGrowth = 1.5
+	// pauseJitter is the largest part by which a pause or a Retry-After is lengthened or
+	// shortened at random.
+	pauseJitter = 0.25
+	// identityWait is how long after an accepted probe no request is sent yet. The
+	// process at the address may be another, whose entry is read from the store within
+	// that time.
+	identityWait = time.Second
+	// replacedRetention is how long a replaced target is absent without probes. Its
+	// entry is removed from the store meanwhile.
+	replacedRetention = 5 * time.Second
+)
+
+// absence is what this daemon knows about one incarnation of a target that refused
+// connections or was replaced.
+type absence struct {
+	target      ident.Target
+	incarnation ident.Incarnation
+	// address and serves are those of the target; serves is its model or service.
+	address, serves string
+	// refusals counts the refused connections and misdirected requests since the last
+	// other response.
+	refusals int
+	// since is when the target became absent, or zero if it is not.
+	since time.Time
+	// replaced is set if another process has the target's address, succeeded once the
+	// view has that process.
+	replaced, succeeded bool
+	// probePause is the next pause before a probe, which is due at probeAt. probing is
+	// set during a probe.
+	probePause time.Duration
+	probeAt    time.Time
+	probing    bool
+	// returnsAt is when a target that accepted a probe gets requests again, or zero.
+	returnsAt time.Time
+	// returned is set once it does, until a response.
+	returned bool
+}
+
+// absent reports whether nothing may be sent to the target at the given time.
+func (a *absence) absent(now time.Time) bool {
+	return !a.since.IsZero() && (a.returnsAt.IsZero() || now.Before(a.returnsAt))
+}
+
+// refused records a refused connection, and reports whether the target's absence begins
+// with it. After a return without a response, a single one continues the absence.
+func (a *absence) refused(now time.Time, draw float64) bool {
+	a.refusals++
+	if a.absent(now) || (a.refusals < refusalsOfAbsent && !a.returned) {
+		return false
+	}
+	began := a.begin(now)
+	a.scheduleProbe(now, draw)
+	return began
+}
+
+// misdirected records that the process at the address refused a request for the target,
+// and reports whether the target's absence begins with it. For an engine that was not
+// absent, the cause may be its role instead.
+func (a *absence) misdirected(now time.Time, isEngine bool) bool {
+	if a.replaced || (isEngine && a.since.IsZero()) {
+		return false
+	}
+	a.refusals++
+	if a.since.IsZero() && a.refusals < refusalsOfAbsent {
+		return false
+	}
+	began := a.begin(now)
+	a.markReplaced(now)
+	return began
+}
+
+// begin starts the absence, or continues it if the target returned without a response.
+// It reports whether it started.
+func (a *absence) begin(now time.Time) bool {
+	began := a.since.IsZero()
+	if began {
+		a.since = now
+	}
+	a.returnsAt, a.returned, a.replaced = time.Time{}, false, false
+	return began
+}
+
+// markReplaced ends the probes.
+func (a *absence) markReplaced(now time.Time) {
+	a.replaced, a.returnsAt = true, time.Time{}
+	a.probeAt = now.Add(replacedRetention)
+}
+
+// scheduleProbe sets the time of the next probe; draw is from 0 to 1.
+func (a *absence) scheduleProbe(now time.Time, draw float64) {
+	a.probePause = max(firstProbePause, a.probePause)
+	a.probeAt = now.Add(jittered(a.probePause, draw))
+	a.probePause = min(lastProbePause, time.Duration(float64(a.probePause)*probePauseGrowth))
+}
+
+// probeDue reports whether the target is to be probed at the given time.
+func (a *absence) probeDue(now time.Time) bool {
+	return !a.since.IsZero() && a.returnsAt.IsZero() && !a.probing && !now.Before(a.probeAt)
+}
+
+// probed records the end of a probe. isolated is set if this daemon seems to be cut off:
+// its targets are the same as before then, and it does not wait long for them.
+func (a *absence) probed(accepted, isolated bool, now time.Time, draw float64) {
+	a.probing = false
+	switch {
+	case a.since.IsZero() || !a.returnsAt.IsZero():
+	case accepted && isolated:
+		a.returnsAt = now
+	case accepted:
+		a.returnsAt = now.Add(identityWait)
+	default:
+		if isolated {
+			a.probePause = firstProbePause
+		}
+		a.replaced = false
+		a.scheduleProbe(now, draw)
+	}
+}
+
+// jittered returns the duration lengthened or shortened by up to pauseJitter; draw is
+// from 0 to 1.
+func jittered(d time.Duration, draw float64) time.Duration {
+	return time.Duration(float64(d) * (1 + pauseJitter*(2*draw-1)))
+}
+
+const (
+	// initialAway is how long targets are expected to be away before one has returned.
+	initialAway = 2 * time.Second
+	// awayWeight is the weight of the newest absence in the expected one.
+	awayWeight = 0.3
+	// minReturnWait and maxReturnWait bound the Retry-After while targets are absent.
+	minReturnWait = 200 * time.Millisecond
+	maxReturnWait = 2 * time.Second
+	// overdueShare is the part of its absence that a target which is away for longer than
+	// expected is expected to be away further.
+	overdueShare = 0.25
+)
+
+// expectedWait returns how long the target is expected to be absent further, if targets
+// like it were absent for typical.
+func (a *absence) expectedWait(now time.Time, typical time.Duration) time.Duration {
+	if !a.returnsAt.IsZero() {
+		return min(maxReturnWait, max(minReturnWait, a.returnsAt.Sub(now)))
+	}
+	elapsed := now.Sub(a.since)
+	wait := typical - elapsed
+	if overdue := time.Duration(overdueShare * float64(elapsed)); wait < overdue {
+		wait = overdue
+	}
+	return min(maxReturnWait, max(minReturnWait, wait))
+}
--- a/pkg/routing/best.go
+++ b/pkg/routing/best.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/fault"
@@ -66,12 +67,12 @@
 
 // fallback returns the index in r.scores of the engine that runs the whole request
 // whatever its role, or a negative number. It is needed while no engine takes whole
-// requests, unless those that do have asked for a pause.
+// requests, unless those that do asked for a pause or are absent.
 func (r *ModelRouter) fallback(req *request.Request, limits taskLimits) int {
 	if r.hasRole(fleet.Mixed) {
 		return -1
 	}
-	if _, paused := r.answersPaused(req); paused {
+	if r.opts.PrefillTakesPromptsOnly || r.answersWithheld(req) != nil {
 		return -1
 	}
 	return r.cheapest(taskFullAnyRole, limits)
@@ -124,14 +125,12 @@
 	return 0, false
 }
 
-// answersPaused returns the earliest end of the pauses of a model's engines that
-// generate answers, if all that could take the request asked for one. Those that only
-// prefill take none of their work meanwhile.
-func (r *ModelRouter) answersPaused(req *request.Request) (time.Duration, bool) {
-	for i := range r.scores {
-		if r.scores[i].role != fleet.Prefill {
-			return 0, false
-		}
+// answersWithheld returns the error if all of a model's engines that generate answers and
+// could take the request asked for a pause or are absent, or nil. Those that only prefill
+// take none of their work meanwhile.
+func (r *ModelRouter) answersWithheld(req *request.Request) error {
+	if r.scoresAnswers() {
+		return nil
 	}
 	var engines []int
 	for _, i := range r.lastSnapshot.Model(req.Model) {
@@ -139,17 +138,23 @@
 			engines = append(engines, i)
 		}
 	}
-	return r.opts.notices.earliestEnd(r.lastSnapshot, engines)
+	return r.opts.withheldError(r.lastSnapshot, engines)
+}
+
+// scoresAnswers reports whether any scored engine generates answers.
+func (r *ModelRouter) scoresAnswers() bool {
+	return slices.ContainsFunc(r.scores, func(s score) bool { return s.role != fleet.Prefill })
 }
 
-// placementError returns why no engine can take the request: either all that could
-// asked for a pause, or no engine accepts new work, or even the shortest expected prompt time is too long.
+// placementError returns why no engine can take the request: either all that could asked
+// for a pause or are absent, or no engine accepts new work, or even the shortest expected
+// prompt time is too long.
 func (r *ModelRouter) placementError(req *request.Request) error {
-	if wait, paused := r.answersPaused(req); paused {
-		return pausedError(wait)
+	if err := r.answersWithheld(req); err != nil {
+		return err
 	}
 	shortest := r.shortestTime()
-	if math.IsInf(shortest, 1) {
+	if math.IsInf(shortest, 1) || (r.opts.PrefillTakesPromptsOnly && !r.scoresAnswers()) {
 		return fault.New(fault.Unavailable, "no engine of the model accepts new requests",
 			"send the request again after the time in Retry-After").WithRetryAfter(retryAfter)
 	}
--- a/pkg/routing/combinedrouter.go
+++ b/pkg/routing/combinedrouter.go
@@ -24,7 +24,7 @@
 // New returns the routers of a daemon. Each has its own random source, since
 // each guards its source with its own lock.
 func New(opts Options) *CombinedRouter {
-	opts.ensureNotices()
+	opts.ensureShared()
 	services := opts
 	services.Random = rand.New(rand.NewPCG(opts.Random.Uint64(), opts.Random.Uint64()))
 	return &CombinedRouter{Models: NewModelRouter(opts), Services: NewServiceRouter(services)}
--- a/pkg/routing/models.go
+++ b/pkg/routing/models.go
@@ -49,7 +49,7 @@
 
 // NewModelRouter returns a router without outstanding requests.
 func NewModelRouter(opts Options) *ModelRouter {
-	opts.ensureNotices()
+	opts.ensureShared()
 	return &ModelRouter{opts: opts, trackers: make(map[ident.Target]*targetTracker), meters: make(map[ident.Model]*workMeter), index: prefix.New()}
 }
 
--- a/pkg/routing/noticestate.go
+++ b/pkg/routing/noticestate.go
@@ -65,6 +65,16 @@
 	return true
 }
 
+// beginReturn lets requests in gradually, as after a pause that ends now. A pause that has
+// not ended goes on.
+func (s *noticeState) beginReturn(now time.Time) {
+	if s.pausedUntil.Before(now) {
+		s.pausedUntil = now
+	}
+	s.admitted, s.sent = firstAdmitted, 0
+	s.pauses++
+}
+
 // wait returns how long the target gets nothing because of a pause. It is zero if a
 // request may be sent now.
 func (s *noticeState) wait(now time.Time) time.Duration {
--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -33,26 +33,58 @@
 	// OnNotice is called when a target states something about itself that changes
 	// what may be sent to it. It must not block or call the router, and may be nil.
 	OnNotice func(target ident.Target, notice fleet.TargetNotice)
+	// OnPresence is called when a target becomes absent or is back. It must not block or
+	// call the router, and may be nil.
+	OnPresence func(change PresenceChange)
+	// PrefillTakesPromptsOnly is set if engines with the role Prefill refuse whole
+	// requests, so that none is sent there even if the model has no other engine.
+	PrefillTakesPromptsOnly bool
 	// Random draws among near-equal engines and among replicas; the router's
 	// lock guards it.
 	Random *rand.Rand
 	// Disabled disables parts of the router; it is for benchmarks only.
 	Disabled DisabledParts
-	// notices is shared by the routers of a daemon.
-	notices *targetNotices
+	// notices and absences are shared by the routers of a daemon.
+	notices  *targetNotices
+	absences *absences
 }
 
-// ensureNotices creates notices if the router shares none.
-func (o *Options) ensureNotices() {
+// ensureShared creates notices and absences if the router shares none.
+func (o *Options) ensureShared() {
 	if o.notices == nil {
 		o.notices = newTargetNotices(o)
+		o.absences = newAbsences(o)
 	}
 }
 
-// acceptsNewWork reports whether new work may be sent to a target, by the view and by
-// what the target stated about itself.
+// acceptsNewWork reports whether new work may be sent to a target, by the view, by
+// whether the target is there and by what it stated about itself. Presence is asked
+// first: its check may begin a gradual return.
 func (o *Options) acceptsNewWork(state *fleet.TargetState, knobs *config.RoutingKnobs, now time.Time) bool {
-	return acceptsNewWork(state, knobs, now) && o.notices.check(state.Record.Target, state.Incarnation) == nil
+	return acceptsNewWork(state, knobs, now) && o.checkTarget(state) == nil
+}
+
+// checkTarget returns why nothing new may be sent to a target of the view, by its absence
+// and its notices, or nil.
+func (o *Options) checkTarget(state *fleet.TargetState) error {
+	if err := o.absences.check(state); err != nil {
+		return err
+	}
+	return o.notices.check(state.Record.Target, state.Incarnation)
+}
+
+// withheldError returns the error if all of the targets are withheld for a time, or nil
+// if none of them is.
+func (o *Options) withheldError(snapshot *fleet.Snapshot, targets []int) error {
+	pause, paused := o.notices.earliestEnd(snapshot, targets)
+	away, absent := o.absences.earliestReturn(snapshot, targets)
+	switch {
+	case absent && (!paused || away <= pause):
+		return absentError(away)
+	case paused:
+		return pausedError(pause)
+	}
+	return nil
 }
 
 // notifyEjected calls OnEjected if it is set.
--- /dev/null
+++ b/pkg/routing/probes.go
@@ -0,0 +1,108 @@
+package routing
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// Probe is a connection that is to be made to an absent target, and closed at once.
+type Probe struct {
+	Target      ident.Target
+	Incarnation ident.Incarnation
+	Address     string
+}
+
+// ProbeSource schedules the probes of absent targets: one at a time for each target.
+type ProbeSource interface {
+	// NextProbe returns the time until the next probe is due, or false if there is none
+	// to wait for.
+	NextProbe() (time.Duration, bool)
+	// ProbesChanged returns a channel that receives a value when NextProbe changed.
+	ProbesChanged() <-chan struct{}
+	// TakeProbes returns the probes that are due. ObserveProbe must be called for each.
+	TakeProbes() []Probe
+	// ObserveProbe records whether the connection was accepted.
+	ObserveProbe(probe Probe, accepted bool)
+}
+
+var _ ProbeSource = (*CombinedRouter)(nil)
+
+// NextProbe asks the absences, which the routers share.
+func (c *CombinedRouter) NextProbe() (time.Duration, bool) { return c.Models.opts.absences.nextProbe() }
+
+// ProbesChanged returns the channel of the absences.
+func (c *CombinedRouter) ProbesChanged() <-chan struct{} { return c.Models.opts.absences.wake }
+
+// TakeProbes returns the probes of models' and services' targets alike.
+func (c *CombinedRouter) TakeProbes() []Probe { return c.Models.opts.absences.takeProbes() }
+
+// ObserveProbe records the result of a probe.
+func (c *CombinedRouter) ObserveProbe(probe Probe, accepted bool) {
+	c.Models.opts.absences.observeProbe(probe, accepted)
+}
+
+// nextProbe returns the time until the next probe is due.
+func (s *absences) nextProbe() (shortest time.Duration, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for _, a := range s.targets {
+		if a.since.IsZero() || a.probing || !a.returnsAt.IsZero() {
+			continue
+		}
+		if wait := max(0, a.probeAt.Sub(now)); !found || wait < shortest {
+			shortest, found = wait, true
+		}
+	}
+	return shortest, found
+}
+
+// takeProbes returns the probes that are due, and forgets the targets that the view no
+// longer has.
+func (s *absences) takeProbes() []Probe {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endByView()
+	var due []Probe
+	for _, a := range s.targets {
+		if a.probeDue(s.now()) {
+			a.probing = true
+			due = append(due, Probe{Target: a.target, Incarnation: a.incarnation, Address: a.address})
+		}
+	}
+	return due
+}
+
+// endByView ends the absences that the view refutes, and forgets the targets that it no
+// longer has. s.mu must be held.
+func (s *absences) endByView() {
+	snapshot := s.view.Snapshot()
+	for _, a := range s.targets {
+		state := snapshot.Target(a.target)
+		switch {
+		case state == nil:
+			s.forget(a)
+		case state.Incarnation > a.incarnation:
+			s.endByEntry(a, state, s.now())
+		}
+	}
+}
+
+// observeProbe records whether a probe's connection was accepted.
+func (s *absences) observeProbe(probe Probe, accepted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.targets[probe.Target]; a != nil && a.incarnation == probe.Incarnation {
+		a.probed(accepted, s.isolated(), s.now(), s.random.Float64())
+	}
+	s.wakeProber()
+}
+
+// wakeProber signals that the next probe changed.
+func (s *absences) wakeProber() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
--- a/pkg/routing/results.go
+++ b/pkg/routing/results.go
@@ -55,8 +55,8 @@
 	rejectedExclusion = 500 * time.Millisecond
 )
 
-// ObserveResult records the result of an attempt at an engine and ejects
-// failing engines for a while.
+// ObserveResult records the result of an attempt at an engine and ejects failing engines
+// for a while. An absent one needs no ejection.
 func (r *ModelRouter) ObserveResult(target ident.Target, result AttemptResult) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -71,8 +71,14 @@
 	if result == Rejected && len(r.unsentExclusions) < maxUnsent {
 		r.unsentExclusions = append(r.unsentExclusions, backlog.Exclusion{Target: target, Millis: rejectedExclusion.Milliseconds()})
 	}
-	ejection := firstEjectionTime << min(tracker.failures, maxDoublings)
+	if r.opts.absences.isAbsent(target) {
+		return
+	}
+	ejection, now := firstEjectionTime<<min(tracker.failures, maxDoublings), r.opts.Now()
 	tracker.failures++
-	tracker.ejectedUntil = r.opts.Now().Add(min(ejection, r.opts.Knobs().OutlierPause.D()))
-	r.opts.notifyEjected(target, tracker.failures)
+	ejected := tracker.ejectedUntil.After(now)
+	tracker.ejectedUntil = now.Add(min(ejection, r.opts.Knobs().OutlierPause.D()))
+	if !ejected {
+		r.opts.notifyEjected(target, tracker.failures)
+	}
 }
--- a/pkg/routing/sendgate.go
+++ b/pkg/routing/sendgate.go
@@ -10,11 +10,11 @@
 // long after the target was chosen.
 type SendGate interface {
 	// CheckSend returns why nothing new may be sent to a target's incarnation now,
-	// or nil. The error is ErrLeaving or ErrPaused.
+	// or nil. The error is ErrLeaving, ErrPaused or ErrAbsent.
 	CheckSend(target ident.Target, incarnation ident.Incarnation) error
 	// BeginSend makes the check of CheckSend and counts the request. If the target
-	// works on the request already, its leaving does not matter. Unless it fails,
-	// the Send must be ended.
+	// works on the request already, its leaving and its absence do not matter. Unless
+	// it fails, the Send must be ended.
 	BeginSend(target ident.Target, incarnation ident.Incarnation, running bool) (Send, error)
 	// ObserveNotice records what a target's incarnation stated in an answer.
 	ObserveNotice(target ident.Target, incarnation ident.Incarnation, notice fleet.TargetNotice)
@@ -22,15 +22,24 @@
 
 var _ SendGate = (*CombinedRouter)(nil)
 
-// CheckSend checks the target's notices.
+// CheckSend checks whether the target is there, and its notices.
 func (c *CombinedRouter) CheckSend(target ident.Target, incarnation ident.Incarnation) error {
+	if err := c.Models.opts.absences.checkSend(target, incarnation); err != nil {
+		return err
+	}
 	return c.Models.opts.notices.check(target, incarnation)
 }
 
-// BeginSend checks the target's notices and counts the request at a target that returns
-// from a pause.
+// BeginSend makes the check of CheckSend and counts the request at a target that returns
+// gradually.
 func (c *CombinedRouter) BeginSend(target ident.Target, incarnation ident.Incarnation, running bool) (Send, error) {
-	return c.Models.opts.notices.begin(target, incarnation, running)
+	absences := c.Models.opts.absences
+	if err := absences.checkSend(target, incarnation); err != nil && !running {
+		return Send{}, err
+	}
+	send, err := c.Models.opts.notices.begin(target, incarnation, running)
+	send.absences = absences
+	return send, err
 }
 
 // ObserveNotice records the notice for service calls and model requests alike.
@@ -41,6 +50,7 @@
 // Send is a request that is being sent to a target, up to the head of its answer.
 type Send struct {
 	notices     *targetNotices
+	absences    *absences
 	target      ident.Target
 	incarnation ident.Incarnation
 	running     bool
@@ -52,6 +62,9 @@
 
 // Check returns why the request may no longer be sent, or nil.
 func (s *Send) Check() error {
+	if err := s.absences.checkSend(s.target, s.incarnation); err != nil && !s.running {
+		return err
+	}
 	if s.notices.count.Load() == 0 {
 		return nil
 	}
@@ -70,12 +83,14 @@
 	return nil
 }
 
-// End ends the send. An answer's notice must have been observed before.
-func (s *Send) End(answered bool) {
+// End ends the send with what it showed about the target. An answer's notice must have
+// been observed before.
+func (s *Send) End(evidence Evidence) {
+	s.absences.observe(s.target, s.incarnation, evidence)
 	if s.counted == nil {
 		return
 	}
 	s.notices.mu.Lock()
 	defer s.notices.mu.Unlock()
-	s.counted.end(s.pauses, answered, s.notices.now())
+	s.counted.end(s.pauses, evidence >= EvidenceMisdirected, s.notices.now())
 }
--- a/pkg/routing/services.go
+++ b/pkg/routing/services.go
@@ -27,7 +27,7 @@
 
 // NewServiceRouter returns a router without outstanding calls.
 func NewServiceRouter(opts Options) *ServiceRouter {
-	opts.ensureNotices()
+	opts.ensureShared()
 	return &ServiceRouter{opts: opts, trackers: make(map[ident.Target]*targetTracker)}
 }
 
@@ -38,8 +38,8 @@
 	snapshot := s.opts.View.Snapshot()
 	s.collectUsable(snapshot, req.Service, exclude)
 	if len(s.usable) == 0 {
-		if wait, paused := s.opts.notices.earliestEnd(snapshot, snapshot.Service(req.Service)); paused {
-			return nil, pausedError(wait)
+		if err := s.opts.withheldError(snapshot, snapshot.Service(req.Service)); err != nil {
+			return nil, err
 		}
 		return nil, fault.New(fault.Unavailable, "no replica of the service accepts new requests",
 			"send the request again after the time in Retry-After").WithRetryAfter(retryAfter)
@@ -58,7 +58,7 @@
 }
 
 // ObserveResult records the result of an attempt at a replica, so that failing
-// replicas are ejected.
+// replicas are ejected. An absent one needs no ejection.
 func (s *ServiceRouter) ObserveResult(target ident.Target, result AttemptResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -68,10 +68,17 @@
 		tracker.ejectedUntil = time.Time{}
 		return
 	}
+	if s.opts.absences.isAbsent(target) {
+		return
+	}
 	tracker.failures++
 	if int64(tracker.failures) >= knobs.OutlierErrors && s.mayEject(target, knobs) {
-		tracker.ejectedUntil = s.opts.Now().Add(knobs.OutlierPause.D())
-		s.opts.notifyEjected(target, tracker.failures)
+		now := s.opts.Now()
+		ejected := tracker.ejectedUntil.After(now)
+		tracker.ejectedUntil = now.Add(knobs.OutlierPause.D())
+		if !ejected {
+			s.opts.notifyEjected(target, tracker.failures)
+		}
 	}
 }
 
--- a/pkg/routing/targetnotices.go
+++ b/pkg/routing/targetnotices.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// beginReturn lets requests to a target's incarnation in gradually, after it was absent.
+func (n *targetNotices) beginReturn(target ident.Target, incarnation ident.Incarnation) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if state := n.stateFor(target, incarnation); state != nil {
+		state.beginReturn(n.now())
+	}
+}
+
 // stateFor returns the state of a target's incarnation, which replaces that of an
 // earlier one, or nil if a later incarnation has a state. n.mu must be held.
 func (n *targetNotices) stateFor(target ident.Target, incarnation ident.Incarnation) *noticeState {
@@ -152,10 +161,10 @@
 }
 
 // pausedError returns the error if no target can take a request because all that could
-// asked for a pause; wait is the earliest end. It is rounded up to the millisecond in
+// asked for a pause, or take few at once after one or after an absence; wait is the earliest end. It is rounded up to the millisecond in
 // which callers are told it, so that they don't come back just before the end.
 func pausedError(wait time.Duration) error {
 	wait = (wait + time.Millisecond - 1).Truncate(time.Millisecond)
-	return fault.New(fault.Unavailable, "every target that can take the request asked for a pause",
+	return fault.New(fault.Unavailable, "every target that can take the request asked for a pause or is returning",
 		"send the request again after the time in Retry-After").WithRetryAfter(wait)
 }
