Expect departed targets back at the time of the others

Cause: a dead engine's entry is removed a moment before the engine that is started at its address writes its own. In between no engine of the stage was in the view, and callers were told to come back after two seconds.

Change: the absence of a target that leaves the view is remembered for ten seconds, so that callers are told when it is expected, and so that the return of its address is learnt. A target whose entry comes back is probed again.

Result: TestCallersReturnForDepartedEngine, which failed before.

--- a/pkg/routing/absence.go
+++ b/pkg/routing/absence.go
@@ -22,6 +22,9 @@
 	// process at the address may be another, whose entry is read from the store within
 	// that time.
 	identityWait = time.Second
+	// departedRetention is how long an absence is remembered after its beginning if the
+	// view no longer has the target.
+	departedRetention = 10 * time.Second
 	// replacedRetention is how long a replaced target is absent without probes. Its
 	// entry is removed from the store meanwhile.
 	replacedRetention = 5 * time.Second
@@ -32,8 +35,13 @@
 type absence struct {
 	target      ident.Target
 	incarnation ident.Incarnation
-	// address and serves are those of the target; serves is its model or service.
+	// address and serves are those of the target; serves is its model or service, and
+	// prompts reports whether it takes prompts only.
 	address, serves string
+	prompts         bool
+	// departed is set once the view no longer has the target. It is then expected back as
+	// another target at its address.
+	departed bool
 	// refusals counts the refused connections and misdirected requests since the last
 	// other response.
 	refusals int
@@ -112,7 +120,21 @@
 
 // probeDue reports whether the target is to be probed at the given time.
 func (a *absence) probeDue(now time.Time) bool {
-	return !a.since.IsZero() && a.returnsAt.IsZero() && !a.probing && !now.Before(a.probeAt)
+	return !a.since.IsZero() && a.returnsAt.IsZero() && !a.probing && !a.departed && !now.Before(a.probeAt)
+}
+
+// nextEvent returns the time of the next probe, or until which a departed target is
+// remembered, or false if there is none.
+func (a *absence) nextEvent() (time.Time, bool) {
+	if a.departed {
+		return a.since.Add(departedRetention), true
+	}
+	return a.probeAt, !a.since.IsZero() && !a.probing && a.returnsAt.IsZero()
+}
+
+// forgotten reports whether a target that the view no longer has need not be remembered.
+func (a *absence) forgotten(now time.Time) bool {
+	return a.since.IsZero() || a.succeeded || now.Sub(a.since) >= departedRetention
 }
 
 // probed records the end of a probe. isolated is set if this daemon seems to be cut off:
--- a/pkg/routing/absences.go
+++ b/pkg/routing/absences.go
@@ -103,7 +103,10 @@
 		return a
 	}
 	s.endByView()
-	a = &absence{target: target, incarnation: incarnation, address: state.Record.Address, serves: servedBy(state)}
+	a = &absence{
+		target: target, incarnation: incarnation, address: state.Record.Address, serves: servedBy(state),
+		prompts: state.Load.Role == fleet.Prefill,
+	}
 	s.targets[target] = a
 	s.count.Store(int64(len(s.targets)))
 	return a
@@ -137,6 +140,10 @@
 		s.endByEntry(a, state, now)
 		return nil
 	}
+	if a.departed {
+		a.departed = false
+		s.wakeProber()
+	}
 	return s.withhold(a, now)
 }
 
@@ -251,22 +258,34 @@
 	}
 }
 
-// earliestReturn returns the shortest time after which one of the targets is expected to
-// be back, jittered so that the callers who are told it don't come together. It is false
-// if none of the targets is absent.
-func (s *absences) earliestReturn(snapshot *fleet.Snapshot, targets []int) (shortest time.Duration, found bool) {
-	for _, i := range targets {
-		state := &snapshot.Targets[i]
-		wait := fault.RetryAfterOf(s.check(state))
-		if wait > 0 && !state.Draining && !state.Record.Leaving && (!found || wait < shortest) {
-			shortest, found = wait, true
-		}
+// earliestReturn returns the shortest time after which an absent target that takes whole
+// requests or answers of a model or service is expected to be back, jittered so that the
+// callers who are told it don't come together. It is false if none is absent.
+func (s *absences) earliestReturn(serves string) (shortest time.Duration, found bool) {
+	if s.count.Load() == 0 {
+		return 0, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.endByView()
+	now := s.now()
+	for _, a := range s.targets {
+		if a.serves != serves || a.prompts || a.succeeded || !a.absent(now) || s.leaving(a.target) {
+			continue
+		}
+		if wait := a.expectedWait(now, s.typical(serves)); !found || wait < shortest {
+			shortest, found = wait, true
+		}
+	}
 	return jittered(shortest, s.random.Float64()), found
 }
 
+// leaving reports whether the view says that a target leaves. s.mu must be held.
+func (s *absences) leaving(target ident.Target) bool {
+	state := s.view.Snapshot().Target(target)
+	return state != nil && (state.Draining || state.Record.Leaving)
+}
+
 // absentError returns the error if no target can take a request because all that could
 // are absent; wait is until the first is expected back.
 func absentError(wait time.Duration) error {
--- a/pkg/routing/absences_test.go
+++ b/pkg/routing/absences_test.go
@@ -193,6 +193,26 @@
 	must.NoError(t, c.CheckSend(probes[0].Target, 1))
 }
 
+// TestCallersReturnForDepartedEngine guards against callers who are told to stay away for
+// seconds in the time between the removal of a dead engine's entry and the entry of the
+// one that is started at its address, and against a view that has the dead one again.
+func TestCallersReturnForDepartedEngine(t *testing.T) {
+	c, view, now, _ := rolesRouter(fleet.Prefill, fleet.Mixed, fleet.Prefill)
+	before := view.snapshot
+	tryOnce(t, c, "engine-001", EvidenceRefused)
+	tryOnce(t, c, "engine-001", EvidenceRefused)
+	*now = now.Add(initialAway - time.Millisecond)
+	view.snapshot = fleet.NewSnapshot([]fleet.TargetState{before.Targets[0], before.Targets[2]})
+	_, err := c.Place(prompt("a", 10), nil)
+	must.ErrorContains(t, err, "refuses connections")
+	must.Less(t, time.Second, fault.RetryAfterOf(err))
+	must.SliceEmpty(t, c.TakeProbes(), must.Sprint("another target may have the address"))
+	view.snapshot = before
+	_, err = c.Place(prompt("b", 10), nil)
+	must.ErrorContains(t, err, "refuses connections")
+	must.SliceLen(t, 1, c.TakeProbes())
+}
+
 // TestAbsenceOfRemovedTargetIsForgotten guards against memory that grows with every
 // target that ever ended.
 func TestAbsenceOfRemovedTargetIsForgotten(t *testing.T) {
@@ -203,6 +223,10 @@
 	view.snapshot = fleet.NewSnapshot(view.snapshot.Targets[2:])
 	*now = now.Add(time.Second)
 	must.SliceEmpty(t, c.TakeProbes())
+	wait, ok := c.NextProbe()
+	must.True(t, ok)
+	*now = now.Add(wait)
+	must.SliceEmpty(t, c.TakeProbes())
 	must.MapEmpty(t, c.Models.opts.absences.targets)
 	must.Zero(t, c.Models.opts.absences.count.Load())
 }
--- a/pkg/routing/best.go
+++ b/pkg/routing/best.go
@@ -138,7 +138,7 @@
 			engines = append(engines, i)
 		}
 	}
-	return r.opts.withheldError(r.lastSnapshot, engines)
+	return r.opts.withheldError(r.lastSnapshot, engines, string(req.Model))
 }
 
 // scoresAnswers reports whether any scored engine generates answers.
--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -73,11 +73,11 @@
 	return o.notices.check(state.Record.Target, state.Incarnation)
 }
 
-// withheldError returns the error if all of the targets are withheld for a time, or nil
-// if none of them is.
-func (o *Options) withheldError(snapshot *fleet.Snapshot, targets []int) error {
+// withheldError returns the error if targets of a model or service are withheld for a time,
+// or nil. The given targets are those of the view that could take the request.
+func (o *Options) withheldError(snapshot *fleet.Snapshot, targets []int, serves string) error {
 	pause, paused := o.notices.earliestEnd(snapshot, targets)
-	away, absent := o.absences.earliestReturn(snapshot, targets)
+	away, absent := o.absences.earliestReturn(serves)
 	switch {
 	case absent && (!paused || away <= pause):
 		return absentError(away)
--- a/pkg/routing/probes.go
+++ b/pkg/routing/probes.go
@@ -48,18 +48,15 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	for _, a := range s.targets {
-		if a.since.IsZero() || a.probing || !a.returnsAt.IsZero() {
-			continue
-		}
-		if wait := max(0, a.probeAt.Sub(now)); !found || wait < shortest {
+		at, ok := a.nextEvent()
+		if wait := max(0, at.Sub(now)); ok && (!found || wait < shortest) {
 			shortest, found = wait, true
 		}
 	}
 	return shortest, found
 }
 
-// takeProbes returns the probes that are due, and forgets the targets that the view no
-// longer has.
+// takeProbes returns the probes that are due, and brings the absences up to the view.
 func (s *absences) takeProbes() []Probe {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -74,15 +71,17 @@
 	return due
 }
 
-// endByView ends the absences that the view refutes, and forgets the targets that it no
-// longer has. s.mu must be held.
+// endByView ends the absences that the view refutes. It notes which targets the view no
+// longer has, and forgets them in time. s.mu must be held.
 func (s *absences) endByView() {
 	snapshot := s.view.Snapshot()
 	for _, a := range s.targets {
 		state := snapshot.Target(a.target)
 		switch {
-		case state == nil:
+		case state == nil && a.forgotten(s.now()):
 			s.forget(a)
+		case state == nil:
+			a.departed = true
 		case state.Incarnation > a.incarnation:
 			s.endByEntry(a, state, s.now())
 		}
--- a/pkg/routing/services.go
+++ b/pkg/routing/services.go
@@ -38,7 +38,7 @@
 	snapshot := s.opts.View.Snapshot()
 	s.collectUsable(snapshot, req.Service, exclude)
 	if len(s.usable) == 0 {
-		if err := s.opts.withheldError(snapshot, snapshot.Service(req.Service)); err != nil {
+		if err := s.opts.withheldError(snapshot, snapshot.Service(req.Service), string(req.Service)); err != nil {
 			return nil, err
 		}
 		return nil, fault.New(fault.Unavailable, "no replica of the service accepts new requests",
