Take engines that answer for others out, and tell returns from pauses

Cause: after the crash of a whole stage a daemon sent a hundred requests within 0.1 s to one engine whose address another had taken: 421 counted for absence only at services. And an engine that returned from an absence counted as paused, so that it got no role order.

Change: two misdirected responses make an engine absent too, until its role or incarnation changes in the view. The gradual return from an absence has an error of its own, and so has the refusal of requests in it.

Weighed in trials and left out: requests that wait for absent targets up to half of their time.

--- a/pkg/routing/absence.go
+++ b/pkg/routing/absence.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
@@ -79,14 +80,10 @@
 }
 
 // misdirected records that the process at the address refused a request for the target,
-// and reports whether the target's absence begins with it. For an engine that was not
-// absent, the cause may be its role instead.
-func (a *absence) misdirected(now time.Time, isEngine bool) bool {
-	if a.replaced || (isEngine && a.since.IsZero()) {
-		return false
-	}
+// and reports whether the target's absence begins with it.
+func (a *absence) misdirected(now time.Time) bool {
 	a.refusals++
-	if a.since.IsZero() && a.refusals < refusalsOfAbsent {
+	if a.replaced || (a.refusals < refusalsOfAbsent && a.since.IsZero()) {
 		return false
 	}
 	began := a.begin(now)
@@ -94,6 +91,15 @@
 	return began
 }
 
+// refutedBy reports whether the target's state in the view ends the absence: it has been
+// started again, or its role has changed, which is why it refused requests.
+func (a *absence) refutedBy(state *fleet.TargetState) bool {
+	return state.Incarnation > a.incarnation || (a.replaced && a.prompts != takesPrompts(state))
+}
+
+// takesPrompts reports whether a target is an engine that takes prompts only.
+func takesPrompts(state *fleet.TargetState) bool { return state.Load.Role == fleet.Prefill }
+
 // begin starts the absence, or continues it if the target returned without a response.
 // It reports whether it started.
 func (a *absence) begin(now time.Time) bool {
--- a/pkg/routing/absences.go
+++ b/pkg/routing/absences.go
@@ -80,7 +80,7 @@
 	if evidence == EvidenceRefused {
 		return a.refused(s.now(), s.random.Float64())
 	}
-	return a.misdirected(s.now(), s.isEngine(a.target))
+	return a.misdirected(s.now())
 }
 
 // observePresent ends the absence of a target that responded. A replaced one did not: the
@@ -105,7 +105,7 @@
 	s.endByView()
 	a = &absence{
 		target: target, incarnation: incarnation, address: state.Record.Address, serves: servedBy(state),
-		prompts: state.Load.Role == fleet.Prefill,
+		prompts: takesPrompts(state),
 	}
 	s.targets[target] = a
 	s.count.Store(int64(len(s.targets)))
@@ -117,12 +117,6 @@
 	return string(state.Record.Model) + string(state.Record.Service)
 }
 
-// isEngine reports whether the view has the target as an engine.
-func (s *absences) isEngine(target ident.Target) bool {
-	state := s.view.Snapshot().Target(target)
-	return state != nil && state.Record.Model != ""
-}
-
 // check returns why nothing may be sent to a target of the view because of its absence,
 // or nil. It ends the absence that the target's state in the view refutes.
 func (s *absences) check(state *fleet.TargetState) error {
@@ -136,7 +130,7 @@
 		s.endReplaced(state, now)
 		return nil
 	}
-	if state.Incarnation > a.incarnation {
+	if a.refutedBy(state) {
 		s.endByEntry(a, state, now)
 		return nil
 	}
@@ -285,11 +279,3 @@
 	state := s.view.Snapshot().Target(target)
 	return state != nil && (state.Draining || state.Record.Leaving)
 }
-
-// absentError returns the error if no target can take a request because all that could
-// are absent; wait is until the first is expected back.
-func absentError(wait time.Duration) error {
-	wait = (wait + time.Millisecond - 1).Truncate(time.Millisecond)
-	return fault.New(fault.Unavailable, "every target that can take the request refuses connections",
-		"send the request again after the time in Retry-After").WithRetryAfter(wait)
-}
--- a/pkg/routing/evidence.go
+++ b/pkg/routing/evidence.go
@@ -13,7 +13,7 @@
 	// address, and nothing was sent.
 	EvidenceRefused
 	// EvidenceMisdirected is a response that the request is not for the process at the
-	// target's address, or that its role is another.
+	// target's address, or that its role is another. In both cases the view is behind.
 	EvidenceMisdirected
 	// EvidencePresent is any other response, also one that rejects the request.
 	EvidencePresent
--- a/pkg/routing/noticestate.go
+++ b/pkg/routing/noticestate.go
@@ -27,6 +27,10 @@
 // beyond the number of requests that are let in. Its RetryAfter is the time left.
 var ErrPaused = fault.New(fault.Unavailable, "the target asked for a pause", "no action is needed: another target is chosen")
 
+// ErrReturning withholds work from a target that is back from an absence, beyond the number
+// of requests that are let in. Its RetryAfter is the time until more may be.
+var ErrReturning = fault.New(fault.Unavailable, "the target returns from an absence", "no action is needed: another target is chosen")
+
 // noticeState is what one incarnation of a target stated, and how it returns from a
 // pause.
 type noticeState struct {
@@ -35,6 +39,8 @@
 	// pausedUntil is the end of the last pause, or zero once the target has returned
 	// from it.
 	pausedUntil time.Time
+	// absent is set if the target returns from an absence, not from a pause.
+	absent bool
 	// admitted is how many unanswered requests the target may have after the pause,
 	// and sent how many it has. It last grew, or began to be used, at grownAt.
 	admitted, sent int
@@ -56,7 +62,7 @@
 	if until := now.Add(d); until.After(s.pausedUntil) {
 		s.pausedUntil = until
 	}
-	s.admitted, s.sent = firstAdmitted, 0
+	s.admitted, s.sent, s.absent = firstAdmitted, 0, false
 	s.pauses++
 	if !s.pauseLoggedAt.IsZero() && now.Sub(s.pauseLoggedAt) < noticeLogInterval {
 		return false
@@ -69,7 +75,7 @@
 // not ended goes on.
 func (s *noticeState) beginReturn(now time.Time) {
 	if s.pausedUntil.Before(now) {
-		s.pausedUntil = now
+		s.pausedUntil, s.absent = now, true
 	}
 	s.admitted, s.sent = firstAdmitted, 0
 	s.pauses++
@@ -102,7 +108,11 @@
 	if s.leaving && !running {
 		return ErrLeaving
 	}
-	if wait := s.wait(now); wait > 0 {
+	wait := s.wait(now)
+	switch {
+	case wait > 0 && s.absent:
+		return ErrReturning.WithRetryAfter(wait)
+	case wait > 0:
 		return ErrPaused.WithRetryAfter(wait)
 	}
 	return nil
--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -4,8 +4,11 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"amaranthplank.example/amaranthplank/pkg/backlog"
 	"amaranthplank.example/amaranthplank/pkg/config"
+	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
@@ -76,17 +79,28 @@
 // withheldError returns the error if targets of a model or service are withheld for a time,
 // or nil. The given targets are those of the view that could take the request.
 func (o *Options) withheldError(snapshot *fleet.Snapshot, targets []int, serves string) error {
-	pause, paused := o.notices.earliestEnd(snapshot, targets)
+	withheld := o.notices.earliestEnd(snapshot, targets)
+	wait := fault.RetryAfterOf(withheld)
 	away, absent := o.absences.earliestReturn(serves)
 	switch {
-	case absent && (!paused || away <= pause):
-		return absentError(away)
-	case paused:
-		return pausedError(pause)
+	case absent && (withheld == nil || away <= wait):
+		return refusal("every target that can take the request refuses connections", away)
+	case errors.Is(withheld, ErrReturning):
+		return refusal("every target that can take the request returns from an absence", wait)
+	case withheld != nil:
+		return refusal("every target that can take the request asked for a pause", wait)
 	}
 	return nil
 }
 
+// refusal returns the error of a request that no target can take for a time. The time is
+// rounded up to the millisecond in which callers are told it, so that they don't come back
+// just before its end.
+func refusal(reason string, wait time.Duration) error {
+	wait = (wait + time.Millisecond - 1).Truncate(time.Millisecond)
+	return fault.New(fault.Unavailable, reason, "send the request again after the time in Retry-After").WithRetryAfter(wait)
+}
+
 // notifyEjected calls OnEjected if it is set.
 func (o *Options) notifyEjected(target ident.Target, failures int) {
 	if o.OnEjected != nil {
--- a/pkg/routing/probes.go
+++ b/pkg/routing/probes.go
@@ -82,7 +82,7 @@
 			s.forget(a)
 		case state == nil:
 			a.departed = true
-		case state.Incarnation > a.incarnation:
+		case a.refutedBy(state):
 			s.endByEntry(a, state, s.now())
 		}
 	}
--- a/pkg/routing/targetnotices.go
+++ b/pkg/routing/targetnotices.go
@@ -147,24 +147,16 @@
 	return nil
 }
 
-// earliestEnd returns the shortest time after which one of the targets may get requests
-// again that get none because of a pause, or false if there is none.
-func (n *targetNotices) earliestEnd(snapshot *fleet.Snapshot, targets []int) (shortest time.Duration, found bool) {
+// earliestEnd returns why one of the targets gets no requests because of a pause or of its
+// return, with the shortest time after which it may, or nil if there is none.
+func (n *targetNotices) earliestEnd(snapshot *fleet.Snapshot, targets []int) (earliest error) {
 	for _, i := range targets {
 		state := &snapshot.Targets[i]
-		wait := fault.RetryAfterOf(n.check(state.Record.Target, state.Incarnation))
-		if wait > 0 && !state.Draining && !state.Record.Leaving && (!found || wait < shortest) {
-			shortest, found = wait, true
+		err := n.check(state.Record.Target, state.Incarnation)
+		wait := fault.RetryAfterOf(err)
+		if wait > 0 && !state.Draining && !state.Record.Leaving && (earliest == nil || wait < fault.RetryAfterOf(earliest)) {
+			earliest = err
 		}
 	}
-	return shortest, found
-}
-
-// pausedError returns the error if no target can take a request because all that could
-// asked for a pause, or take few at once after one or after an absence; wait is the earliest end. It is rounded up to the millisecond in
-// which callers are told it, so that they don't come back just before the end.
-func pausedError(wait time.Duration) error {
-	wait = (wait + time.Millisecond - 1).Truncate(time.Millisecond)
-	return fault.New(fault.Unavailable, "every target that can take the request asked for a pause or is returning",
-		"send the request again after the time in Retry-After").WithRetryAfter(wait)
+	return earliest
 }
