--- a/pkg/routing/absences.go
+++ b/pkg/routing/absences.go
@@ -40,6 +40,8 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	targets map[ident.Target]*absence
+	// byAddress holds those of targets by address, the newest of each.
+	byAddress map[string]*absence
 	// typicalAway is how long targets were absent lately, by what they serve.
 	typicalAway map[string]time.Duration
 }
@@ -49,7 +51,7 @@
 	return &absences{
 		view: opts.View, now: opts.Now, onChange: opts.OnPresence, notices: opts.notices, wake: make(chan struct{}, 1),
 		random:  rand.New(rand.NewPCG(opts.Random.Uint64(), opts.Random.Uint64())),
-		targets: make(map[ident.Target]*absence), typicalAway: make(map[string]time.Duration),
+		targets: make(map[ident.Target]*absence), byAddress: make(map[string]*absence), typicalAway: make(map[string]time.Duration),
 	}
 }
 
@@ -107,7 +109,7 @@
 		target: target, incarnation: incarnation, address: state.Record.Address, serves: servedBy(state),
 		prompts: takesPrompts(state),
 	}
-	s.targets[target] = a
+	s.targets[target], s.byAddress[a.address] = a, a
 	s.count.Store(int64(len(s.targets)))
 	return a
 }
@@ -183,14 +185,14 @@
 // endReplaced ends the absence of the target that had the given one's address before. s.mu
 // must be held.
 func (s *absences) endReplaced(state *fleet.TargetState, now time.Time) {
-	for _, a := range s.targets {
-		if a.address == state.Record.Address && !a.since.IsZero() && !a.succeeded && a.serves == servedBy(state) {
-			s.learn(a, now)
-			a.succeeded = true
-			a.markReplaced(now)
-			s.notices.beginReturn(state.Record.Target, state.Incarnation)
-		}
+	a := s.byAddress[state.Record.Address]
+	if a == nil || a.since.IsZero() || a.succeeded || a.serves != servedBy(state) {
+		return
 	}
+	s.learn(a, now)
+	a.succeeded = true
+	a.markReplaced(now)
+	s.notices.beginReturn(state.Record.Target, state.Incarnation)
 }
 
 // endByEntry ends an absence because the view has a later incarnation. s.mu must be held.
@@ -214,6 +216,9 @@
 // forget removes a target. s.mu must be held.
 func (s *absences) forget(a *absence) {
 	delete(s.targets, a.target)
+	if s.byAddress[a.address] == a {
+		delete(s.byAddress, a.address)
+	}
 	s.count.Store(int64(len(s.targets)))
 }
 
