Count 421 of engines for absence only after a refused connection

Cause: an engine also answers 421 if its role has changed and the view is behind.

Change: of an engine, a misdirected response counts only beside a refused connection, of a service's replica always.

--- a/pkg/routing/absence.go
+++ b/pkg/routing/absence.go
@@ -37,9 +37,9 @@
 	target      ident.Target
 	incarnation ident.Incarnation
 	// address and serves are those of the target; serves is its model or service, and
-	// prompts reports whether it takes prompts only.
+	// engine reports whether that is a model, and prompts whether it takes prompts only.
 	address, serves string
-	prompts         bool
+	engine, prompts bool
 	// departed is set once the view no longer has the target. It is then expected back as
 	// another target at its address.
 	departed bool
@@ -80,8 +80,12 @@
 }
 
 // misdirected records that the process at the address refused a request for the target,
-// and reports whether the target's absence begins with it.
+// and reports whether the target's absence begins with it. For an engine that has not
+// refused a connection before, the cause may be its role instead.
 func (a *absence) misdirected(now time.Time) bool {
+	if a.engine && a.refusals == 0 && a.since.IsZero() {
+		return false
+	}
 	a.refusals++
 	if a.replaced || (a.refusals < refusalsOfAbsent && a.since.IsZero()) {
 		return false
--- a/pkg/routing/absences.go
+++ b/pkg/routing/absences.go
@@ -107,7 +107,7 @@
 	s.endByView()
 	a = &absence{
 		target: target, incarnation: incarnation, address: state.Record.Address, serves: servedBy(state),
-		prompts: takesPrompts(state),
+		engine: state.Record.Model != "", prompts: takesPrompts(state),
 	}
 	s.targets[target], s.byAddress[a.address] = a, a
 	s.count.Store(int64(len(s.targets)))
