Name the guard against crashes for all that it guards, and split the session

The guard refuses requests, not only prompts; what decides about the time that is left in a stop and after a change of the configuration stands in a file of its own.

--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -124,37 +124,6 @@
 	return nil
 }
 
-// endingMargin is the time before the process is killed by which a request must have
-// ended, so that the end of its answer still reaches the caller.
-const endingMargin = 250 * time.Millisecond
-
-// slowdownAllowed is by how much requests may become slower than the longest recent one of
-// their route. The load changes within a stop, and a refused caller loses one round trip
-// where a cut one loses its answer.
-const slowdownAllowed = 2
-
-// checkTimeLeft returns an error if the daemon is stopping and may be killed before the
-// request ends: it may take slowdownAllowed times as long as the longest recent request of
-// its route, or until its deadline if there was none. A request that is taken has its
-// deadline before the kill, so that it ends with an answer even if it takes longer.
-func (s *session) checkTimeLeft() error {
-	left, stopping := s.handler.opts.TimeLeft()
-	if !stopping {
-		return nil
-	}
-	need := time.Until(s.req.Deadline)
-	if expected, ok := s.handler.durations.expected(s.req.Route); ok {
-		need = min(need, slowdownAllowed*expected)
-	}
-	if need+endingMargin > left {
-		return errStopping
-	}
-	if latest := time.Now().Add(left - endingMargin); latest.Before(s.req.Deadline) {
-		s.req.Deadline, s.deadline = latest, latest
-	}
-	return nil
-}
-
 // admit waits for admission and then checks the key again, since it may have been
 // revoked while the request was queued.
 func (s *session) admit() error {
--- /dev/null
+++ b/pkg/entry/timeleft.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/config"
+)
+
+// endingMargin is the time before the process is killed by which a request must have
+// ended, so that the end of its answer still reaches the caller.
+const endingMargin = 250 * time.Millisecond
+
+// slowdownAllowed is by how much requests may become slower than the longest recent one of
+// their route. The load changes within a stop, and a refused caller loses one round trip
+// where a cut one loses its answer.
+const slowdownAllowed = 2
+
+// checkTimeLeft returns an error if the daemon is stopping and may be killed before the
+// request ends: it may take slowdownAllowed times as long as the longest recent request of
+// its route, or until its deadline if there was none. A request that is taken has its
+// deadline before the kill, so that it ends with an answer even if it takes longer.
+func (s *session) checkTimeLeft() error {
+	left, stopping := s.handler.opts.TimeLeft()
+	if !stopping {
+		return nil
+	}
+	need := time.Until(s.req.Deadline)
+	if expected, ok := s.handler.durations.expected(s.req.Route); ok {
+		need = min(need, slowdownAllowed*expected)
+	}
+	if need+endingMargin > left {
+		return errStopping
+	}
+	if latest := time.Now().Add(left - endingMargin); latest.Before(s.req.Deadline) {
+		s.req.Deadline, s.deadline = latest, latest
+	}
+	return nil
+}
+
+// laterDeadline returns the request's deadline by the route that the configuration now in
+// force has for it, whatever its name, or the zero time if there is none. It is before the
+// process is killed.
+func (s *session) laterDeadline() time.Time {
+	snapshot := s.handler.opts.Config.Current()
+	route := snapshot.Route(s.req.Host, s.req.Method, s.httpReq.URL.Path, s.req.Model)
+	if route == nil {
+		return time.Time{}
+	}
+	knobs := snapshot.Knobs(config.Selector{Workspace: s.req.Workspace, Route: route.Name, Model: s.req.Model, Service: s.req.Service})
+	deadline := s.readAt.Add(requestTimeout(s.wait, route, &knobs.Retry))
+	if left, stopping := s.handler.opts.TimeLeft(); stopping {
+		if latest := time.Now().Add(left - endingMargin); latest.Before(deadline) {
+			return latest
+		}
+	}
+	return deadline
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -156,7 +156,7 @@
 	g.relay = relay.New(relay.Options{
 		Router: g.router, Client: target.NewClient(), Config: opts.Published, Protocol: opts.Protocol,
 		Log: opts.Log, Registerer: g.registry, OnRun: g.counter.RequestStarted,
-		RetryBudget: g.retryBudget, PromptGuard: g.poison.detector,
+		RetryBudget: g.retryBudget, CrashGuard: g.poison.detector,
 	})
 }
 
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -50,8 +50,8 @@
 	lastEvent uint64
 	// next is the next attempt if it was begun in advance, or nil.
 	next *attempt
-	// promptCleared is set once the prompt guard was notified that an answer goes on.
-	promptCleared bool
+	// guardCleared is set once the crash guard was notified that an answer goes on.
+	guardCleared bool
 	// losses are the targets that may have ended under the request.
 	losses losses
 	// begun is set once an attempt that ended has written a part of the answer.
@@ -125,7 +125,7 @@
 			c.relay.opts.Router.Done(c.req, a.decode.Record.Target)
 		}
 		c.reportResult(a, err)
-		c.reportPrompt(a, err)
+		c.reportToGuard(a, err)
 		a.reportWork(err)
 		c.reportSeconds(a)
 		if c.next == nil {
--- a/pkg/relay/promptguard.go
+++ b/pkg/relay/crashguard.go
@@ -8,8 +8,8 @@
 	"amaranthplank.example/amaranthplank/pkg/retry"
 )
 
-// PromptGuard refuses requests that crash targets, or whose prompts do.
-type PromptGuard interface {
+// CrashGuard refuses requests that crash targets, or whose prompts do.
+type CrashGuard interface {
 	// Check returns an error if the request must not be sent to a target. It reports
 	// whether this send is a probe of a request that is refused otherwise: it must
 	// reach one target only.
@@ -28,18 +28,18 @@
 // connection is taken for a crash at its beginning.
 const answerStart = time.Second
 
-// checkPrompt returns an error if the request must not be sent to a target. It is
+// checkSend returns an error if the request must not be sent to a target. It is
 // called before each send.
-func (c *call) checkPrompt() error {
+func (c *call) checkSend() error {
 	probe, err := c.checkGuard()
 	// A prompt that is computed apart would reach a second target.
 	c.prefilled = c.prefilled || probe
 	return err
 }
 
-// checkGuard is PromptGuard.Check, if there is a guard.
+// checkGuard is CrashGuard.Check, if there is a guard.
 func (c *call) checkGuard() (probe bool, err error) {
-	guard := c.relay.opts.PromptGuard
+	guard := c.relay.opts.CrashGuard
 	if guard == nil {
 		return false, nil
 	}
@@ -52,9 +52,9 @@
 	return failure == retry.ConnectionLost && a.phase != retry.Unsent && !c.wellBegun(a)
 }
 
-// reportPrompt reports an attempt's result to the prompt guard.
-func (c *call) reportPrompt(a *attempt, err error) {
-	guard := c.relay.opts.PromptGuard
+// reportToGuard reports an attempt's result to the crash guard.
+func (c *call) reportToGuard(a *attempt, err error) {
+	guard := c.relay.opts.CrashGuard
 	if guard == nil {
 		return
 	}
@@ -71,12 +71,12 @@
 	}
 }
 
-// reportBegun reports to the prompt guard once that an answer goes on after answerStart.
+// reportBegun reports to the crash guard once that an answer goes on after answerStart.
 // Long answers would otherwise clear their prompts' parts only at their end.
 func (a *attempt) reportBegun() {
-	guard := a.call.relay.opts.PromptGuard
-	if guard != nil && !a.call.promptCleared && a.call.wellBegun(a) {
-		a.call.promptCleared = true
+	guard := a.call.relay.opts.CrashGuard
+	if guard != nil && !a.call.guardCleared && a.call.wellBegun(a) {
+		a.call.guardCleared = true
 		guard.Answered(a.call.req)
 	}
 }
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -79,7 +79,7 @@
 
 // resume requests the rest of the stream on a new connection.
 func (a *attempt) resume(ctx context.Context) error {
-	if err := a.call.checkPrompt(); err != nil {
+	if err := a.call.checkSend(); err != nil {
 		return &exchangeError{failure: retry.StreamGone, cause: err}
 	}
 	w := a.startWatchdog(ctx)
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -29,7 +29,7 @@
 // knob hedgeAfter and the budget allows it. It reports false if the attempts
 // failed and the request may be retried.
 func (c *call) hedge(ctx context.Context) (Result, bool) {
-	if err := c.checkPrompt(); err != nil {
+	if err := c.checkSend(); err != nil {
 		return c.endWithoutTarget(err), true
 	}
 	first, err := c.choose()
@@ -81,7 +81,7 @@
 // launchHedge makes the second attempt at another target, and returns the number
 // of attempts launched.
 func (c *call) launchHedge(ctx context.Context, first *fleet.TargetState, claim func() bool, results chan<- hedgeResult) int {
-	if c.checkPrompt() != nil {
+	if c.checkSend() != nil {
 		return 0
 	}
 	second, err := c.relay.opts.Router.Choose(c.req, append(c.failedTargets, first.Record.Target))
@@ -100,7 +100,7 @@
 // the request ends with it.
 func (c *call) handleHedgeResult(got hedgeResult) (retry.Decision, bool) {
 	c.reportResult(got.attempt, got.err)
-	c.reportPrompt(got.attempt, got.err)
+	c.reportToGuard(got.attempt, got.err)
 	if got.err == nil {
 		return retry.Forward, true
 	}
--- a/pkg/relay/next.go
+++ b/pkg/relay/next.go
@@ -27,7 +27,7 @@
 	}
 	prefiller, canPrefill := c.relay.protocol.(Prefiller)
 	for {
-		if err := c.checkPrompt(); err != nil {
+		if err := c.checkSend(); err != nil {
 			return nil, err
 		}
 		if c.source != (KVSource{}) {
@@ -79,7 +79,7 @@
 // decodeAfter returns the attempt that generates the answer after prefill, unless the
 // prompt turned out meanwhile to crash targets.
 func (c *call) decodeAfter(decode *fleet.TargetState, source KVSource) (*attempt, error) {
-	if err := c.checkPrompt(); err != nil {
+	if err := c.checkSend(); err != nil {
 		c.relay.opts.Router.Done(c.req, decode.Record.Target)
 		return nil, err
 	}
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -36,8 +36,8 @@
 	// are taken, and this process's share of it. If nil, each route has a budget
 	// configured by its knobs, which is full at the start.
 	RetryBudget func(req *request.Request) (key string, share retry.Share)
-	// PromptGuard refuses requests whose prompts crash targets. It may be nil.
-	PromptGuard PromptGuard
+	// CrashGuard refuses requests that crash targets. It may be nil.
+	CrashGuard CrashGuard
 	// Log may be nil.
 	Log *slog.Logger
 	// Registerer registers the metrics; if nil, they are not registered.
--- a/pkg/relay/second.go
+++ b/pkg/relay/second.go
@@ -160,12 +160,12 @@
 }
 
 // reportSeconds counts the second attempts that ended before this one, and reports them to
-// the prompt guard.
+// the crash guard.
 func (c *call) reportSeconds(a *attempt) {
 	for _, second := range a.seconds {
 		if !errors.Is(second.err, errWithheld) {
 			c.result.Attempts++
 		}
-		c.reportPrompt(second, second.err)
+		c.reportToGuard(second, second.err)
 	}
 }
