Probe an absent target that is back in the view without being asked for

The prober slept no longer once an absent target had left the view and come back while no request asked for its model: the end of its time in memory was due, but it was neither forgotten nor probed, so that the prober occupied a processor. Found by reading; a target that is in the view counts as departed no longer. TestTargetThatIsBackInTheViewIsProbed failed before.

--- a/pkg/routing/absences_test.go
+++ b/pkg/routing/absences_test.go
@@ -246,3 +246,20 @@
 	must.MapEmpty(t, c.Models.opts.absences.targets)
 	must.Zero(t, c.Models.opts.absences.count.Load())
 }
+
+// TestTargetThatIsBackInTheViewIsProbed removes an absent target from the view for a moment,
+// while no request asks for it. It guards against a prober that finds a probe due again and
+// again without making it, and so occupies a processor.
+func TestTargetThatIsBackInTheViewIsProbed(t *testing.T) {
+	c, view, now, _ := rolesRouter(fleet.Mixed, fleet.Mixed)
+	before := view.snapshot
+	tryOnce(t, c, "engine-000", EvidenceRefused)
+	tryOnce(t, c, "engine-000", EvidenceRefused)
+	view.snapshot = fleet.NewSnapshot(before.Targets[1:])
+	must.SliceEmpty(t, c.TakeProbes())
+	view.snapshot = before
+	*now = now.Add(departedRetention)
+	must.SliceLen(t, 1, c.TakeProbes())
+	_, ok := c.NextProbe()
+	must.False(t, ok, must.Sprint("the probe is being made"))
+}
--- a/pkg/routing/probes.go
+++ b/pkg/routing/probes.go
@@ -72,7 +72,7 @@
 }
 
 // endByView ends the absences that the view refutes. It notes which targets the view no
-// longer has, and forgets them in time. s.mu must be held.
+// longer has or has again, and forgets the former in time. s.mu must be held.
 func (s *absences) endByView() {
 	snapshot := s.view.Snapshot()
 	for _, a := range s.targets {
@@ -84,6 +84,8 @@
 			a.departed = true
 		case a.refutedBy(state):
 			s.endByEntry(a, state, s.now())
+		default:
+			a.departed = false
 		}
 	}
 }
