--- a/review/harness/idle.go
+++ b/review/harness/idle.go
@@ -21,13 +21,13 @@
 	idleOwnDescriptors = 5500
 	// idleRate is the number of users that come to one machine in a second. Each sends one
 	// request on a connection of its own, which it keeps.
-	idleRate = 30
+	idleRate = 37
 	// idleBurst is how many times as many users come in a burst, idleBurstFor how long that
 	// lasts, idleBurstGap the time from one burst to the next and idleBursts their number.
 	idleBurst    = 1.9
 	idleBurstFor = 14 * time.Second
 	idleBurstGap = 15 * time.Second
-	idleBursts   = 5
+	idleBursts   = 2
 	// idleFor is how long users come.
 	idleFor = 96 * time.Second
 	// idleTimeout is the route's timeoutMs, idleDeadline how long a user waits for the answer,
