Bind streams of plain services to the software version that began them

Cause: versions were kept by model, and relay left requests without one out when a stream began and when it was taken up. Ruled out: knowledge that died with the process; streams mix without a kill too.

Change: beginnings, records, copies and questions are kept by pool, the engines of a model or the replicas of a service. All choices of a target are made under the same constraints. Only pools with a resumable route are recorded in the store.

--- a/pkg/config/route.go
+++ b/pkg/config/route.go
@@ -50,6 +50,18 @@
 	Weight  float64       `json:"weight"`
 }
 
+// Pools returns the models and services to which the route's requests go.
+func (r *Route) Pools() []ident.Pool {
+	if len(r.Split) == 0 {
+		return []ident.Pool{{Model: r.Model, Service: r.Service}}
+	}
+	pools := make([]ident.Pool, 0, len(r.Split))
+	for i := range r.Split {
+		pools = append(pools, ident.Pool{Model: r.Split[i].Model, Service: r.Split[i].Service})
+	}
+	return pools
+}
+
 // Pick returns the share that a random number in [0,1) selects. A route without a
 // split has a single share.
 func (r *Route) Pick(random float64) Share {
--- a/pkg/fleet/snapshot.go
+++ b/pkg/fleet/snapshot.go
@@ -53,3 +53,24 @@
 
 // Service returns the indexes in Targets of the service's replicas.
 func (s *Snapshot) Service(service ident.Service) []int { return s.byService[service] }
+
+// Pool returns the indexes in Targets of the pool's targets.
+func (s *Snapshot) Pool(pool ident.Pool) []int {
+	if pool.Service != "" {
+		return s.byService[pool.Service]
+	}
+	return s.byModel[pool.Model]
+}
+
+// Pools returns the pools that have targets, in the order of ident.ComparePools.
+func (s *Snapshot) Pools() []ident.Pool {
+	pools := make([]ident.Pool, 0, len(s.byModel)+len(s.byService))
+	for model := range s.byModel {
+		pools = append(pools, ident.Pool{Model: model})
+	}
+	for service := range s.byService {
+		pools = append(pools, ident.Pool{Service: service})
+	}
+	slices.SortFunc(pools, ident.ComparePools)
+	return pools
+}
--- a/pkg/gateway/streamorigins.go
+++ b/pkg/gateway/streamorigins.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/streamorigin"
 	"amaranthplank.example/amaranthplank/pkg/tally"
 )
@@ -35,7 +36,7 @@
 	})
 	o.records = streamorigin.NewRecords(o.table, streamorigin.RecordOptions{
 		Self: g.opts.Host, Store: g.opts.Store, Hosts: g.presentHosts, Log: g.opts.Log,
-		TracePrefix: tally.CheckpointPrefix, HasRequests: hasRequests,
+		Pools: g.resumablePools, TracePrefix: tally.CheckpointPrefix, HasRequests: hasRequests,
 	})
 	o.copy = streamorigin.NewStoreCopy(o.table, streamorigin.CopyOptions{
 		Self: g.opts.Host, Store: g.opts.Store, Daemons: g.presence.Daemons, Log: g.opts.Log,
@@ -74,6 +75,20 @@
 // runs while the host is suspended.
 func bootTime() time.Time { return time.Unix(0, int64(clock.Boot{}.Now())) }
 
+// resumablePools returns the models and services whose streams callers may take up again.
+func (g *Gateway) resumablePools() (pools []ident.Pool) {
+	snapshot := g.opts.Published.Current()
+	if snapshot == nil {
+		return nil
+	}
+	for i := range snapshot.Document.Routes {
+		if route := &snapshot.Document.Routes[i]; route.Resumable {
+			pools = append(pools, route.Pools()...)
+		}
+	}
+	return pools
+}
+
 // longestTimeout returns the longest timeout of a route, within bounds.
 func (g *Gateway) longestTimeout() time.Duration {
 	longest := time.Duration(0)
--- a/pkg/relay/next.go
+++ b/pkg/relay/next.go
@@ -164,14 +164,18 @@
 	if apart || c.relay.opts.StreamMover != nil {
 		place = placer.Place
 	}
-	var placement routing.Placement
-	var err error
+	return chooseLoosely(c, place)
+}
+
+// chooseLoosely returns the choice under the strictest constraints of the next attempt that
+// allow one.
+func chooseLoosely[T any](c *call, choose func(*request.Request, *routing.Constraints) (T, error)) (choice T, err error) {
 	for _, constraints := range c.looserConstraints() {
-		if placement, err = place(c.req, constraints); err == nil {
+		if choice, err = choose(c.req, constraints); err == nil {
 			break
 		}
 	}
-	return placement, err
+	return choice, err
 }
 
 // hasAlternative reports whether the request could now be sent to a target other than
@@ -191,25 +195,20 @@
 // choose returns a target at which no attempt failed or, if there is none, any
 // target.
 func (c *call) choose() (*fleet.TargetState, error) {
-	return c.chooseBy(c.relay.opts.Router.Choose, c.version.Load())
+	return chooseLoosely(c, c.relay.opts.Router.Choose)
 }
 
 // chooseDecode returns an engine that generates the answer from a KV cache, which must
-// have the software version that wrote it.
+// have the software version that wrote it. Those at which an attempt failed are excluded
+// unless there are no others.
 func (c *call) chooseDecode(source KVSource) (*fleet.TargetState, error) {
 	choose := c.relay.opts.Router.Choose
 	if placer, ok := c.relay.opts.Router.(routing.Placer); ok {
 		choose = placer.ChooseDecode
 	}
-	return c.chooseBy(choose, &source.Version)
-}
-
-// chooseBy chooses a target of a software version, or of any if it is nil, by the given
-// function, with the targets excluded at which an attempt failed unless there are no others.
-func (c *call) chooseBy(choose func(*request.Request, *routing.Constraints) (*fleet.TargetState, error), version *ident.SoftwareVersion) (*fleet.TargetState, error) {
-	state, err := choose(c.req, &routing.Constraints{Exclude: c.failedTargets, Version: version, SpareRoom: c.late})
+	state, err := choose(c.req, &routing.Constraints{Exclude: c.failedTargets, Version: &source.Version, SpareRoom: c.late})
 	if err != nil && len(c.failedTargets) > 0 {
-		return choose(c.req, &routing.Constraints{Version: version, SpareRoom: c.late})
+		return choose(c.req, &routing.Constraints{Version: &source.Version, SpareRoom: c.late})
 	}
 	return state, err
 }
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -11,16 +11,16 @@
 // StreamOrigins knows the software versions that began streams.
 type StreamOrigins interface {
 	// Began records that a target of a software version began a request's stream.
-	Began(model ident.Model, id ident.Request, version ident.SoftwareVersion)
+	Began(pool ident.Pool, id ident.Request, version ident.SoftwareVersion)
 	// Unrecorded returns the software versions at which a stream should not begin while a
 	// target of another one takes it.
-	Unrecorded(model ident.Model) []ident.SoftwareVersion
+	Unrecorded(pool ident.Pool) []ident.SoftwareVersion
 	// Ended records that the stream of a request was answered whole.
 	Ended(id ident.Request)
 	// VersionOf returns the software version at which the request by takes up the stream
 	// that another request began, or nil if any version may go on with it. It fails with
 	// kind Unavailable if the version is not known soon.
-	VersionOf(ctx context.Context, model ident.Model, by, began ident.Request) (*ident.SoftwareVersion, error)
+	VersionOf(ctx context.Context, pool ident.Pool, by, began ident.Request) (*ident.SoftwareVersion, error)
 }
 
 // constraints returns what rules targets out for the next attempt: the excluded targets
@@ -28,7 +28,7 @@
 func (c *call) constraints(excluded []ident.Target) *routing.Constraints {
 	constraints := &routing.Constraints{Exclude: excluded, Version: c.version.Load(), SpareRoom: c.late}
 	if origins := c.relay.opts.StreamOrigins; origins != nil && c.req.Resumable && constraints.Version == nil {
-		constraints.Avoid = origins.Unrecorded(c.req.Model)
+		constraints.Avoid = origins.Unrecorded(c.req.Pool())
 	}
 	return constraints
 }
@@ -55,7 +55,7 @@
 	if origins == nil || !c.takesUpStream() {
 		return nil
 	}
-	version, err := origins.VersionOf(ctx, c.req.Model, c.req.ID, c.req.BegunBy)
+	version, err := origins.VersionOf(ctx, c.req.Pool(), c.req.ID, c.req.BegunBy)
 	if err == nil {
 		c.version.Store(version)
 	}
@@ -64,7 +64,7 @@
 
 // takesUpStream reports whether the caller has a part of the stream already.
 func (c *call) takesUpStream() bool {
-	return c.req.Resumable && c.req.Model != "" && c.req.LastEventID > 0
+	return c.req.Resumable && c.req.LastEventID > 0
 }
 
 // fixVersion binds the stream to the software version of the attempt that wrote its first
@@ -77,11 +77,11 @@
 	version := a.record.SoftwareVersion
 	c.version.Store(&version)
 	origins := c.relay.opts.StreamOrigins
-	if origins == nil || c.req.Model == "" {
+	if origins == nil {
 		return
 	}
 	if began := c.begunBy(); began != "" {
-		origins.Began(c.req.Model, began, version)
+		origins.Began(c.req.Pool(), began, version)
 	}
 }
 
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -77,6 +77,9 @@
 	fingerprint Fingerprint
 }
 
+// Pool returns the targets among which the request may be placed.
+func (r *Request) Pool() ident.Pool { return ident.Pool{Model: r.Model, Service: r.Service} }
+
 // BoundaryHashes returns the hashes that identify prompts with a common prefix:
 // those at which parts of the prompt end, or all of Prefix if the parts are not
 // known.
--- a/pkg/streamorigin/exchange.go
+++ b/pkg/streamorigin/exchange.go
@@ -16,8 +16,9 @@
 	// Asked holds the keys of streams whose origin is asked for.
 	Asked []byte
 	Known []Origins
-	// Model is the model of the asked streams.
-	Model ident.Model
+	// Model or Service is that of the asked streams.
+	Model   ident.Model
+	Service ident.Service
 }
 
 // Links sends messages to the daemons with an open link to this one.
@@ -48,8 +49,8 @@
 	x.links, x.table = links, table
 }
 
-// Ask asks for the streams of a model with the given keys.
-func (x *Exchange) Ask(model ident.Model, keys []byte) {
+// Ask asks for the streams of a pool with the given keys.
+func (x *Exchange) Ask(pool ident.Pool, keys []byte) {
 	x.mu.Lock()
 	links := x.links
 	x.mu.Unlock()
@@ -57,7 +58,7 @@
 		return
 	}
 	for _, host := range links.Linked() {
-		x.send(links, host, &message{Asked: keys, Model: model})
+		x.send(links, host, &message{Asked: keys, Model: pool.Model, Service: pool.Service})
 	}
 }
 
@@ -72,7 +73,7 @@
 		return
 	}
 	x.table.learn(m.Known, false)
-	if known := x.table.Known(m.Model, m.Asked); len(known) > 0 {
+	if known := x.table.Known(ident.Pool{Model: m.Model, Service: m.Service}, m.Asked); len(known) > 0 {
 		x.mu.Lock()
 		links := x.links
 		x.mu.Unlock()
--- a/pkg/streamorigin/knowledge.go
+++ b/pkg/streamorigin/knowledge.go
@@ -20,11 +20,11 @@
 	loaded bool
 	// traced is set if requests were served before this process started.
 	traced bool
-	models map[ident.Model]*modelRecord
+	pools  map[ident.Pool]*poolRecord
 }
 
-// modelRecord is the record of one model as last read from or written to the store.
-type modelRecord struct {
+// poolRecord is the record of one pool as last read from or written to the store.
+type poolRecord struct {
 	record
 	// base is the version of the record's key, or external.NoVersion.
 	base external.Version
@@ -38,12 +38,12 @@
 }
 
 // newKnowledge returns the knowledge of a process that reads no records.
-func newKnowledge() knowledge { return knowledge{models: make(map[ident.Model]*modelRecord)} }
+func newKnowledge() knowledge { return knowledge{pools: make(map[ident.Pool]*poolRecord)} }
 
-// complete reports whether all versions that may have begun streams of a model are known.
+// complete reports whether all versions that may have begun streams of a pool are known.
 // unrecordedFrom is from when on the view of a process states them without a record, if
 // requests were served before it started.
-func (k *knowledge) complete(model ident.Model, now, unrecordedFrom time.Time) bool {
+func (k *knowledge) complete(pool ident.Pool, now, unrecordedFrom time.Time) bool {
 	if !k.needed {
 		return true
 	}
@@ -53,18 +53,18 @@
 	if !now.Before(unrecordedFrom) {
 		return true
 	}
-	if found := k.models[model]; found != nil && found.wasRead {
+	if found := k.pools[pool]; found != nil && found.wasRead {
 		return !now.Before(found.completeFrom)
 	}
 	return !k.traced
 }
 
-// modelOf returns the record of a model, which is empty if the store has none.
-func (k *knowledge) modelOf(model ident.Model) *modelRecord {
-	found := k.models[model]
+// recordOf returns the record of a pool, which is empty if the store has none.
+func (k *knowledge) recordOf(pool ident.Pool) *poolRecord {
+	found := k.pools[pool]
 	if found == nil {
-		found = &modelRecord{}
-		k.models[model] = found
+		found = &poolRecord{}
+		k.pools[pool] = found
 	}
 	return found
 }
@@ -72,9 +72,9 @@
 // read takes over a record that was read while the store was in the given era. It returns
 // the versions that the record before did not have.
 func (k *knowledge) read(
-	model ident.Model, got record, base external.Version, era external.Era, now time.Time,
+	pool ident.Pool, got record, base external.Version, era external.Era, now time.Time,
 ) (added []ident.SoftwareVersion) {
-	found := k.modelOf(model)
+	found := k.recordOf(pool)
 	for _, version := range got.Versions {
 		if !found.has(version) {
 			added = append(added, version)
--- a/pkg/streamorigin/origins.go
+++ b/pkg/streamorigin/origins.go
@@ -25,8 +25,19 @@
 	Version ident.SoftwareVersion
 	// Streams holds the keys of the streams, streamKeyBytes each.
 	Streams []byte
-	// Model is the model of the streams. Daemons of earlier releases don't send it.
+	// Model is the model of the streams, or empty for those of a plain service. Daemons of
+	// earlier releases don't send it.
 	Model ident.Model
+	// Service is the plain service of the streams.
+	Service ident.Service
+}
+
+// pool returns the pool of the streams.
+func (o *Origins) pool() ident.Pool { return ident.Pool{Model: o.Model, Service: o.Service} }
+
+// newOrigins returns streams of a pool that targets of a version began.
+func newOrigins(pool ident.Pool, version ident.SoftwareVersion, streams []byte) Origins {
+	return Origins{Version: version, Streams: streams, Model: pool.Model, Service: pool.Service}
 }
 
 // appendKey appends a stream's key to those of a message.
--- a/pkg/streamorigin/record.go
+++ b/pkg/streamorigin/record.go
@@ -9,11 +9,15 @@
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
-// RecordPrefix is the key prefix of the records of the software versions that may have begun
-// streams. Each model has its own key, without a lease.
-const RecordPrefix external.Key = "stream-versions/"
+const (
+	// RecordPrefix is the key prefix of the records of the software versions that may have
+	// begun streams of models, and ServiceRecordPrefix that of plain services. Each model or
+	// service has its own key, without a lease.
+	RecordPrefix        external.Key = "stream-versions/"
+	ServiceRecordPrefix external.Key = "service-stream-versions/"
+)
 
-// record holds the software versions of a model's targets that may have begun streams which
+// record holds the software versions of a pool's targets that may have begun streams which
 // are still taken up.
 type record struct {
 	// Era is the store's era in which the versions were complete. After the store came back
@@ -33,12 +37,21 @@
 	return r.Era == other.Era && slices.Equal(r.Versions, other.Versions)
 }
 
-// recordKey returns the key of a model's record.
-func recordKey(model ident.Model) external.Key { return RecordPrefix + external.Key(model) }
+// recordKey returns the key of a pool's record.
+func recordKey(pool ident.Pool) external.Key {
+	if pool.Service != "" {
+		return ServiceRecordPrefix + external.Key(pool.Service)
+	}
+	return RecordPrefix + external.Key(pool.Model)
+}
 
-// modelOfKey returns the model of a record's key.
-func modelOfKey(key external.Key) ident.Model {
-	return ident.Model(strings.TrimPrefix(string(key), string(RecordPrefix)))
+// poolOfKey returns the pool of a record's key, or false for another key.
+func poolOfKey(key external.Key) (ident.Pool, bool) {
+	if model, ok := strings.CutPrefix(string(key), string(RecordPrefix)); ok {
+		return ident.Pool{Model: ident.Model(model)}, true
+	}
+	service, ok := strings.CutPrefix(string(key), string(ServiceRecordPrefix))
+	return ident.Pool{Service: ident.Service(service)}, ok
 }
 
 // decodeRecord decodes a record.
--- a/pkg/streamorigin/records.go
+++ b/pkg/streamorigin/records.go
@@ -37,6 +37,9 @@
 	Store external.Store
 	// Hosts returns the other hosts whose daemons are present.
 	Hosts func() []ident.Host
+	// Pools returns the pools whose streams callers may take up again. Others are not
+	// recorded. It may be nil if all are.
+	Pools func() []ident.Pool
 	// TracePrefix is the prefix of keys whose values show whether a fleet has served requests,
 	// by HasRequests. If all keys are read and none does, no stream is older than this process.
 	TracePrefix external.Key
@@ -62,7 +65,8 @@
 
 // Follows reports whether a key holds a record, or is a trace of earlier requests.
 func (r *Records) Follows(key external.Key) bool {
-	return strings.HasPrefix(string(key), string(RecordPrefix)) || r.isTrace(key)
+	_, isRecord := poolOfKey(key)
+	return isRecord || r.isTrace(key)
 }
 
 // isTrace reports whether a key is a trace of earlier requests.
@@ -83,8 +87,8 @@
 		r.noteWhole(entries)
 	}
 	for i := range entries {
-		if !r.isTrace(entries[i].Key) {
-			r.apply(&entries[i], era)
+		if pool, ok := poolOfKey(entries[i].Key); ok {
+			r.apply(pool, &entries[i], era)
 		}
 	}
 }
@@ -92,7 +96,7 @@
 // noteWhole takes over that all keys were read. The table's mu must be held.
 func (r *Records) noteWhole(entries []external.Entry) {
 	t := r.table
-	for _, found := range t.known.models {
+	for _, found := range t.known.pools {
 		// A record that the store has lost is written again.
 		found.base, found.record = external.NoVersion, record{}
 	}
@@ -104,11 +108,10 @@
 }
 
 // apply takes over one record or its removal. The table's mu must be held.
-func (r *Records) apply(entry *external.Entry, era external.Era) {
+func (r *Records) apply(pool ident.Pool, entry *external.Entry, era external.Era) {
 	t := r.table
-	model := modelOfKey(entry.Key)
 	if entry.Deleted {
-		found := t.known.modelOf(model)
+		found := t.known.recordOf(pool)
 		found.base, found.record = external.NoVersion, record{}
 		return
 	}
@@ -118,8 +121,8 @@
 		return
 	}
 	now := t.opts.Now()
-	for _, version := range t.known.read(model, got, entry.Version, era, now) {
-		t.versionsOf(model).see(version, now)
+	for _, version := range t.known.read(pool, got, entry.Version, era, now) {
+		t.versionsOf(pool).see(version, now)
 	}
 }
 
@@ -134,7 +137,7 @@
 }
 
 // due returns the records that this host is to write now.
-func (r *Records) due() (due []modelSwap) {
+func (r *Records) due() (due []recordSwap) {
 	t := r.table
 	era, _ := external.EraOf(r.opts.Store)
 	t.mu.Lock()
@@ -144,29 +147,40 @@
 		return nil
 	}
 	t.observeAll()
-	for _, model := range slices.Sorted(maps.Keys(t.models)) {
-		found := t.known.modelOf(model)
-		wanted := r.wanted(model, &found.record, era)
-		if !t.complete(model, now) || wanted.equal(&found.record) {
+	for _, pool := range r.recorded() {
+		found := t.known.recordOf(pool)
+		wanted := r.wanted(pool, &found.record, era)
+		if !t.complete(pool, now) || wanted.equal(&found.record) {
 			found.dueSince = time.Time{}
 			continue
 		}
 		if found.dueSince.IsZero() {
 			found.dueSince = now
 		}
-		if now.Sub(found.dueSince) >= delayOf(r.rank(model)) && !now.Before(found.retryAt) {
-			due = append(due, modelSwap{model: model, record: wanted, base: found.base})
+		if now.Sub(found.dueSince) >= delayOf(r.rank(pool)) && !now.Before(found.retryAt) {
+			due = append(due, recordSwap{pool: pool, record: wanted, base: found.base})
 		}
 	}
 	return due
 }
 
-// wanted returns what a model's record is to hold. A version is added while it is in the view,
+// recorded returns the observed pools that have a record, in their order. The table's mu
+// must be held.
+func (r *Records) recorded() []ident.Pool {
+	pools := slices.SortedFunc(maps.Keys(r.table.pools), ident.ComparePools)
+	if r.opts.Pools == nil {
+		return pools
+	}
+	wanted := r.opts.Pools()
+	return slices.DeleteFunc(pools, func(pool ident.Pool) bool { return !slices.Contains(wanted, pool) })
+}
+
+// wanted returns what a pool's record is to hold. A version is added while it is in the view,
 // and removed once it is no longer remembered here. A record of an earlier era, or one that is
 // missing, gets all versions that are remembered. The table's mu must be held.
-func (r *Records) wanted(model ident.Model, found *record, era external.Era) record {
+func (r *Records) wanted(pool ident.Pool, found *record, era external.Era) record {
 	t := r.table
-	known := t.models[model]
+	known := t.pools[pool]
 	outdated := found.Era != era || len(found.Versions) == 0
 	versions := make([]ident.SoftwareVersion, 0, len(known.seenAt))
 	for version := range known.seenAt {
@@ -176,15 +190,15 @@
 	}
 	slices.Sort(versions)
 	if len(versions) == 0 {
-		// The versions of a model without targets are kept.
+		// The versions of a pool without targets are kept.
 		return *found
 	}
 	return record{Era: era, Versions: versions}
 }
 
-// rank returns how many present hosts come before this one in writing a model's record.
-func (r *Records) rank(model ident.Model) (rank int) {
-	thing := string(recordKey(model))
+// rank returns how many present hosts come before this one in writing a pool's record.
+func (r *Records) rank(pool ident.Pool) (rank int) {
+	thing := string(recordKey(pool))
 	own := rendezvous.Weight(thing, r.opts.Self)
 	for _, host := range r.opts.Hosts() {
 		if host != r.opts.Self && rendezvous.Weight(thing, host) > own {
@@ -202,35 +216,35 @@
 	return readDelay + time.Duration(bits.Len(uint(rank)))*rankDelay
 }
 
-// modelSwap is a record to write over a version of its key.
-type modelSwap struct {
-	model  ident.Model
+// recordSwap is a record to write over a version of its key.
+type recordSwap struct {
+	pool   ident.Pool
 	record record
 	base   external.Version
 }
 
 // write writes one record. A record that another daemon has changed is read by the mirror
 // before the next try.
-func (r *Records) write(ctx context.Context, swap modelSwap) {
+func (r *Records) write(ctx context.Context, swap recordSwap) {
 	value, err := json.Marshal(swap.record)
 	if err != nil {
-		r.opts.Log.Error("stream versions not encoded", "model", swap.model, "error", err)
+		r.opts.Log.Error("stream versions not encoded", "pool", swap.pool, "error", err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	version, err := r.opts.Store.CompareAndSwap(ctx, external.Swap{Key: recordKey(swap.model), Value: value, Base: swap.base})
+	version, err := r.opts.Store.CompareAndSwap(ctx, external.Swap{Key: recordKey(swap.pool), Value: value, Base: swap.base})
 	t := r.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	found := t.known.modelOf(swap.model)
+	found := t.known.recordOf(swap.pool)
 	found.retryAt = t.opts.Now().Add(retryInterval)
 	if err != nil {
-		r.opts.Log.Info("stream versions not written, retrying", "model", swap.model, "error", err)
+		r.opts.Log.Info("stream versions not written, retrying", "pool", swap.pool, "error", err)
 		return
 	}
 	if found.base < version {
 		found.record, found.base, found.dueSince = swap.record, version, time.Time{}
 	}
-	r.opts.Log.Info("stream versions written", "model", swap.model, "versions", swap.record.Versions, "era", swap.record.Era)
+	r.opts.Log.Info("stream versions written", "pool", swap.pool, "versions", swap.record.Versions, "era", swap.record.Era)
 }
--- a/pkg/streamorigin/records_test.go
+++ b/pkg/streamorigin/records_test.go
@@ -170,7 +170,7 @@
 	withOrigins(t, false, func(f *originFleet) {
 		f.start(30, "v1")
 		for i := range 100 {
-			f.tables[i%30].Began("m", ident.Request(fmt.Sprint(i)), "v1")
+			f.tables[i%30].Began(testPool, ident.Request(fmt.Sprint(i)), "v1")
 		}
 		time.Sleep(10 * time.Minute)
 		must.Eq(t, 1, f.store.writes.Load())
@@ -211,13 +211,13 @@
 		before := f.store.writes.Load()
 		for i := range 100 {
 			id := ident.Request(fmt.Sprint("short-", i))
-			f.tables[i%4].Began("m", id, "v1")
+			f.tables[i%4].Began(testPool, id, "v1")
 			f.tables[i%4].Ended(id)
 		}
 		time.Sleep(time.Second)
 		must.Eq(t, before, f.store.writes.Load())
 		for i := range 40 {
-			f.tables[i%4].Began("m", ident.Request(fmt.Sprint("long-", i)), ident.SoftwareVersion(fmt.Sprint("v", 1+i%2)))
+			f.tables[i%4].Began(testPool, ident.Request(fmt.Sprint("long-", i)), ident.SoftwareVersion(fmt.Sprint("v", 1+i%2)))
 		}
 		time.Sleep(minStoredAge + 2*writeInterval)
 		must.LessEq(t, before+8, f.store.writes.Load(), must.Sprint("a lease and a write for each daemon"))
@@ -227,7 +227,7 @@
 			for i := range 40 {
 				must.Eq(t, fmt.Sprint("v", 1+i%2), f.all(ident.Request(fmt.Sprint("long-", i))))
 			}
-			f.tables[0].Began("m", "of the next process", "v1")
+			f.tables[0].Began(testPool, "of the next process", "v1")
 			time.Sleep(time.Second)
 		}
 		f.see("v2")
@@ -247,7 +247,7 @@
 		f.store.away.Store(true)
 		time.Sleep(time.Second)
 		began := time.Now()
-		f.tables[0].Began("m", "a", "v2")
+		f.tables[0].Began(testPool, "a", "v2")
 		must.Eq(t, time.Duration(0), time.Since(began))
 		time.Sleep(5 * time.Second)
 		f.store.away.Store(false)
@@ -263,15 +263,15 @@
 func TestUnrecordedVersionIsAvoided(t *testing.T) {
 	withOrigins(t, false, func(f *originFleet) {
 		f.start(1, "v1")
-		must.SliceEmpty(t, f.tables[0].Unrecorded("m"), must.Sprint("no record yet"))
+		must.SliceEmpty(t, f.tables[0].Unrecorded(testPool), must.Sprint("no record yet"))
 		time.Sleep(time.Minute)
 		f.see("v1", "v2")
-		must.Eq(t, []ident.SoftwareVersion{"v2"}, f.tables[0].Unrecorded("m"))
+		must.Eq(t, []ident.SoftwareVersion{"v2"}, f.tables[0].Unrecorded(testPool))
 		f.see("v2")
-		must.SliceEmpty(t, f.tables[0].Unrecorded("m"), must.Sprint("there is no other"))
+		must.SliceEmpty(t, f.tables[0].Unrecorded(testPool), must.Sprint("there is no other"))
 		f.see("v1", "v2")
 		time.Sleep(2 * time.Second)
-		must.SliceEmpty(t, f.tables[0].Unrecorded("m"), must.Sprint("recorded"))
+		must.SliceEmpty(t, f.tables[0].Unrecorded(testPool), must.Sprint("recorded"))
 	})
 }
 
@@ -329,7 +329,7 @@
 		f.start(2, "v1", "v2")
 		time.Sleep(time.Minute)
 		copied := f.memory.Snapshot()
-		f.tables[0].Began("m", "a", "v2")
+		f.tables[0].Began(testPool, "a", "v2")
 		time.Sleep(time.Second)
 		f.memory.Restore(copied)
 		time.Sleep(3 * time.Second)
--- a/pkg/streamorigin/running.go
+++ b/pkg/streamorigin/running.go
@@ -56,10 +56,10 @@
 func (r *runningStreams) end(key streamKey) { delete(r.streams, key) }
 
 // due returns the streams that are old enough to be written, by version, and whether one of
-// them is not in the store. included reports whether the streams of a model are written.
-func (r *runningStreams) due(now time.Time, included func(ident.Model) bool) (due []Origins, unstored bool) {
+// them is not in the store. included reports whether the streams of a pool are written.
+func (r *runningStreams) due(now time.Time, included func(ident.Pool) bool) (due []Origins, unstored bool) {
 	for key, found := range r.streams {
-		if now.Sub(found.at) < minStoredAge || !included(found.model) {
+		if now.Sub(found.at) < minStoredAge || !included(found.pool) {
 			continue
 		}
 		unstored = unstored || !found.stored
@@ -88,12 +88,12 @@
 	}
 }
 
-// appendOrigin adds a stream to those of its model and version.
+// appendOrigin adds a stream to those of its pool and version.
 func appendOrigin(all []Origins, key streamKey, o *origin) []Origins {
-	i := slices.IndexFunc(all, func(known Origins) bool { return known.Model == o.model && known.Version == o.version })
+	i := slices.IndexFunc(all, func(known Origins) bool { return known.pool() == o.pool && known.Version == o.version })
 	if i < 0 {
 		i = len(all)
-		all = append(all, Origins{Model: o.model, Version: o.version})
+		all = append(all, newOrigins(o.pool, o.version, nil))
 	}
 	all[i].Streams = appendKey(all[i].Streams, key)
 	return all
--- a/pkg/streamorigin/storecopy.go
+++ b/pkg/streamorigin/storecopy.go
@@ -39,7 +39,7 @@
 	Log     *slog.Logger
 }
 
-// StoreCopy writes the streams that this daemon has begun to the store while their model's
+// StoreCopy writes the streams that this daemon has begun to the store while their pool's
 // targets have several software versions, so that it outlasts all daemons, and reads those of
 // all hosts as a mirror.Listener.
 type StoreCopy struct {
@@ -177,8 +177,8 @@
 	}
 	retention := t.opts.Retention()
 	t.running.expire(now, retention, maxRunning)
-	mixed := func(model ident.Model) bool {
-		found := t.models[model]
+	mixed := func(pool ident.Pool) bool {
+		found := t.pools[pool]
 		return found != nil && len(found.seenAt) > 1
 	}
 	streams, unstored = t.running.due(now, mixed)
--- a/pkg/streamorigin/table.go
+++ b/pkg/streamorigin/table.go
@@ -44,8 +44,8 @@
 	// Age returns an upper bound of the view's age, or false before it was first read. It
 	// may be nil if the view is never behind.
 	Age func() (time.Duration, bool)
-	// Ask asks other daemons for a stream of a model that is not known. It may be nil.
-	Ask        func(model ident.Model, key []byte)
+	// Ask asks other daemons for a stream of a pool that is not known. It may be nil.
+	Ask        func(pool ident.Pool, key []byte)
 	Log        *slog.Logger
 	Registerer prometheus.Registerer
 }
@@ -53,13 +53,13 @@
 // origin is what is known of a stream's beginning.
 type origin struct {
 	version ident.SoftwareVersion
-	model   ident.Model
+	pool    ident.Pool
 	at      time.Time
 }
 
-// versionOfModel is a software version of a model's targets.
-type versionOfModel struct {
-	model   ident.Model
+// versionOfPool is a software version of a pool's targets.
+type versionOfPool struct {
+	pool    ident.Pool
 	version ident.SoftwareVersion
 }
 
@@ -81,14 +81,14 @@
 
 	startedAt time.Time
 	known     knowledge
-	models    map[ident.Model]*modelVersions
+	pools     map[ident.Pool]*poolVersions
 	origins   map[streamKey]origin
 	// order holds the streams from the oldest to the newest.
 	order []agedStream
 	// running are the streams begun here that were not complete yet.
 	running *runningStreams
 	// unsent are the streams that the neighbors are still to be sent.
-	unsent map[versionOfModel][]byte
+	unsent map[versionOfPool][]byte
 	// learned is closed when streams became known, and replaced.
 	learned chan struct{}
 }
@@ -97,8 +97,8 @@
 func New(opts Options) *Table {
 	return &Table{
 		opts: opts, startedAt: opts.Now(), known: newKnowledge(), running: newRunningStreams(),
-		models: make(map[ident.Model]*modelVersions), origins: make(map[streamKey]origin),
-		unsent: make(map[versionOfModel][]byte), learned: make(chan struct{}),
+		pools: make(map[ident.Pool]*poolVersions), origins: make(map[streamKey]origin),
+		unsent: make(map[versionOfPool][]byte), learned: make(chan struct{}),
 		lookups: promauto.With(opts.Registerer).NewCounterVec(prometheus.CounterOpts{
 			Name: "amaranthplank_stream_origins_total", Help: "Streams taken up again, by what was known of the software version that began them.",
 		}, []string{"result"}),
@@ -117,10 +117,10 @@
 	})
 }
 
-// observeAll brings the versions of all models up to date. t.mu must be held.
+// observeAll brings the versions of all pools up to date. t.mu must be held.
 func (t *Table) observeAll() {
-	for _, model := range t.opts.View.Snapshot().Models() {
-		t.observe(model)
+	for _, pool := range t.opts.View.Snapshot().Pools() {
+		t.observe(pool)
 	}
 }
 
@@ -137,28 +137,28 @@
 	return !read || age > viewLag
 }
 
-// versionsOf returns the versions of a model. t.mu must be held.
-func (t *Table) versionsOf(model ident.Model) *modelVersions {
-	versions := t.models[model]
+// versionsOf returns the versions of a pool. t.mu must be held.
+func (t *Table) versionsOf(pool ident.Pool) *poolVersions {
+	versions := t.pools[pool]
 	if versions == nil {
-		versions = newModelVersions()
-		t.models[model] = versions
+		versions = newPoolVersions()
+		t.pools[pool] = versions
 	}
 	return versions
 }
 
-// complete reports whether all versions that may have begun streams of a model are known.
+// complete reports whether all versions that may have begun streams of a pool are known.
 // t.mu must be held.
-func (t *Table) complete(model ident.Model, now time.Time) bool {
-	return t.known.complete(model, now, t.startedAt.Add(t.opts.Retention()))
+func (t *Table) complete(pool ident.Pool, now time.Time) bool {
+	return t.known.complete(pool, now, t.startedAt.Add(t.opts.Retention()))
 }
 
-// only returns the one version at which all streams of a model began that are still taken
+// only returns the one version at which all streams of a pool began that are still taken
 // up, or nil if there may be several. t.mu must be held.
-func (t *Table) only(model ident.Model) *ident.SoftwareVersion {
+func (t *Table) only(pool ident.Pool) *ident.SoftwareVersion {
 	now := t.opts.Now()
-	only := t.observe(model).only()
-	if t.behind(now) || !t.complete(model, now) {
+	only := t.observe(pool).only()
+	if t.behind(now) || !t.complete(pool, now) {
 		return nil
 	}
 	return only
@@ -173,15 +173,15 @@
 	}
 }
 
-// observe brings a model's versions up to date. When a second one has come, the neighbors
+// observe brings a pool's versions up to date. When a second one has come, the neighbors
 // are to be sent the streams that the first one has begun. t.mu must be held.
-func (t *Table) observe(model ident.Model) *modelVersions {
-	versions := t.versionsOf(model)
-	if versions.observe(t.opts.View.Snapshot(), model, t.opts.Now(), t.opts.Retention()) {
-		t.opts.Log.Info("software versions mixed", "model", model, "versions", len(versions.seenAt))
+func (t *Table) observe(pool ident.Pool) *poolVersions {
+	versions := t.versionsOf(pool)
+	if versions.observe(t.opts.View.Snapshot(), pool, t.opts.Now(), t.opts.Retention()) {
+		t.opts.Log.Info("software versions mixed", "pool", pool, "versions", len(versions.seenAt))
 		for key, known := range t.origins {
-			if known.model == model {
-				t.queue(versionOfModel{model, known.version}, key)
+			if known.pool == pool {
+				t.queue(versionOfPool{pool, known.version}, key)
 			}
 		}
 	}
@@ -189,21 +189,21 @@
 }
 
 // Began records that a target of a software version has begun the stream of a request.
-func (t *Table) Began(model ident.Model, id ident.Request, version ident.SoftwareVersion) {
+func (t *Table) Began(pool ident.Pool, id ident.Request, version ident.SoftwareVersion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	key, versions := keyOf(id), t.observe(model)
-	o := origin{version: version, model: model, at: t.opts.Now()}
+	key, versions := keyOf(id), t.observe(pool)
+	o := origin{version: version, pool: pool, at: t.opts.Now()}
 	t.add(key, o)
 	t.running.begin(key, o, t.opts.Retention())
 	if !versions.mixedSince.IsZero() {
-		t.queue(versionOfModel{model, version}, key)
+		t.queue(versionOfPool{pool, version}, key)
 	}
 }
 
 // queue queues a stream for the neighbors. Without links, older ones make room. t.mu must
 // be held.
-func (t *Table) queue(of versionOfModel, key streamKey) {
+func (t *Table) queue(of versionOfPool, key streamKey) {
 	keys := appendKey(t.unsent[of], key)
 	t.unsent[of] = keys[max(0, len(keys)-maxUnsent*streamKeyBytes):]
 }
@@ -226,7 +226,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for of, streams := range t.unsent {
-		unsent = append(unsent, Origins{Model: of.model, Version: of.version, Streams: streams})
+		unsent = append(unsent, newOrigins(of.pool, of.version, streams))
 		delete(t.unsent, of)
 	}
 	return unsent
@@ -240,9 +240,9 @@
 	t.running.end(keyOf(id))
 }
 
-// anyMixed reports whether the targets of a model have several versions. t.mu must be held.
+// anyMixed reports whether the targets of a pool have several versions. t.mu must be held.
 func (t *Table) anyMixed() bool {
-	for _, versions := range t.models {
+	for _, versions := range t.pools {
 		if len(versions.seenAt) > 1 {
 			return true
 		}
@@ -250,17 +250,17 @@
 	return false
 }
 
-// Unrecorded returns the versions of a model's targets that the store's record lacks, if it has
+// Unrecorded returns the versions of a pool's targets that the store's record lacks, if it has
 // another one of them. If all daemons ended, nothing would be known of streams begun there.
-func (t *Table) Unrecorded(model ident.Model) (versions []ident.SoftwareVersion) {
+func (t *Table) Unrecorded(pool ident.Pool) (versions []ident.SoftwareVersion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	found := t.known.models[model]
+	found := t.known.pools[pool]
 	if found == nil || len(found.Versions) == 0 {
 		return nil
 	}
 	recorded := false
-	for version := range t.observe(model).inView {
+	for version := range t.observe(pool).inView {
 		if found.has(version) {
 			recorded = true
 		} else {
@@ -287,12 +287,13 @@
 	defer t.mu.Unlock()
 	now := t.opts.Now()
 	for i := range known {
-		if serving && known[i].Model != "" {
-			t.versionsOf(known[i].Model).see(known[i].Version, now)
+		pool := known[i].pool()
+		if serving && pool != (ident.Pool{}) {
+			t.versionsOf(pool).see(known[i].Version, now)
 		}
 		for _, key := range splitKeys(known[i].Streams) {
 			if before, ok := t.origins[key]; !ok || before.version != known[i].Version || now.Sub(before.at) > t.opts.Retention() {
-				t.add(key, origin{version: known[i].Version, model: known[i].Model, at: now})
+				t.add(key, origin{version: known[i].Version, pool: pool, at: now})
 			}
 		}
 	}
@@ -300,18 +301,18 @@
 	t.learned = make(chan struct{})
 }
 
-// Known returns which of the asked streams of a model are known: those that were recorded, or
+// Known returns which of the asked streams of a pool are known: those that were recorded, or
 // all if there is only one version at which they can have begun.
-func (t *Table) Known(model ident.Model, asked []byte) (known []Origins) {
+func (t *Table) Known(pool ident.Pool, asked []byte) (known []Origins) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.noticePause()
-	only := t.only(model)
+	only := t.only(pool)
 	for _, key := range splitKeys(asked) {
 		if o, ok := t.origins[key]; ok {
-			known = append(known, Origins{Version: o.version, Streams: appendKey(nil, key), Model: o.model})
+			known = append(known, newOrigins(o.pool, o.version, appendKey(nil, key)))
 		} else if only != nil {
-			known = append(known, Origins{Version: *only, Streams: appendKey(nil, key), Model: model})
+			known = append(known, newOrigins(pool, *only, appendKey(nil, key)))
 		}
 	}
 	return known
@@ -320,33 +321,33 @@
 // VersionOf returns the software version at which the stream that a request began goes on,
 // or nil if any version may. It waits up to lookupTimeout for other daemons, and fails if
 // the version is not known.
-func (t *Table) VersionOf(ctx context.Context, model ident.Model, by, began ident.Request) (*ident.SoftwareVersion, error) {
+func (t *Table) VersionOf(ctx context.Context, pool ident.Pool, by, began ident.Request) (*ident.SoftwareVersion, error) {
 	key := keyOf(began)
-	version, mixed, learned := t.lookUp(model, key)
+	version, mixed, learned := t.lookUp(pool, key)
 	if !mixed {
 		// The stream may be of a version that only other daemons have seen yet.
 		return version, nil
 	}
 	if version == nil && began != "" {
-		version = t.await(ctx, model, key, learned)
+		version = t.await(ctx, pool, key, learned)
 	}
 	if version != nil {
 		t.lookups.WithLabelValues("known").Inc()
 		return version, nil
 	}
 	t.lookups.WithLabelValues("unknown").Inc()
-	t.logUnknown(model, by, began)
+	t.logUnknown(pool, by, began)
 	return nil, errUnknownVersion
 }
 
-// logUnknown logs that a stream's version is not known, with what kept the model's versions
+// logUnknown logs that a stream's version is not known, with what kept the pool's versions
 // from being relied on.
-func (t *Table) logUnknown(model ident.Model, by, began ident.Request) {
+func (t *Table) logUnknown(pool ident.Pool, by, began ident.Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.opts.Now()
-	t.opts.Log.Info("version of a stream unknown", "request", by, "began", began, "model", model,
-		"versions", len(t.observe(model).seenAt), "behind", t.behind(now), "recorded", t.complete(model, now))
+	t.opts.Log.Info("version of a stream unknown", "request", by, "began", began, "pool", pool,
+		"versions", len(t.observe(pool).seenAt), "behind", t.behind(now), "recorded", t.complete(pool, now))
 }
 
 // errUnknownVersion refuses a stream that might go on at the wrong software version.
@@ -354,9 +355,9 @@
 	"send the request again after the time in Retry-After, or without the events received so far").WithRetryAfter(unknownRetryAfter)
 
 // await asks the other daemons for a stream and waits until it is known.
-func (t *Table) await(ctx context.Context, model ident.Model, key streamKey, learned <-chan struct{}) *ident.SoftwareVersion {
+func (t *Table) await(ctx context.Context, pool ident.Pool, key streamKey, learned <-chan struct{}) *ident.SoftwareVersion {
 	if t.opts.Ask != nil {
-		t.opts.Ask(model, appendKey(nil, key))
+		t.opts.Ask(pool, appendKey(nil, key))
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
@@ -367,7 +368,7 @@
 		case <-learned:
 		}
 		var version *ident.SoftwareVersion
-		if version, _, learned = t.lookUp(model, key); version != nil {
+		if version, _, learned = t.lookUp(pool, key); version != nil {
 			return version
 		}
 	}
@@ -375,11 +376,11 @@
 
 // lookUp returns the version of a stream if it is known, whether it may be one of several,
 // and what is closed when more becomes known.
-func (t *Table) lookUp(model ident.Model, key streamKey) (version *ident.SoftwareVersion, mixed bool, learned <-chan struct{}) {
+func (t *Table) lookUp(pool ident.Pool, key streamKey) (version *ident.SoftwareVersion, mixed bool, learned <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.noticePause()
-	mixed = t.only(model) == nil
+	mixed = t.only(pool) == nil
 	if o, ok := t.origins[key]; ok && t.opts.Now().Sub(o.at) <= t.opts.Retention() {
 		version = &o.version
 	}
--- a/pkg/streamorigin/table_test.go
+++ b/pkg/streamorigin/table_test.go
@@ -19,6 +19,9 @@
 // testRetention is how long streams are remembered in the tests.
 const testRetention = 10 * time.Second
 
+// testPool is the pool whose streams are taken up in the tests.
+var testPool = ident.Pool{Model: "m"}
+
 // testTable is a table over a view that the test changes, in the test's time.
 type testTable struct {
 	*Table
@@ -51,7 +54,7 @@
 
 // versionOf returns the version of a stream, "any" or "unknown".
 func (f *testTable) versionOf(t *testing.T, id ident.Request) string {
-	version, err := f.VersionOf(t.Context(), "m", "again", id)
+	version, err := f.VersionOf(t.Context(), testPool, "again", id)
 	switch {
 	case err != nil:
 		return "unknown"
@@ -73,7 +76,7 @@
 // software version, and nothing has to be known of its streams.
 func TestOneVersionCostsNothing(t *testing.T) {
 	f := newTestTable("v1", "v1")
-	f.Began("m", "a", "v1")
+	f.Began(testPool, "a", "v1")
 	must.SliceEmpty(t, f.TakeUnsent())
 	must.Eq(t, "v1", f.versionOf(t, "a"))
 	must.Eq(t, "any", f.versionOf(t, "nobody's"))
@@ -84,14 +87,14 @@
 // version, since they began before there was one and nobody was told.
 func TestStreamsFromBeforeASecondVersionAreKnown(t *testing.T) {
 	first, other := newTestTable("v1"), newTestTable("v1")
-	first.Began("m", "a", "v1")
-	first.Began("m", "b", "v1")
+	first.Began(testPool, "a", "v1")
+	first.Began(testPool, "b", "v1")
 	for _, f := range []*testTable{first, other} {
 		f.versionOf(t, "a")
 		f.now = f.now.Add(time.Second)
 		f.see("v1", "v2")
 	}
-	first.Began("m", "c", "v2")
+	first.Began(testPool, "c", "v2")
 	unsent := first.TakeUnsent()
 	must.Eq(t, 3, count(unsent))
 	must.SliceEmpty(t, first.TakeUnsent())
@@ -124,7 +127,7 @@
 // version that this daemon sees, while another daemon has begun it at a newer one.
 func TestVersionThatOthersSawFirstIsRequired(t *testing.T) {
 	ahead, behind := newTestTable("v1", "v2"), newTestTable("v1")
-	ahead.Began("m", "a", "v2")
+	ahead.Began(testPool, "a", "v2")
 	behind.Learn(ahead.TakeUnsent())
 	must.Eq(t, "v2", behind.versionOf(t, "a"))
 	must.Eq(t, "unknown", behind.versionOf(t, "b"))
@@ -134,7 +137,7 @@
 // version because its own has left the view, and against remembering it for ever.
 func TestVersionThatHasGoneIsRemembered(t *testing.T) {
 	f := newTestTable("v1", "v2")
-	f.Began("m", "a", "v1")
+	f.Began(testPool, "a", "v1")
 	f.see("v2")
 	f.now = f.now.Add(testRetention)
 	must.Eq(t, "v1", f.versionOf(t, "a"))
@@ -147,13 +150,13 @@
 func TestStreamsAreBounded(t *testing.T) {
 	f := newTestTable("v1", "v2")
 	for i := range maxStreams + 100 {
-		f.Began("m", ident.Request(fmt.Sprint(i)), "v1")
+		f.Began(testPool, ident.Request(fmt.Sprint(i)), "v1")
 	}
 	must.Eq(t, maxStreams, len(f.origins))
 	must.LessEq(t, maxStreams, len(f.order))
 	must.Eq(t, maxUnsent, count(f.TakeUnsent()))
 	f.now = f.now.Add(testRetention + time.Second)
-	f.Began("m", "new", "v2")
+	f.Began(testPool, "new", "v2")
 	must.Eq(t, 1, len(f.origins))
 	must.Eq(t, "v2", f.versionOf(t, "new"))
 }
--- a/pkg/streamorigin/versions.go
+++ b/pkg/streamorigin/versions.go
@@ -7,8 +7,8 @@
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
-// modelVersions holds the software versions of one model's targets.
-type modelVersions struct {
+// poolVersions holds the software versions of one pool's targets.
+type poolVersions struct {
 	// seenAt is when each version was last in the view, or became known otherwise.
 	seenAt map[ident.SoftwareVersion]time.Time
 	// mixedSince is when a second version was first seen beside another one, or zero while
@@ -19,16 +19,16 @@
 	snapshot *fleet.Snapshot
 }
 
-// newModelVersions returns the versions of a model without any.
-func newModelVersions() *modelVersions {
-	return &modelVersions{seenAt: make(map[ident.SoftwareVersion]time.Time)}
+// newPoolVersions returns the versions of a pool without any.
+func newPoolVersions() *poolVersions {
+	return &poolVersions{seenAt: make(map[ident.SoftwareVersion]time.Time)}
 }
 
 // see records that a version may have begun streams until now.
-func (v *modelVersions) see(version ident.SoftwareVersion, now time.Time) { v.seenAt[version] = now }
+func (v *poolVersions) see(version ident.SoftwareVersion, now time.Time) { v.seenAt[version] = now }
 
 // only returns the one version there is, or nil.
-func (v *modelVersions) only() *ident.SoftwareVersion {
+func (v *poolVersions) only() *ident.SoftwareVersion {
 	if len(v.seenAt) != 1 {
 		return nil
 	}
@@ -40,8 +40,8 @@
 
 // observe records the versions in the view. It reports whether a second one has come.
 // Versions that were last seen longer than retention ago are forgotten.
-func (v *modelVersions) observe(snapshot *fleet.Snapshot, model ident.Model, now time.Time, retention time.Duration) (mixed bool) {
-	v.read(snapshot, model)
+func (v *poolVersions) observe(snapshot *fleet.Snapshot, pool ident.Pool, now time.Time, retention time.Duration) (mixed bool) {
+	v.read(snapshot, pool)
 	for version := range v.inView {
 		v.seenAt[version] = now
 	}
@@ -60,13 +60,13 @@
 	return false
 }
 
-// read takes over the versions of a model's targets in a view.
-func (v *modelVersions) read(snapshot *fleet.Snapshot, model ident.Model) {
+// read takes over the versions of a pool's targets in a view.
+func (v *poolVersions) read(snapshot *fleet.Snapshot, pool ident.Pool) {
 	if v.snapshot == snapshot {
 		return
 	}
 	v.snapshot, v.inView = snapshot, make(map[ident.SoftwareVersion]bool)
-	for _, i := range snapshot.Model(model) {
+	for _, i := range snapshot.Pool(pool) {
 		v.inView[snapshot.Targets[i].Record.SoftwareVersion] = true
 	}
 }
