Bind every stream that is taken up, also where there is one version

Cause: the look-up of a stream's version had three answers, a version, an error and nil, and nil meant 'any version' where it was 'the only one now'. The request is placed later, by a view with a second version. Ruled out: a version that is lost while the request waits; streams of a model with two versions stay at theirs.

Change: VersionOf returns a version or an error, nothing else. The only version there is, is a version. The wait list counts misses by the version that a request needs, since three bound requests would otherwise keep all others waiting beside free engines.

--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -53,7 +53,7 @@
 	// that the caller had received before it sent the request.
 	lastEvent uint64
 	// version is the software version that wrote the part of the stream which the caller
-	// has, or nil if it has none or any version may go on.
+	// has, or nil if it has none. Every attempt since is bound to it.
 	version atomic.Pointer[ident.SoftwareVersion]
 	// next is the next attempt if it was begun in advance, or nil.
 	next *attempt
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -18,9 +18,9 @@
 	// Ended records that the stream of a request was answered whole.
 	Ended(id ident.Request)
 	// VersionOf returns the software version at which the request by takes up the stream
-	// that another request began, or nil if any version may go on with it. It fails with
-	// kind Unavailable if the version is not known soon.
-	VersionOf(ctx context.Context, pool ident.Pool, by, began ident.Request) (*ident.SoftwareVersion, error)
+	// that another request began. It fails with kind Unavailable if the version is not known
+	// soon; there is no stream that may go on at any version.
+	VersionOf(ctx context.Context, pool ident.Pool, by, began ident.Request) (ident.SoftwareVersion, error)
 }
 
 // constraints returns what rules targets out for the next attempt: the excluded targets
@@ -56,10 +56,11 @@
 		return nil
 	}
 	version, err := origins.VersionOf(ctx, c.req.Pool(), c.req.ID, c.req.BegunBy)
-	if err == nil {
-		c.version.Store(version)
+	if err != nil {
+		return err
 	}
-	return err
+	c.version.Store(&version)
+	return nil
 }
 
 // takesUpStream reports whether the caller has a part of the stream already.
--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -28,6 +28,9 @@
 		Workspace: c.req.Workspace, Urgency: c.req.Urgency, Deadline: c.deadline.time(),
 		Cost: float64(1 + c.req.PromptTokens), Bytes: len(c.req.Body),
 	}
+	if version := c.version.Load(); version != nil {
+		entry.Version = *version
+	}
 	c.late = true
 	err = c.relay.opts.Waiting.Wait(ctx, c.req.Model, entry, c.waitUntil, err, func() (err error) {
 		placement, err = c.place(apart)
--- a/pkg/streamorigin/records_test.go
+++ b/pkg/streamorigin/records_test.go
@@ -145,10 +145,10 @@
 		f.start(4, "v1")
 		must.Eq(t, "unknown", f.all("a"), must.Sprint("not recorded"))
 		time.Sleep(testRetention + delayOf(4))
-		must.Eq(t, "any", f.all("a"))
+		must.Eq(t, "v1", f.all("a"))
 		f.end()
 		f.start(4, "v1")
-		must.Eq(t, "any", f.all("a"), must.Sprint("recorded"))
+		must.Eq(t, "v1", f.all("a"), must.Sprint("recorded"))
 		f.end()
 		f.start(4, "v2")
 		must.Eq(t, "unknown", f.all("a"), must.Sprint("another version is recorded"))
@@ -160,7 +160,7 @@
 func TestFirstStartRefusesNothing(t *testing.T) {
 	withOrigins(t, false, func(f *originFleet) {
 		f.start(2, "v1")
-		must.Eq(t, "any", f.all("a"))
+		must.Eq(t, "v1", f.all("a"))
 	})
 }
 
@@ -180,7 +180,7 @@
 		f.see("v2")
 		time.Sleep(10 * time.Minute)
 		must.Eq(t, 3, f.store.writes.Load())
-		must.Eq(t, "any", f.all("a"))
+		must.Eq(t, "v2", f.all("a"))
 	})
 }
 
@@ -198,7 +198,7 @@
 		f.start(4, "v1")
 		must.Eq(t, "unknown", f.all("a"))
 		time.Sleep(2 * testRetention)
-		must.Eq(t, "any", f.all("a"), must.Sprint("no stream of the second is left"))
+		must.Eq(t, "v1", f.all("a"), must.Sprint("no stream of the second is left"))
 	})
 }
 
@@ -281,13 +281,13 @@
 	withOrigins(t, false, func(f *originFleet) {
 		f.start(1, "v1")
 		time.Sleep(time.Minute)
-		must.Eq(t, "any", f.all("a"))
+		must.Eq(t, "v1", f.all("a"))
 		f.store.away.Store(true)
 		time.Sleep(2 * viewLag)
 		must.Eq(t, "unknown", f.all("a"))
 		f.store.away.Store(false)
 		time.Sleep(2 * time.Second)
-		must.Eq(t, "any", f.all("a"))
+		must.Eq(t, "v1", f.all("a"))
 	})
 }
 
@@ -301,16 +301,16 @@
 		time.Sleep(time.Minute)
 		f.memory.Restore(empty)
 		time.Sleep(3 * time.Second)
-		must.Eq(t, "any", f.all("a"))
+		must.Eq(t, "v1", f.all("a"))
 		f.end()
 		f.start(3, "v1")
-		must.Eq(t, "any", f.all("a"))
+		must.Eq(t, "v1", f.all("a"))
 		f.end()
 		f.memory.Restore(f.memory.Snapshot())
 		f.start(3, "v1")
 		must.Eq(t, "unknown", f.all("a"), must.Sprint("targets may still have to write their entries"))
 		time.Sleep(rewriteGrace)
-		must.Eq(t, "any", f.all("a"))
+		must.Eq(t, "v1", f.all("a"))
 		f.end()
 		f.memory.Restore(empty)
 		f.start(3, "v1")
@@ -318,7 +318,7 @@
 		time.Sleep(testRetention / 2)
 		must.Eq(t, "unknown", f.all("a"), must.Sprint("the copy has no record"))
 		time.Sleep(testRetention)
-		must.Eq(t, "any", f.all("a"))
+		must.Eq(t, "v1", f.all("a"))
 	})
 }
 
@@ -350,7 +350,7 @@
 		}
 		time.Sleep(time.Minute)
 		writes := f.store.writes.Load()
-		must.Eq(t, "any", f.all("a"))
+		must.Eq(t, "v1", f.all("a"))
 		time.Sleep(10 * time.Minute)
 		must.Eq(t, writes, f.store.writes.Load())
 	})
--- a/pkg/streamorigin/table.go
+++ b/pkg/streamorigin/table.go
@@ -318,26 +318,22 @@
 	return known
 }
 
-// VersionOf returns the software version at which the stream that a request began goes on,
-// or nil if any version may. It waits up to lookupTimeout for other daemons, and fails if
-// the version is not known.
-func (t *Table) VersionOf(ctx context.Context, pool ident.Pool, by, began ident.Request) (*ident.SoftwareVersion, error) {
+// VersionOf returns the software version at which the stream that a request began goes on.
+// It waits up to lookupTimeout for other daemons, and fails if the version is not known.
+func (t *Table) VersionOf(ctx context.Context, pool ident.Pool, by, began ident.Request) (ident.SoftwareVersion, error) {
 	key := keyOf(began)
-	version, mixed, learned := t.lookUp(pool, key)
-	if !mixed {
-		// The stream may be of a version that only other daemons have seen yet.
-		return version, nil
+	found, learned := t.lookUp(pool, key)
+	if !found.known && began != "" {
+		found = t.await(ctx, pool, key, learned)
 	}
-	if version == nil && began != "" {
-		version = t.await(ctx, pool, key, learned)
+	if found.counted {
+		t.lookups.WithLabelValues(found.result()).Inc()
 	}
-	if version != nil {
-		t.lookups.WithLabelValues("known").Inc()
-		return version, nil
+	if !found.known {
+		t.logUnknown(pool, by, began)
+		return "", errUnknownVersion
 	}
-	t.lookups.WithLabelValues("unknown").Inc()
-	t.logUnknown(pool, by, began)
-	return nil, errUnknownVersion
+	return found.version, nil
 }
 
 // logUnknown logs that a stream's version is not known, with what kept the pool's versions
@@ -354,8 +350,25 @@
 var errUnknownVersion = fault.New(fault.Unavailable, "it is not known which software version began the stream",
 	"send the request again after the time in Retry-After, or without the events received so far").WithRetryAfter(unknownRetryAfter)
 
+// lookup is what is known of the version that a stream goes on at.
+type lookup struct {
+	version ident.SoftwareVersion
+	// known is set if the version is known. There is no stream that may go on at any.
+	known bool
+	// counted is set if the stream may have begun at several versions.
+	counted bool
+}
+
+// result returns the value of the metric's label.
+func (l lookup) result() string {
+	if l.known {
+		return "known"
+	}
+	return "unknown"
+}
+
 // await asks the other daemons for a stream and waits until it is known.
-func (t *Table) await(ctx context.Context, pool ident.Pool, key streamKey, learned <-chan struct{}) *ident.SoftwareVersion {
+func (t *Table) await(ctx context.Context, pool ident.Pool, key streamKey, learned <-chan struct{}) (found lookup) {
 	if t.opts.Ask != nil {
 		t.opts.Ask(pool, appendKey(nil, key))
 	}
@@ -364,25 +377,28 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return lookup{counted: true}
 		case <-learned:
 		}
-		var version *ident.SoftwareVersion
-		if version, _, learned = t.lookUp(pool, key); version != nil {
-			return version
+		if found, learned = t.lookUp(pool, key); found.known {
+			return found
 		}
 	}
 }
 
-// lookUp returns the version of a stream if it is known, whether it may be one of several,
-// and what is closed when more becomes known.
-func (t *Table) lookUp(pool ident.Pool, key streamKey) (version *ident.SoftwareVersion, mixed bool, learned <-chan struct{}) {
+// lookUp returns the version of a stream: the recorded one or, without a record, the only one
+// there is. learned is closed when more becomes known.
+func (t *Table) lookUp(pool ident.Pool, key streamKey) (found lookup, learned <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.noticePause()
-	mixed = t.only(pool) == nil
+	only := t.only(pool)
+	found.counted = only == nil
+	if only != nil {
+		found.version, found.known = *only, true
+	}
 	if o, ok := t.origins[key]; ok && t.opts.Now().Sub(o.at) <= t.opts.Retention() {
-		version = &o.version
+		found.version, found.known = o.version, true
 	}
-	return version, mixed, t.learned
+	return found, t.learned
 }
--- a/pkg/streamorigin/table_test.go
+++ b/pkg/streamorigin/table_test.go
@@ -52,16 +52,13 @@
 	f.snapshot.Store(fleet.NewSnapshot(states))
 }
 
-// versionOf returns the version of a stream, "any" or "unknown".
+// versionOf returns the version of a stream, or "unknown".
 func (f *testTable) versionOf(t *testing.T, id ident.Request) string {
 	version, err := f.VersionOf(t.Context(), testPool, "again", id)
-	switch {
-	case err != nil:
+	if err != nil {
 		return "unknown"
-	case version == nil:
-		return "any"
 	}
-	return string(*version)
+	return string(version)
 }
 
 // count returns the number of streams in messages.
@@ -79,8 +76,8 @@
 	f.Began(testPool, "a", "v1")
 	must.SliceEmpty(t, f.TakeUnsent())
 	must.Eq(t, "v1", f.versionOf(t, "a"))
-	must.Eq(t, "any", f.versionOf(t, "nobody's"))
-	must.Eq(t, "any", f.versionOf(t, ""))
+	must.Eq(t, "v1", f.versionOf(t, "nobody's"))
+	must.Eq(t, "v1", f.versionOf(t, ""))
 }
 
 // TestStreamsFromBeforeASecondVersionAreKnown guards against streams that go on at a new
@@ -113,14 +110,14 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	must.NoError(t, f.Run(ctx))
-	must.Eq(t, "any", f.versionOf(t, "a"))
+	must.Eq(t, "v1", f.versionOf(t, "a"))
 	f.now = f.now.Add(longestGap + time.Millisecond)
 	must.Eq(t, "unknown", f.versionOf(t, "a"))
 	must.NoError(t, f.Run(ctx))
 	f.now = f.now.Add(viewLag - time.Millisecond)
 	must.Eq(t, "unknown", f.versionOf(t, "a"))
 	f.now = f.now.Add(time.Millisecond)
-	must.Eq(t, "any", f.versionOf(t, "a"))
+	must.Eq(t, "v1", f.versionOf(t, "a"))
 }
 
 // TestVersionThatOthersSawFirstIsRequired guards against a stream that goes on at the only
@@ -142,7 +139,7 @@
 	f.now = f.now.Add(testRetention)
 	must.Eq(t, "v1", f.versionOf(t, "a"))
 	f.now = f.now.Add(testRetention)
-	must.Eq(t, "any", f.versionOf(t, "a"))
+	must.Eq(t, "v2", f.versionOf(t, "a"))
 }
 
 // TestStreamsAreBounded guards against memory that grows with the streams, by their rate,
--- a/pkg/waitlist/list.go
+++ b/pkg/waitlist/list.go
@@ -20,6 +20,9 @@
 	Cost float64
 	// Bytes is the memory that the request holds while it waits.
 	Bytes int
+	// Version is the software version that the target must have, or empty if any may take
+	// the request.
+	Version ident.SoftwareVersion
 
 	try     func() error
 	done    chan struct{}
--- a/pkg/waitlist/waiter.go
+++ b/pkg/waitlist/waiter.go
@@ -13,8 +13,9 @@
 	// turnInterval is the mean time between two turns of a list. It is below the time of
 	// a short answer, so that a slot that becomes free is not left idle for long.
 	turnInterval = 25 * time.Millisecond
-	// maxMisses is the number of entries that find no room in one turn before it ends.
-	// It is above one so that a long prompt does not keep short ones waiting.
+	// maxMisses is the number of entries for one software version that find no room in one
+	// turn before no other for it is tried. It is above one so that a long prompt does not
+	// keep short ones waiting.
 	maxMisses = 3
 )
 
@@ -140,17 +141,19 @@
 	time.AfterFunc(turnInterval/2+rand.N(turnInterval), func() { w.turn(list) })
 }
 
-// turn lets the entries try in their order, until maxMisses of them found no room.
+// turn lets the entries try in their order. Those that need the same software version are
+// passed over once maxMisses of them found no room; they keep no others waiting.
 func (w *Waiter) turn(list *turnList) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	list.scheduled = false
-	misses := 0
+	misses := make(map[ident.SoftwareVersion]int)
 	for _, e := range list.Order(time.Now()) {
+		if misses[e.Version] >= maxMisses {
+			continue
+		}
 		if e.err = e.try(); e.err != nil && w.opts.NoRoom(e.err) {
-			if misses++; misses >= maxMisses {
-				break
-			}
+			misses[e.Version]++
 			continue
 		}
 		list.Grant(e, time.Now())
--- a/pkg/waitlist/waiter_test.go
+++ b/pkg/waitlist/waiter_test.go
@@ -123,3 +123,22 @@
 		must.Eq(t, map[Outcome]int{Displaced: 2, Placed: 1}, r.outcomes)
 	})
 }
+
+// TestRequestsOfAFullVersionHoldUpNoOthers guards against requests for which there is room and
+// that wait nevertheless, since requests before them need targets of a software version that
+// are all full.
+func TestRequestsOfAFullVersionHoldUpNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, began := newWaitRig(wide), time.Now()
+		var group sync.WaitGroup
+		for range 10 * maxMisses {
+			group.Go(func() {
+				must.ErrorIs(t, r.wait(t.Context(), Entry{Version: "v1"}, began.Add(time.Hour)), errFull)
+			})
+		}
+		synctest.Wait()
+		must.NoError(t, r.wait(t.Context(), Entry{Urgency: 1}, began))
+		must.LessEq(t, 2*turnInterval, time.Since(began))
+		group.Wait()
+	})
+}
