Remember streams for as long as their callers may take them up

Cause: versions and streams were kept for the longest timeout in force now. That bounds one request. A caller waits for the next event for two seconds, four times its objective or eight times its gap after the last one, begins anew with each try, and what began before a change runs by the former timeout. A daemon that starts after the change can't know it.

Change: the retention is the longest timeout of a resumable route and the patience of its callers, without an upper bound; the longest time in force counts until what began under it is over, and is part of the record in the store. A stream that is taken up is recorded again.

--- a/pkg/gateway/streamorigins.go
+++ b/pkg/gateway/streamorigins.go
@@ -1,24 +1,19 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/streamorigin"
 	"amaranthplank.example/amaranthplank/pkg/tally"
 )
 
-const (
-	// defaultStreamTime is how long streams last at most if no route has a timeout.
-	defaultStreamTime = 30 * time.Second
-	// maxStreamTime bounds how long the beginnings of streams are remembered.
-	maxStreamTime = 2 * time.Minute
-)
-
 // streamOrigins are the components that know which software versions began streams.
 type streamOrigins struct {
 	table    *streamorigin.Table
@@ -31,7 +26,7 @@
 func (g *Gateway) newStreamOrigins() streamOrigins {
 	o := streamOrigins{exchange: streamorigin.NewExchange(g.opts.Log)}
 	o.table = streamorigin.New(streamorigin.Options{
-		View: g.targets, Now: bootTime, Retention: g.longestTimeout, Age: g.storeAge, Ask: o.exchange.Ask,
+		View: g.targets, Now: bootTime, Retention: g.takeUpTime, Age: g.storeAge, Ask: o.exchange.Ask,
 		Log: g.opts.Log, Registerer: g.registry,
 	})
 	o.records = streamorigin.NewRecords(o.table, streamorigin.RecordOptions{
@@ -89,16 +84,35 @@
 	return pools
 }
 
-// longestTimeout returns the longest timeout of a route, within bounds.
-func (g *Gateway) longestTimeout() time.Duration {
-	longest := time.Duration(0)
-	if snapshot := g.opts.Published.Current(); snapshot != nil {
-		for i := range snapshot.Document.Routes {
-			longest = max(longest, snapshot.Document.Routes[i].Timeout.D())
-		}
+// takeUpTime returns how long after its beginning a caller may take a stream up: as long as
+// the longest timeout lets it run, and as long after that as callers of the route wait for the
+// next event. It is zero until a configuration is loaded.
+func (g *Gateway) takeUpTime() (longest time.Duration) {
+	snapshot := g.opts.Published.Current()
+	if snapshot == nil {
+		return 0
 	}
-	if longest == 0 {
-		longest = defaultStreamTime
+	for i := range snapshot.Document.Routes {
+		route := &snapshot.Document.Routes[i]
+		if !route.Resumable {
+			continue
+		}
+		timeout := cmp.Or(route.Timeout.D(), g.knobs(config.Selector{Route: route.Name}).Retry.MaxTimeout.D())
+		longest = max(longest, timeout+patience(route))
 	}
-	return min(longest, maxStreamTime)
+	return longest
+}
+
+const (
+	// minPatience, firstPartPatience and gapPatience define how long callers wait for the
+	// next event of a stream before they abandon it: minPatience, or the given multiple of
+	// the route's desired time to the first part or between two events.
+	minPatience       = 2 * time.Second
+	firstPartPatience = 4
+	gapPatience       = 8
+)
+
+// patience returns how long the callers of a route wait for the next event of a stream.
+func patience(route *config.Route) time.Duration {
+	return max(minPatience, firstPartPatience*route.FirstPart.D(), gapPatience*route.TokenGap.D())
 }
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -55,6 +55,8 @@
 	// version is the software version that wrote the part of the stream which the caller
 	// has, or nil if it has none. Every attempt since is bound to it.
 	version atomic.Pointer[ident.SoftwareVersion]
+	// originNoted is set once the target that writes the stream was recorded.
+	originNoted atomic.Bool
 	// next is the next attempt if it was begun in advance, or nil.
 	next *attempt
 	// guardCleared is set once the crash guard was notified that an answer goes on.
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -10,7 +10,8 @@
 
 // StreamOrigins knows the software versions that began streams.
 type StreamOrigins interface {
-	// Began records that a target of a software version began a request's stream.
+	// Began records that a target of a software version writes the stream that a request began:
+	// its first events, or the next ones for a caller that took it up.
 	Began(pool ident.Pool, id ident.Request, version ident.SoftwareVersion)
 	// Unrecorded returns the software versions at which a stream should not begin while a
 	// target of another one takes it.
@@ -69,10 +70,10 @@
 }
 
 // fixVersion binds the stream to the software version of the attempt that wrote its first
-// event.
+// event, and records that it goes on there.
 func (a *attempt) fixVersion() {
 	c := a.call
-	if !c.req.Resumable || c.version.Load() != nil {
+	if !c.req.Resumable || c.originNoted.Swap(true) {
 		return
 	}
 	version := a.record.SoftwareVersion
--- a/pkg/streamorigin/record.go
+++ b/pkg/streamorigin/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -25,6 +26,9 @@
 	Era external.Era `json:"era"`
 	// Versions are sorted.
 	Versions []ident.SoftwareVersion `json:"versions"`
+	// RetentionMs is how long streams were remembered when the record was written, in
+	// milliseconds. A process that starts later may not know the configuration of that time.
+	RetentionMs int64 `json:"retentionMs"`
 }
 
 // has reports whether the record holds a version.
@@ -32,11 +36,14 @@
 	return slices.Contains(r.Versions, version)
 }
 
-// equal reports whether two records are the same.
-func (r *record) equal(other *record) bool {
-	return r.Era == other.Era && slices.Equal(r.Versions, other.Versions)
+// covers reports whether the record has the versions of another one, and at least its retention.
+func (r *record) covers(other *record) bool {
+	return r.Era == other.Era && slices.Equal(r.Versions, other.Versions) && r.RetentionMs >= other.RetentionMs
 }
 
+// retention returns RetentionMs as a duration.
+func (r *record) retention() time.Duration { return time.Duration(r.RetentionMs) * time.Millisecond }
+
 // recordKey returns the key of a pool's record.
 func recordKey(pool ident.Pool) external.Key {
 	if pool.Service != "" {
--- a/pkg/streamorigin/records.go
+++ b/pkg/streamorigin/records.go
@@ -121,6 +121,7 @@
 		return
 	}
 	now := t.opts.Now()
+	t.retained.raise(now, got.retention())
 	for _, version := range t.known.read(pool, got, entry.Version, era, now) {
 		t.versionsOf(pool).see(version, now)
 	}
@@ -150,7 +151,7 @@
 	for _, pool := range r.recorded() {
 		found := t.known.recordOf(pool)
 		wanted := r.wanted(pool, &found.record, era)
-		if !t.complete(pool, now) || wanted.equal(&found.record) {
+		if !t.complete(pool, now) || found.covers(&wanted) {
 			found.dueSince = time.Time{}
 			continue
 		}
@@ -193,7 +194,7 @@
 		// The versions of a pool without targets are kept.
 		return *found
 	}
-	return record{Era: era, Versions: versions}
+	return record{Era: era, Versions: versions, RetentionMs: t.retention().Milliseconds()}
 }
 
 // rank returns how many present hosts come before this one in writing a pool's record.
--- a/pkg/streamorigin/records_test.go
+++ b/pkg/streamorigin/records_test.go
@@ -63,13 +63,15 @@
 	store  *countingStore
 	tables []*testTable
 	cancel context.CancelFunc
+	// retention is the time in force in which streams may be taken up.
+	retention time.Duration
 }
 
 // withOrigins runs a test over a store that was used before, if traced is set.
 func withOrigins(t *testing.T, traced bool, body func(f *originFleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := memstore.New(clock.NewRuntime())
-		f := &originFleet{t: t, memory: memory, store: &countingStore{Store: memory}}
+		f := &originFleet{t: t, memory: memory, store: &countingStore{Store: memory}, retention: testRetention}
 		key := external.Key("configuration")
 		if traced {
 			key = testTrace + "a"
@@ -97,7 +99,7 @@
 		guard := storeera.New(f.store, log, prometheus.NewRegistry())
 		var m *mirror.Mirror
 		table.Table = New(Options{
-			View: table, Now: time.Now, Retention: func() time.Duration { return testRetention },
+			View: table, Now: time.Now, Retention: func() time.Duration { return f.retention },
 			Age: func() (time.Duration, bool) { return m.Age() }, Log: log, Registerer: prometheus.NewRegistry(),
 		})
 		records := NewRecords(table.Table, RecordOptions{
@@ -356,4 +358,24 @@
 	})
 }
 
+// TestRetentionOutlastsAllDaemons guards against forgetting a version too early after all
+// daemons have ended and the operator has lowered the longest timeout: streams that began under
+// the former one are still taken up.
+func TestRetentionOutlastsAllDaemons(t *testing.T) {
+	withOrigins(t, false, func(f *originFleet) {
+		f.retention = 6 * testRetention
+		f.start(4, "v1", "v2")
+		time.Sleep(time.Minute)
+		f.see("v2")
+		time.Sleep(time.Second)
+		f.end()
+		f.retention = testRetention
+		f.start(4, "v2")
+		time.Sleep(4 * testRetention)
+		must.Eq(t, "unknown", f.all("a"))
+		time.Sleep(10 * testRetention)
+		must.Eq(t, "v2", f.all("a"), must.Sprint("no stream of the first is left"))
+	})
+}
+
 var _ fleet.View = (*testTable)(nil)
--- a/pkg/streamorigin/storecopy.go
+++ b/pkg/streamorigin/storecopy.go
@@ -175,7 +175,7 @@
 	if now.Before(s.nextAt) {
 		return nil, false, false
 	}
-	retention := t.opts.Retention()
+	retention := t.retention()
 	t.running.expire(now, retention, maxRunning)
 	mixed := func(pool ident.Pool) bool {
 		found := t.pools[pool]
--- a/pkg/streamorigin/table.go
+++ b/pkg/streamorigin/table.go
@@ -38,8 +38,8 @@
 	View fleet.View
 	// Now returns the time by a clock that runs while the host is suspended.
 	Now func() time.Time
-	// Retention returns how long after its beginning a stream may be taken up: the longest
-	// timeout of a request.
+	// Retention returns how long after its beginning, or after it was last taken up, a stream
+	// may be taken up by the configuration in force, or zero if that is not known.
 	Retention func() time.Duration
 	// Age returns an upper bound of the view's age, or false before it was first read. It
 	// may be nil if the view is never behind.
@@ -80,6 +80,7 @@
 	observedAt, behindUntil time.Time
 
 	startedAt time.Time
+	retained  retention
 	known     knowledge
 	pools     map[ident.Pool]*poolVersions
 	origins   map[streamKey]origin
@@ -147,10 +148,13 @@
 	return versions
 }
 
+// retention returns how long after its beginning a stream is remembered. t.mu must be held.
+func (t *Table) retention() time.Duration { return t.retained.update(t.opts.Now(), t.opts.Retention()) }
+
 // complete reports whether all versions that may have begun streams of a pool are known.
 // t.mu must be held.
 func (t *Table) complete(pool ident.Pool, now time.Time) bool {
-	return t.known.complete(pool, now, t.startedAt.Add(t.opts.Retention()))
+	return t.known.complete(pool, now, t.startedAt.Add(t.retention()))
 }
 
 // only returns the one version at which all streams of a pool began that are still taken
@@ -177,7 +181,7 @@
 // are to be sent the streams that the first one has begun. t.mu must be held.
 func (t *Table) observe(pool ident.Pool) *poolVersions {
 	versions := t.versionsOf(pool)
-	if versions.observe(t.opts.View.Snapshot(), pool, t.opts.Now(), t.opts.Retention()) {
+	if versions.observe(t.opts.View.Snapshot(), pool, t.opts.Now(), t.retention()+viewLag) {
 		t.opts.Log.Info("software versions mixed", "pool", pool, "versions", len(versions.seenAt))
 		for key, known := range t.origins {
 			if known.pool == pool {
@@ -188,14 +192,15 @@
 	return versions
 }
 
-// Began records that a target of a software version has begun the stream of a request.
+// Began records that a target of a software version has begun the stream of a request, or has
+// gone on with it for a caller that took it up.
 func (t *Table) Began(pool ident.Pool, id ident.Request, version ident.SoftwareVersion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key, versions := keyOf(id), t.observe(pool)
 	o := origin{version: version, pool: pool, at: t.opts.Now()}
 	t.add(key, o)
-	t.running.begin(key, o, t.opts.Retention())
+	t.running.begin(key, o, t.retention())
 	if !versions.mixedSince.IsZero() {
 		t.queue(versionOfPool{pool, version}, key)
 	}
@@ -210,7 +215,7 @@
 
 // add remembers a stream. t.mu must be held.
 func (t *Table) add(key streamKey, o origin) {
-	retention := t.opts.Retention()
+	retention := t.retention()
 	for len(t.order) > 0 && (len(t.order) >= maxStreams || o.at.Sub(t.order[0].at) > retention) {
 		if known := t.origins[t.order[0].key]; known.at.Equal(t.order[0].at) {
 			delete(t.origins, t.order[0].key)
@@ -292,7 +297,9 @@
 			t.versionsOf(pool).see(known[i].Version, now)
 		}
 		for _, key := range splitKeys(known[i].Streams) {
-			if before, ok := t.origins[key]; !ok || before.version != known[i].Version || now.Sub(before.at) > t.opts.Retention() {
+			before, ok := t.origins[key]
+			takenUp := serving && now.Sub(before.at) > observeInterval
+			if !ok || before.version != known[i].Version || takenUp || now.Sub(before.at) > t.retention() {
 				t.add(key, origin{version: known[i].Version, pool: pool, at: now})
 			}
 		}
@@ -397,7 +404,7 @@
 	if only != nil {
 		found.version, found.known = *only, true
 	}
-	if o, ok := t.origins[key]; ok && t.opts.Now().Sub(o.at) <= t.opts.Retention() {
+	if o, ok := t.origins[key]; ok && t.opts.Now().Sub(o.at) <= t.retention() {
 		found.version, found.known = o.version, true
 	}
 	return found, t.learned
--- a/pkg/streamorigin/table_test.go
+++ b/pkg/streamorigin/table_test.go
@@ -157,3 +157,37 @@
 	must.Eq(t, 1, len(f.origins))
 	must.Eq(t, "v2", f.versionOf(t, "new"))
 }
+
+// TestLoweredRetentionForgetsNoStream guards against forgetting what began while streams could
+// be taken up for longer, and against counting a time for ever that is no longer in force.
+func TestLoweredRetentionForgetsNoStream(t *testing.T) {
+	f := newTestTable("v1", "v2")
+	inForce := 6 * testRetention
+	f.opts.Retention = func() time.Duration { return inForce }
+	f.Began(testPool, "a", "v1")
+	inForce = testRetention
+	f.see("v2")
+	for range 5 {
+		f.now = f.now.Add(testRetention)
+		must.Eq(t, "v1", f.versionOf(t, "a"))
+		must.Eq(t, "unknown", f.versionOf(t, "b"))
+	}
+	f.now = f.now.Add(2 * testRetention)
+	must.Eq(t, "v2", f.versionOf(t, "b"))
+	f.Began(testPool, "c", "v2")
+	must.Eq(t, testRetention, f.retention())
+}
+
+// TestStreamTakenUpAgainIsRemembered guards against forgetting a stream by the time of its
+// beginning while it goes on over several tries of its caller.
+func TestStreamTakenUpAgainIsRemembered(t *testing.T) {
+	f, other := newTestTable("v1", "v2"), newTestTable("v1", "v2")
+	for range 5 {
+		f.Began(testPool, "a", "v1")
+		other.Learn(f.TakeUnsent())
+		for _, table := range []*testTable{f, other} {
+			table.now = table.now.Add(testRetention - time.Second)
+			must.Eq(t, "v1", table.versionOf(t, "a"))
+		}
+	}
+}
--- a/pkg/streamorigin/versions.go
+++ b/pkg/streamorigin/versions.go
@@ -39,7 +39,8 @@
 }
 
 // observe records the versions in the view. It reports whether a second one has come.
-// Versions that were last seen longer than retention ago are forgotten.
+// Versions that were last seen longer than retention ago are forgotten. It is longer than that
+// of streams: a stream that is no longer known must not be taken for one of the version left.
 func (v *poolVersions) observe(snapshot *fleet.Snapshot, pool ident.Pool, now time.Time, retention time.Duration) (mixed bool) {
 	v.read(snapshot, pool)
 	for version := range v.inView {
