Take a version for the only one after a read of its record alone

Reported by another operator: a machine out of step while replicas of a new version joined took up streams of these at the former version (ORDER).

Cause: a daemon took the one version in its view for the only one, for up to 3 s without news; linked daemons answered by their views as well; and streams began at a version without a record where the others had no room. Between two reads of the store, 0.4 s apart, that is possible without any trouble.

Change: no stream begins at a version that the store's record lacks while targets of a recorded one are in the view, and a daemon reads the record anew before it takes a version for the only one. What began before the request came is thus in what is read, for any delay of views, links and processes. Linked daemons answer what they have recorded. Reads are shared and paced.

--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -13,8 +13,7 @@
 	// Began records that a target of a software version writes the stream that a request began:
 	// its first events, or the next ones for a caller that took it up.
 	Began(pool ident.Pool, id ident.Request, version ident.SoftwareVersion)
-	// Unrecorded returns the software versions at which a stream should not begin while a
-	// target of another one takes it.
+	// Unrecorded returns the software versions at which no stream may begin yet.
 	Unrecorded(pool ident.Pool) []ident.SoftwareVersion
 	// Ended records that the stream of a request was answered whole.
 	Ended(id ident.Request)
@@ -35,16 +34,12 @@
 }
 
 // looserConstraints returns the constraints for the next attempt from the strictest to the
-// loosest. A target at which an attempt failed, or of a version that is not recorded yet, is
-// better than none.
+// loosest. A target at which an attempt failed is better than none.
 func (c *call) looserConstraints() []*routing.Constraints {
 	strict := c.constraints(c.failedTargets)
 	all := []*routing.Constraints{strict}
-	if len(strict.Avoid) > 0 {
-		all = append(all, &routing.Constraints{Exclude: strict.Exclude, Version: strict.Version, SpareRoom: strict.SpareRoom})
-	}
 	if len(strict.Exclude) > 0 {
-		all = append(all, &routing.Constraints{Version: strict.Version, SpareRoom: strict.SpareRoom})
+		all = append(all, &routing.Constraints{Version: strict.Version, Avoid: strict.Avoid, SpareRoom: strict.SpareRoom})
 	}
 	return all
 }
--- a/pkg/streamorigin/exchange.go
+++ b/pkg/streamorigin/exchange.go
@@ -16,7 +16,7 @@
 	// Asked holds the keys of streams whose origin is asked for.
 	Asked []byte
 	Known []Origins
-	// Model or Service is that of the asked streams.
+	// Model or Service is that of the asked streams. Daemons of earlier releases use the model.
 	Model   ident.Model
 	Service ident.Service
 }
@@ -73,7 +73,7 @@
 		return
 	}
 	x.table.learn(m.Known, false)
-	if known := x.table.Known(ident.Pool{Model: m.Model, Service: m.Service}, m.Asked); len(known) > 0 {
+	if known := x.table.Known(m.Asked); len(known) > 0 {
 		x.mu.Lock()
 		links := x.links
 		x.mu.Unlock()
--- a/pkg/streamorigin/record.go
+++ b/pkg/streamorigin/record.go
@@ -12,9 +12,9 @@
 
 const (
 	// RecordPrefix is the key prefix of the records of the software versions that may have
-	// begun streams of models, and ServiceRecordPrefix that of plain services. Each model or
-	// service has its own key, without a lease.
-	RecordPrefix        external.Key = "stream-versions/"
+	// begun streams of models. Each model has its own key, without a lease.
+	RecordPrefix external.Key = "stream-versions/"
+	// ServiceRecordPrefix is the key prefix of the same records for plain services.
 	ServiceRecordPrefix external.Key = "service-stream-versions/"
 )
 
--- a/pkg/streamorigin/records.go
+++ b/pkg/streamorigin/records.go
@@ -60,7 +60,9 @@
 // they have been read.
 func NewRecords(table *Table, opts RecordOptions) *Records {
 	table.known.needed = true
-	return &Records{opts: opts, table: table}
+	r := &Records{opts: opts, table: table}
+	table.confirmer = &confirmer{read: r.readRecord, pause: r.confirmPause, pools: make(map[ident.Pool]*poolReads)}
+	return r
 }
 
 // Follows reports whether a key holds a record, or is a trace of earlier requests.
--- a/pkg/streamorigin/records_test.go
+++ b/pkg/streamorigin/records_test.go
@@ -27,8 +27,10 @@
 // countingStore counts the calls that change the store, and fails all calls while away is set.
 type countingStore struct {
 	external.Store
-	writes atomic.Int64
-	away   atomic.Bool
+	writes, gets atomic.Int64
+	away         atomic.Bool
+	// delay is how long the answer to a read of one key takes.
+	delay time.Duration
 }
 
 func (s *countingStore) CompareAndSwap(ctx context.Context, swap external.Swap) (external.Version, error) {
@@ -49,6 +51,16 @@
 	return s.Store.Grant(ctx, ttl)
 }
 
+func (s *countingStore) Get(ctx context.Context, key external.Key) (external.Entry, error) {
+	s.gets.Add(1)
+	if s.away.Load() {
+		return external.Entry{}, external.ErrStoreUnavailable
+	}
+	entry, err := s.Store.Get(ctx, key)
+	time.Sleep(s.delay)
+	return entry, err
+}
+
 func (s *countingStore) Watch(ctx context.Context, prefix external.Key, after external.Cursor) (external.Changes, error) {
 	if s.away.Load() {
 		return external.Changes{}, external.ErrStoreUnavailable
@@ -56,12 +68,27 @@
 	return s.Store.Watch(ctx, prefix, after)
 }
 
+// daemonStore is the store as one daemon reaches it. It brings no changes while deaf is set.
+type daemonStore struct {
+	*countingStore
+	deaf atomic.Bool
+}
+
+func (s *daemonStore) Watch(ctx context.Context, prefix external.Key, after external.Cursor) (external.Changes, error) {
+	if s.deaf.Load() {
+		return external.Changes{}, external.ErrStoreUnavailable
+	}
+	return s.countingStore.Watch(ctx, prefix, after)
+}
+
 // originFleet is several daemons' tables over one store, in fake time.
 type originFleet struct {
 	t      *testing.T
 	memory *memstore.Store
 	store  *countingStore
 	tables []*testTable
+	// stores are the store as each daemon reaches it.
+	stores []*daemonStore
 	cancel context.CancelFunc
 	// retention is the time in force in which streams may be taken up.
 	retention time.Duration
@@ -87,7 +114,7 @@
 // have read the store.
 func (f *originFleet) start(daemons int, versions ...ident.SoftwareVersion) {
 	ctx, cancel := context.WithCancel(f.t.Context())
-	f.cancel, f.tables = cancel, nil
+	f.cancel, f.tables, f.stores = cancel, nil, nil
 	var hosts []ident.Host
 	for i := range daemons {
 		hosts = append(hosts, ident.Host(fmt.Sprint("host-", i)))
@@ -96,7 +123,9 @@
 	for _, self := range hosts {
 		table := &testTable{}
 		table.see(versions...)
-		guard := storeera.New(f.store, log, prometheus.NewRegistry())
+		reached := &daemonStore{countingStore: f.store}
+		f.stores = append(f.stores, reached)
+		guard := storeera.New(reached, log, prometheus.NewRegistry())
 		var m *mirror.Mirror
 		table.Table = New(Options{
 			View: table, Now: time.Now, Retention: func() time.Duration { return f.retention },
--- a/pkg/streamorigin/table.go
+++ b/pkg/streamorigin/table.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -88,6 +89,8 @@
 	order []agedStream
 	// running are the streams begun here that were not complete yet.
 	running *runningStreams
+	// confirmer reads the records on which only relies, or is nil without records.
+	confirmer *confirmer
 	// unsent are the streams that the neighbors are still to be sent.
 	unsent map[versionOfPool][]byte
 	// learned is closed when streams became known, and replaced.
@@ -157,12 +160,11 @@
 	return t.known.complete(pool, now, t.startedAt.Add(t.retention()))
 }
 
-// only returns the one version at which all streams of a pool began that are still taken
-// up, or nil if there may be several. t.mu must be held.
+// only returns the one version at which all streams of a pool began that are still taken up, as
+// far as this daemon knows, or nil if there may be several. t.mu must be held.
 func (t *Table) only(pool ident.Pool) *ident.SoftwareVersion {
-	now := t.opts.Now()
 	only := t.observe(pool).only()
-	if t.behind(now) || !t.complete(pool, now) {
+	if !t.complete(pool, t.opts.Now()) {
 		return nil
 	}
 	return only
@@ -308,18 +310,13 @@
 	t.learned = make(chan struct{})
 }
 
-// Known returns which of the asked streams of a pool are known: those that were recorded, or
-// all if there is only one version at which they can have begun.
-func (t *Table) Known(pool ident.Pool, asked []byte) (known []Origins) {
+// Known returns which of the asked streams are recorded here.
+func (t *Table) Known(asked []byte) (known []Origins) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.noticePause()
-	only := t.only(pool)
 	for _, key := range splitKeys(asked) {
 		if o, ok := t.origins[key]; ok {
 			known = append(known, newOrigins(o.pool, o.version, appendKey(nil, key)))
-		} else if only != nil {
-			known = append(known, newOrigins(pool, *only, appendKey(nil, key)))
 		}
 	}
 	return known
@@ -329,83 +326,98 @@
 // It waits up to lookupTimeout for other daemons, and fails if the version is not known.
 func (t *Table) VersionOf(ctx context.Context, pool ident.Pool, by, began ident.Request) (ident.SoftwareVersion, error) {
 	key := keyOf(began)
-	found, learned := t.lookUp(pool, key)
-	if !found.known && began != "" {
-		found = t.await(ctx, pool, key, learned)
-	}
-	if found.counted {
-		t.lookups.WithLabelValues(found.result()).Inc()
+	if version := t.inferred(ctx, pool, key); version != nil {
+		return *version, nil
 	}
-	if !found.known {
+	version := t.recorded(ctx, pool, key, began)
+	if version == nil {
+		t.lookups.WithLabelValues("unknown").Inc()
 		t.logUnknown(pool, by, began)
 		return "", errUnknownVersion
 	}
-	return found.version, nil
+	t.lookups.WithLabelValues("known").Inc()
+	return *version, nil
 }
 
-// logUnknown logs that a stream's version is not known, with what kept the pool's versions
-// from being relied on.
-func (t *Table) logUnknown(pool ident.Pool, by, began ident.Request) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.opts.Now()
-	t.opts.Log.Info("version of a stream unknown", "request", by, "began", began, "pool", pool,
-		"versions", len(t.observe(pool).seenAt), "behind", t.behind(now), "recorded", t.complete(pool, now))
+// inferred returns the version of a stream that nobody has to know, since there is one version
+// at which it can have begun, or nil. What the stream's record states goes before.
+func (t *Table) inferred(ctx context.Context, pool ident.Pool, key streamKey) *ident.SoftwareVersion {
+	only, current := t.onlyNow(pool)
+	if only == nil {
+		return nil
+	}
+	if version, _ := t.lookUp(key); version != nil {
+		return version
+	}
+	if t.confirmer == nil {
+		if !current {
+			return nil
+		}
+		return only
+	}
+	stored, err := t.confirmer.confirm(ctx, pool)
+	switch {
+	case err != nil:
+		t.opts.Log.Debug("versions not confirmed by the store", "pool", pool, "error", err)
+		return nil
+	case !stored.exists && !current, stored.exists && !slices.Equal(stored.versions, []ident.SoftwareVersion{*only}):
+		return nil
+	}
+	return only
 }
 
-// errUnknownVersion refuses a stream that might go on at the wrong software version.
-var errUnknownVersion = fault.New(fault.Unavailable, "it is not known which software version began the stream",
-	"send the request again after the time in Retry-After, or without the events received so far").WithRetryAfter(unknownRetryAfter)
-
-// lookup is what is known of the version that a stream goes on at.
-type lookup struct {
-	version ident.SoftwareVersion
-	// known is set if the version is known. There is no stream that may go on at any.
-	known bool
-	// counted is set if the stream may have begun at several versions.
-	counted bool
+// onlyNow returns the only version as far as this daemon knows, or nil, and whether its view is
+// current.
+func (t *Table) onlyNow(pool ident.Pool) (only *ident.SoftwareVersion, current bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noticePause()
+	return t.only(pool), !t.behind(t.opts.Now())
 }
 
-// result returns the value of the metric's label.
-func (l lookup) result() string {
-	if l.known {
-		return "known"
+// recorded returns the version of a stream that this daemon or a linked one has recorded, or nil.
+func (t *Table) recorded(ctx context.Context, pool ident.Pool, key streamKey, began ident.Request) *ident.SoftwareVersion {
+	version, learned := t.lookUp(key)
+	if version != nil || began == "" {
+		return version
 	}
-	return "unknown"
-}
-
-// await asks the other daemons for a stream and waits until it is known.
-func (t *Table) await(ctx context.Context, pool ident.Pool, key streamKey, learned <-chan struct{}) (found lookup) {
 	if t.opts.Ask != nil {
 		t.opts.Ask(pool, appendKey(nil, key))
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	for {
+	for version == nil {
 		select {
 		case <-ctx.Done():
-			return lookup{counted: true}
+			return nil
 		case <-learned:
 		}
-		if found, learned = t.lookUp(pool, key); found.known {
-			return found
-		}
+		version, learned = t.lookUp(key)
 	}
+	return version
 }
 
-// lookUp returns the version of a stream: the recorded one or, without a record, the only one
-// there is. learned is closed when more becomes known.
-func (t *Table) lookUp(pool ident.Pool, key streamKey) (found lookup, learned <-chan struct{}) {
+// lookUp returns the version that is recorded for a stream, or nil, and what is closed when more
+// becomes known.
+func (t *Table) lookUp(key streamKey) (version *ident.SoftwareVersion, learned <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.noticePause()
-	only := t.only(pool)
-	found.counted = only == nil
-	if only != nil {
-		found.version, found.known = *only, true
-	}
 	if o, ok := t.origins[key]; ok && t.opts.Now().Sub(o.at) <= t.retention() {
-		found.version, found.known = o.version, true
+		version = &o.version
 	}
-	return found, t.learned
+	return version, t.learned
 }
+
+// logUnknown logs that a stream's version is not known, with what kept the pool's versions
+// from being relied on.
+func (t *Table) logUnknown(pool ident.Pool, by, began ident.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Now()
+	t.opts.Log.Info("version of a stream unknown", "request", by, "began", began, "pool", pool,
+		"versions", len(t.observe(pool).seenAt), "behind", t.behind(now), "recorded", t.complete(pool, now))
+}
+
+// errUnknownVersion refuses a stream that might go on at the wrong software version.
+var errUnknownVersion = fault.New(fault.Unavailable, "it is not known which software version began the stream",
+	"send the request again after the time in Retry-After, or without the events received so far").WithRetryAfter(unknownRetryAfter)
