Leave out entries that name no target which requests can be sent to

Reported by another operator: machines that read an odd entry among those of the replicas ended again and again, or stopped following the list.

Not here: 25 odd values under each of the ten prefixes that are followed stop nothing (TestOddEntriesStopNoDaemon). But an address with a port out of range, slots up to the largest integer, a time beyond its type and bytes of another encoding were taken for replicas, and no line showed an entry that never described one.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -44,6 +44,8 @@
 	catchingUp bool
 	// era is the store's era in which the entries were last read whole.
 	era external.Era
+	// unreadable are the keys whose entries describe no target.
+	unreadable map[external.Key]bool
 	// gone remembers removed targets.
 	gone map[external.Key]goneTarget
 }
@@ -63,7 +65,7 @@
 
 // New returns an empty registry.
 func New(opts Options) *Registry {
-	r := &Registry{opts: opts, targets: make(map[external.Key]*trackedTarget), gone: make(map[external.Key]goneTarget)}
+	r := &Registry{opts: opts, targets: make(map[external.Key]*trackedTarget), unreadable: make(map[external.Key]bool), gone: make(map[external.Key]goneTarget)}
 	r.current.Store(fleet.NewSnapshot(nil))
 	return r
 }
@@ -137,13 +139,11 @@
 	known := r.targets[entry.Key]
 	r.keepLeaving(entry.Key, &registration)
 	if !ok {
-		if known == nil {
-			return false
-		}
-		r.opts.Log.Warn("target entry unreadable", "key", entry.Key, "version", entry.Version)
+		r.logUnreadable(entry)
 		delete(r.targets, entry.Key)
-		return true
+		return known != nil
 	}
+	delete(r.unreadable, entry.Key)
 	if known != nil && known.registration == registration && !known.missing() {
 		return false
 	}
@@ -152,6 +152,15 @@
 	return true
 }
 
+// logUnreadable logs an entry that describes no target, once for each key.
+func (r *Registry) logUnreadable(entry *external.Entry) {
+	if r.unreadable[entry.Key] {
+		return
+	}
+	r.unreadable[entry.Key] = true
+	r.opts.Log.Warn("target entry unreadable", "key", entry.Key, "version", entry.Version, "bytes", len(entry.Value))
+}
+
 // logChange logs what changed about a target.
 func (r *Registry) logChange(known *trackedTarget, registration *Registration, version external.Version) {
 	event := "target changed"
@@ -173,6 +182,7 @@
 // period after an outage it only marks the entry as missing, since the entry may
 // have expired because of the outage; leaving targets are removed at once.
 func (r *Registry) remove(key external.Key, now time.Time) bool {
+	delete(r.unreadable, key)
 	known := r.targets[key]
 	if known == nil || known.missing() {
 		return false
--- a/pkg/streamorigin/record.go
+++ b/pkg/streamorigin/record.go
@@ -41,8 +41,13 @@
 	return r.Era == other.Era && slices.Equal(r.Versions, other.Versions) && r.RetentionMs >= other.RetentionMs
 }
 
-// retention returns RetentionMs as a duration.
-func (r *record) retention() time.Duration { return time.Duration(r.RetentionMs) * time.Millisecond }
+// maxRetention bounds what a record may state.
+const maxRetention = 24 * time.Hour
+
+// retention returns RetentionMs as a duration, at most maxRetention.
+func (r *record) retention() time.Duration {
+	return time.Duration(min(r.RetentionMs, maxRetention.Milliseconds())) * time.Millisecond
+}
 
 // recordKey returns the key of a pool's record.
 func recordKey(pool ident.Pool) external.Key {
