Send no request twice on one connection

Cause: responses are matched by the echoed ID, which names the request. A second send of a refused request to the same address used a kept connection, on which a copy of the first refusal can't be told from its answer.

Change: a second send to an address makes a connection of its own, for runs and prompts alike. Weighed: giving up each connection that brought a refusal, which costs a connection for each refusal of a full replica.

--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,9 @@
 	retries  *retry.Controller
 	// failedTargets are the targets at which attempts failed.
 	failedTargets []ident.Target
+	// sentTo are the addresses that the request was sent to.
+	sentMu sync.Mutex
+	sentTo []string
 	// withheld counts the targets that were chosen and then withheld.
 	withheld int
 	// late is set while the request waits for room, since no engine took it in time.
--- a/pkg/relay/send.go
+++ b/pkg/relay/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -31,8 +32,14 @@
 
 // send makes one exchange, unless the target's notices withhold the request. They are
 // checked before the exchange and once it has a connection, which may take long.
+//
+// No connection carries a request twice. What a target writes bears the request's ID, which
+// doesn't distinguish the answer to a second send from a late copy of the one to the first.
 func (a *attempt) send(outgoing *http.Request, reuse target.Reuse) (*http.Response, *target.Trace, error) {
 	client := a.call.relay.opts.Client
+	if a.call.sentBefore(a.address) {
+		reuse = target.ReuseNone
+	}
 	gate, ok := a.call.relay.opts.Router.(routing.SendGate)
 	if !ok {
 		return client.Do(outgoing, reuse)
@@ -55,6 +62,18 @@
 	return response, trace, err
 }
 
+// sentBefore records that the request is sent to an address, and reports whether it was sent
+// there before. It may be called concurrently.
+func (c *call) sentBefore(address string) bool {
+	c.sentMu.Lock()
+	defer c.sentMu.Unlock()
+	if slices.Contains(c.sentTo, address) {
+		return true
+	}
+	c.sentTo = append(c.sentTo, address)
+	return false
+}
+
 // evidenceOf returns what an exchange shows about whether its target is there.
 func (a *attempt) evidenceOf(response *http.Response, err error) routing.Evidence {
 	switch {
