Keep a stream's service over the tries of its caller on a split route

Cause: a route that is split between services drew the share of each request anew, so that a stream which a caller took up could go on at another service than began it; found by the review by reading.

Change: the share is drawn from the hash of the request that began the stream. All daemons and tries agree without knowing anything of it.

Result: TestSplitRouteKeepsTheServiceOfAStream states that the three tries of each of 10,000 streams go to its service, and that 90:10 is kept within 2 in 100; a random draw has no such function to test.

--- a/pkg/entry/build.go
+++ b/pkg/entry/build.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
-	"math/rand/v2"
+	"cmp"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -41,7 +43,7 @@
 		req.Urgency = *workspace.Urgency
 	}
 	if route.Host != "" {
-		share := route.Pick(rand.Float64())
+		share := route.Pick(drawFor(req))
 		req.Model, req.Service = share.Model, share.Service
 	}
 	if err := checkModel(snapshot, req.Model); err != nil {
@@ -52,6 +54,13 @@
 	return req, nil
 }
 
+// drawFor returns a number in [0,1) that is the same for all tries of a caller at one stream, so
+// that a split route sends them to the same model or service.
+func drawFor(req *request.Request) float64 {
+	stream := cmp.Or(req.BegunBy, req.ID)
+	return float64(xxhash.Sum64String(string(stream))>>11) / (1 << 53)
+}
+
 // checkModel refuses a model that is not configured. The error is not retryable.
 func checkModel(snapshot *config.Snapshot, model ident.Model) error {
 	models := snapshot.Document.Models
--- a/pkg/entry/build_test.go
+++ b/pkg/entry/build_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -12,6 +13,7 @@
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/request"
 )
 
 // FuzzReadCompletion checks that parsing any body either fails with kind Invalid
@@ -85,3 +87,23 @@
 	_, err = buildRequest(snapshot, r, "r1", caller{}, &Description{Model: "lessons", Path: "/"}, nil)
 	must.NoError(t, err)
 }
+
+// TestSplitRouteKeepsTheServiceOfAStream guards against a stream that a caller takes up on a split
+// route and that goes on at another service than began it, and against shares that are not kept.
+func TestSplitRouteKeepsTheServiceOfAStream(t *testing.T) {
+	route := config.Route{Split: []config.Share{{Model: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	const streams = 10_000
+	ofFirst := 0
+	for i := range streams {
+		first := &request.Request{ID: ident.Request(fmt.Sprint("stream-", i))}
+		share := route.Pick(drawFor(first))
+		if share.Model != "" {
+			ofFirst++
+		}
+		for try := range 3 {
+			again := &request.Request{ID: ident.Request(fmt.Sprint("try-", i, try)), BegunBy: first.ID}
+			must.Eq(t, share, route.Pick(drawFor(again)))
+		}
+	}
+	must.Between(t, 0.88*streams, float64(ofFirst), 0.92*streams)
+}
