Read what routes state of streams once for each configuration

Cause: the time in which streams may be taken up and the pools with such streams were read from all routes, with the knobs of each, for every stream that begins or is received from a neighbor. A configuration may have hundreds of routes.

Change: both are read once for each configuration, and once for each message. TestTakeUpTimeIsThatOfTheMostPatientCallers states the time; the tests of pkg/gateway and pkg/streamorigin and those of streams in platform pass.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -90,6 +90,7 @@
 	// targetLimits holds the limits that targets state for the fleet.
 	targetLimits *targetlimit.Table
 	origins      streamOrigins
+	resumables   atomic.Pointer[resumable]
 	// quotas enforces the quotas of workspaces.
 	quotas quotas
 }
--- a/pkg/gateway/streamorigins.go
+++ b/pkg/gateway/streamorigins.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -26,12 +25,12 @@
 func (g *Gateway) newStreamOrigins() streamOrigins {
 	o := streamOrigins{exchange: streamorigin.NewExchange(g.opts.Log)}
 	o.table = streamorigin.New(streamorigin.Options{
-		View: g.targets, Now: bootTime, Retention: g.takeUpTime, Age: g.storeAge, Ask: o.exchange.Ask,
+		View: g.targets, Now: bootTime, Retention: func() time.Duration { return g.resumable().takeUpTime }, Age: g.storeAge, Ask: o.exchange.Ask,
 		Log: g.opts.Log, Registerer: g.registry,
 	})
 	o.records = streamorigin.NewRecords(o.table, streamorigin.RecordOptions{
 		Self: g.opts.Host, Store: g.opts.Store, Hosts: g.presentHosts, Log: g.opts.Log,
-		Pools: g.resumablePools, TracePrefix: tally.CheckpointPrefix, HasRequests: hasRequests,
+		Pools: func() []ident.Pool { return g.resumable().pools }, TracePrefix: tally.CheckpointPrefix, HasRequests: hasRequests,
 	})
 	o.copy = streamorigin.NewStoreCopy(o.table, streamorigin.CopyOptions{
 		Self: g.opts.Host, Store: g.opts.Store, Daemons: g.presence.Daemons, Log: g.opts.Log,
@@ -70,37 +69,46 @@
 // runs while the host is suspended.
 func bootTime() time.Time { return time.Unix(0, int64(clock.Boot{}.Now())) }
 
-// resumablePools returns the models and services whose streams callers may take up again.
-func (g *Gateway) resumablePools() (pools []ident.Pool) {
+// resumable is what a configuration states of streams that callers may take up again.
+type resumable struct {
+	snapshot *config.Snapshot
+	// pools are the models and services of the streams.
+	pools []ident.Pool
+	// takeUpTime is how long after its beginning a caller may take a stream up: as long as
+	// the longest timeout lets it run, and as long after that as callers of the route wait for
+	// the next event.
+	takeUpTime time.Duration
+}
+
+// resumable returns what the configuration in force states, which is nothing until one is
+// loaded. It is computed once for each configuration.
+func (g *Gateway) resumable() *resumable {
 	snapshot := g.opts.Published.Current()
-	if snapshot == nil {
-		return nil
+	if known := g.resumables.Load(); known != nil && known.snapshot == snapshot {
+		return known
 	}
-	for i := range snapshot.Document.Routes {
-		if route := &snapshot.Document.Routes[i]; route.Resumable {
-			pools = append(pools, route.Pools()...)
-		}
+	found := &resumable{snapshot: snapshot}
+	if snapshot != nil {
+		found.read(snapshot)
 	}
-	return pools
+	g.resumables.Store(found)
+	return found
 }
 
-// takeUpTime returns how long after its beginning a caller may take a stream up: as long as
-// the longest timeout lets it run, and as long after that as callers of the route wait for the
-// next event. It is zero until a configuration is loaded.
-func (g *Gateway) takeUpTime() (longest time.Duration) {
-	snapshot := g.opts.Published.Current()
-	if snapshot == nil {
-		return 0
-	}
+// read sets the pools and the time from the routes of a configuration.
+func (r *resumable) read(snapshot *config.Snapshot) {
 	for i := range snapshot.Document.Routes {
 		route := &snapshot.Document.Routes[i]
 		if !route.Resumable {
 			continue
 		}
-		timeout := cmp.Or(route.Timeout.D(), g.knobs(config.Selector{Route: route.Name}).Retry.MaxTimeout.D())
-		longest = max(longest, timeout+patience(route))
+		timeout := route.Timeout.D()
+		if timeout == 0 {
+			timeout = snapshot.Knobs(config.Selector{Route: route.Name}).Retry.MaxTimeout.D()
+		}
+		r.takeUpTime = max(r.takeUpTime, timeout+patience(route))
+		r.pools = append(r.pools, route.Pools()...)
 	}
-	return longest
 }
 
 const (
--- a/pkg/streamorigin/table.go
+++ b/pkg/streamorigin/table.go
@@ -286,7 +286,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.opts.Now()
+	now, retention := t.opts.Now(), t.retention()
 	for i := range known {
 		pool := known[i].pool()
 		if serving && pool != (ident.Pool{}) {
@@ -295,7 +295,7 @@
 		for _, key := range splitKeys(known[i].Streams) {
 			before, ok := t.origins[key]
 			takenUp := serving && now.Sub(before.at) > observeInterval
-			if !ok || before.version != known[i].Version || takenUp || now.Sub(before.at) > t.retention() {
+			if !ok || before.version != known[i].Version || takenUp || now.Sub(before.at) > retention {
 				t.add(key, origin{version: known[i].Version, pool: pool, at: now})
 			}
 		}
