--- a/pkg/backlog/report.go
+++ b/pkg/backlog/report.go
@@ -38,8 +38,9 @@
 type ProbeResult struct {
 	Target      ident.Target
 	Incarnation ident.Incarnation
-	// Accepted reports whether the target accepted the connection.
-	Accepted bool
+	// Accepted reports whether the target accepted the connection, and Refused whether its host
+	// refused it, since no process listens there.
+	Accepted, Refused bool
 }
 
 // Exclusion is a target that accepts no requests for a while.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -163,10 +163,10 @@
 	g.capacityLog = rate.NewLimiter(rate.Every(capacityLogInterval), 1)
 	g.capacity = capacity.NewBook(g.capacityChanged)
 	g.router = routing.New(routing.Options{
-		View: g.targets, Domain: opts.FailureDomain, Now: time.Now, Random: newRandom(),
+		View: g.targets, ViewAge: g.storeAge, Domain: opts.FailureDomain, Now: time.Now, Random: newRandom(),
 		Knobs:   func() *config.RoutingKnobs { return &g.knobs(config.Selector{}).Routing },
 		Daemons: g.presence.Daemons, PeerBacklog: g.backlog.RemoteOutstanding, ReportingShare: g.backlog.Coverage,
-		OnEjected: g.targetEjected, OnNotice: g.targetNoticed, OnPresence: g.presenceChanged, PrefillTakesPromptsOnly: true, Limits: g.targetLimits, Capacity: g.capacity,
+		OnEjected: g.targetEjected, OnNotice: g.targetNoticed, OnPresence: g.presenceChanged, OnEnded: g.targetEnded, PrefillTakesPromptsOnly: true, Limits: g.targetLimits, Capacity: g.capacity,
 	})
 	g.prober = presenceprobe.New(g.router, target.NewDialer().DialContext)
 	g.relay = relay.New(relay.Options{
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -38,6 +38,12 @@
 	return errors.Is(err, routing.ErrPaused) || errors.Is(err, routing.ErrLimited)
 }
 
+// targetEnded logs that a target's process has ended. If one accepts connections there before the
+// target's entry was read anew, its software version is not known.
+func (g *Gateway) targetEnded(target ident.Target, incarnation ident.Incarnation) {
+	g.opts.Log.Info("target's process ended", "target", target, "incarnation", incarnation)
+}
+
 // targetNoticed counts and logs that a target stated something about itself.
 func (g *Gateway) targetNoticed(target ident.Target, notice fleet.TargetNotice) {
 	switch {
--- a/pkg/presenceprobe/prober.go
+++ b/pkg/presenceprobe/prober.go
@@ -51,5 +51,6 @@
 	if err == nil {
 		_ = conn.Close()
 	}
+	probe.Refused = target.Refused(err)
 	p.source.ObserveProbe(probe, err == nil)
 }
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -144,6 +144,7 @@
 		}
 		c.reportResult(a, err)
 		c.reportToGuard(a, err)
+		c.reportLostConnection(a, err)
 		a.reportAnswer(err)
 		a.reportWork(err)
 		c.reportSeconds(a)
--- a/pkg/relay/next.go
+++ b/pkg/relay/next.go
@@ -30,6 +30,9 @@
 		if err := c.checkSend(); err != nil {
 			return nil, err
 		}
+		if err := c.checkVersion(); err != nil {
+			return nil, err
+		}
 		if a := c.takeOverAttempt(); a != nil {
 			return a, nil
 		}
@@ -206,9 +209,11 @@
 	if placer, ok := c.relay.opts.Router.(routing.Placer); ok {
 		choose = placer.ChooseDecode
 	}
-	state, err := choose(c.req, &routing.Constraints{Exclude: c.failedTargets, Version: &source.Version, SpareRoom: c.late})
+	constraints := routing.Constraints{Exclude: c.failedTargets, Version: &source.Version, UnknownVersion: c.restartedTargets(), SpareRoom: c.late}
+	state, err := choose(c.req, &constraints)
 	if err != nil && len(c.failedTargets) > 0 {
-		return choose(c.req, &routing.Constraints{Version: &source.Version, SpareRoom: c.late})
+		constraints.Exclude = nil
+		return choose(c.req, &constraints)
 	}
 	return state, err
 }
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 
+	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
+	"amaranthplank.example/amaranthplank/pkg/retry"
 	"amaranthplank.example/amaranthplank/pkg/routing"
 )
 
@@ -30,16 +32,32 @@
 	if origins := c.relay.opts.StreamOrigins; origins != nil && c.req.Resumable && constraints.Version == nil {
 		constraints.Avoid = origins.Unrecorded(c.req.Pool())
 	}
+	constraints.UnknownVersion = c.restartedTargets()
 	return constraints
 }
 
+// restartedTargets returns the targets whose software version is not known, if it matters.
+func (c *call) restartedTargets() []ident.Target {
+	checker, ok := c.relay.opts.Router.(routing.ProcessChecker)
+	if !ok || !c.req.Resumable {
+		return nil
+	}
+	return checker.Restarted()
+}
+
 // looserConstraints returns the constraints for the next attempt from the strictest to the
-// loosest. A target at which an attempt failed is better than none.
+// loosest. A target at which an attempt failed is better than none. So is, for a new stream, one
+// whose version is not known: it goes on nowhere else.
 func (c *call) looserConstraints() []*routing.Constraints {
 	strict := c.constraints(c.failedTargets)
 	all := []*routing.Constraints{strict}
 	if len(strict.Exclude) > 0 {
-		all = append(all, &routing.Constraints{Version: strict.Version, Avoid: strict.Avoid, SpareRoom: strict.SpareRoom})
+		looser := *strict
+		looser.Exclude = nil
+		all = append(all, &looser)
+	}
+	if strict.Version == nil && len(strict.UnknownVersion) > 0 {
+		all = append(all, &routing.Constraints{Avoid: strict.Avoid, SpareRoom: strict.SpareRoom})
 	}
 	return all
 }
@@ -71,7 +89,7 @@
 	if !c.req.Resumable || c.originNoted.Swap(true) {
 		return
 	}
-	version := a.record.SoftwareVersion
+	version := a.softwareVersion()
 	c.version.Store(&version)
 	origins := c.relay.opts.StreamOrigins
 	if origins == nil {
@@ -82,6 +100,37 @@
 	}
 }
 
+// softwareVersion returns the version of the process that the attempt was sent to.
+func (a *attempt) softwareVersion() ident.SoftwareVersion {
+	checker, ok := a.call.relay.opts.Router.(routing.ProcessChecker)
+	if ok && !checker.SameProcess(a.target, a.incarnation) {
+		return ident.UnknownVersion
+	}
+	return a.record.SoftwareVersion
+}
+
+// reportLostConnection reports a connection that broke after the request was sent.
+func (c *call) reportLostConnection(a *attempt, err error) {
+	checker, ok := c.relay.opts.Router.(routing.ProcessChecker)
+	if ok && err != nil && a.phase != retry.Unsent && failureOf(err) == retry.ConnectionLost {
+		checker.ObserveLostConnection(a.target, a.incarnation, a.address)
+	}
+}
+
+// checkVersion returns an error if no target can go on with the stream, since the version that
+// began it is not known.
+func (c *call) checkVersion() error {
+	if version := c.version.Load(); version != nil && *version == ident.UnknownVersion {
+		return errVersionUnknown
+	}
+	return nil
+}
+
+// errVersionUnknown ends a stream that broke off at a target whose process may be another one than
+// that which wrote the target's entry.
+var errVersionUnknown = fault.New(fault.Unavailable, "it is not known which software version began the stream",
+	"send the request again without the events received so far")
+
 // begunBy returns the request that began the stream.
 func (c *call) begunBy() ident.Request {
 	if c.takesUpStream() {
--- a/pkg/routing/absences.go
+++ b/pkg/routing/absences.go
@@ -33,6 +33,7 @@
 	now      func() time.Time
 	onChange func(change PresenceChange)
 	notices  *targetNotices
+	restarts *restarts
 	// rank returns how many daemons probe a target before this one.
 	rank func(target ident.Target) int
 	// count is the number of targets, so that a check costs nothing while there are none.
@@ -54,7 +55,7 @@
 // newAbsences returns a tracker without absent targets.
 func newAbsences(opts *Options) *absences {
 	return &absences{
-		view: opts.View, now: opts.Now, onChange: opts.OnPresence, notices: opts.notices, rank: opts.Limits.Rank, wake: make(chan struct{}, 1),
+		view: opts.View, now: opts.Now, onChange: opts.OnPresence, notices: opts.notices, restarts: opts.restarts, rank: opts.Limits.Rank, wake: make(chan struct{}, 1),
 		random:  rand.New(rand.NewPCG(opts.Random.Uint64(), opts.Random.Uint64())),
 		targets: make(map[ident.Target]*absence), byAddress: make(map[string]*absence), typicalAway: make(map[string]time.Duration),
 	}
@@ -65,6 +66,9 @@
 	if evidence == EvidenceUnreliable || (evidence == EvidencePresent && s.count.Load() == 0) {
 		return
 	}
+	if evidence == EvidenceRefused {
+		s.restarts.observeRefusal(target, incarnation)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if evidence == EvidencePresent {
--- a/pkg/routing/constraints.go
+++ b/pkg/routing/constraints.go
@@ -17,6 +17,9 @@
 	Version *ident.SoftwareVersion
 	// Avoid are software versions that a stream may not begin at yet.
 	Avoid []ident.SoftwareVersion
+	// UnknownVersion are targets whose software version is not known, since their process may
+	// be another one than that which wrote the entry.
+	UnknownVersion []ident.Target
 	// SpareRoom is set for a request that is already late for its objective. It is placed
 	// only where it makes no other late that is still in time.
 	SpareRoom bool
@@ -36,5 +39,6 @@
 	if c.Version != nil && *c.Version != state.Record.SoftwareVersion {
 		return false
 	}
-	return !slices.Contains(c.Exclude, state.Record.Target) && !slices.Contains(c.Avoid, state.Record.SoftwareVersion)
+	target := state.Record.Target
+	return !slices.Contains(c.Exclude, target) && !slices.Contains(c.UnknownVersion, target) && !slices.Contains(c.Avoid, state.Record.SoftwareVersion)
 }
--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -18,6 +18,9 @@
 // Options configures a router.
 type Options struct {
 	View fleet.View
+	// ViewAge returns an upper bound of the view's age, or false before it was first read.
+	// Nil means that the view is never behind.
+	ViewAge func() (time.Duration, bool)
 	// Domain is the daemon's own failure domain.
 	Domain ident.FailureDomain
 	// Knobs returns the current knobs; it is called at each decision.
@@ -41,6 +44,9 @@
 	// OnPresence is called when a target becomes absent or is back. It must not block or
 	// call the router, and may be nil.
 	OnPresence func(change PresenceChange)
+	// OnEnded is called when the process of a target's incarnation is first seen to have ended.
+	// It must not block or call the router, and may be nil.
+	OnEnded func(target ident.Target, incarnation ident.Incarnation)
 	// PrefillTakesPromptsOnly is set if engines with the role Prefill refuse whole
 	// requests, so that none is sent there even if the model has no other engine.
 	PrefillTakesPromptsOnly bool
@@ -55,8 +61,9 @@
 	Capacity *capacity.Book
 	// Disabled disables parts of the router; it is for benchmarks only.
 	Disabled DisabledParts
-	// notices and absences are shared by the routers of a daemon.
+	// notices, restarts and absences are shared by the routers of a daemon.
 	notices  *targetNotices
+	restarts *restarts
 	absences *absences
 }
 
@@ -70,10 +77,19 @@
 		if o.Limits == nil {
 			o.Limits = targetlimit.New(targetlimit.Options{Now: o.Now, Random: o.newRandom()})
 		}
+		o.restarts = newRestarts(o)
 		o.absences = newAbsences(o)
 	}
 }
 
+// viewAge is ViewAge, if it is set.
+func (o *Options) viewAge() (time.Duration, bool) {
+	if o.ViewAge == nil {
+		return 0, true
+	}
+	return o.ViewAge()
+}
+
 // acceptsNewWork reports whether new work may be sent to a target, by the view, by
 // whether the target is there and by what it stated about itself. Presence is asked
 // first: its check may begin a gradual return.
--- a/pkg/routing/probes.go
+++ b/pkg/routing/probes.go
@@ -7,14 +7,19 @@
 	"amaranthplank.example/amaranthplank/pkg/ident"
 )
 
-// Probe is a connection that is to be made to an absent target, and closed at once.
+// Probe is a connection that is to be made to a target, and closed immediately.
 type Probe struct {
 	Target      ident.Target
 	Incarnation ident.Incarnation
 	Address     string
+	// Lost is set if a connection to the target was lost. Otherwise it is absent.
+	Lost bool
+	// Refused is set after a probe if the target's host refused the connection.
+	Refused bool
 }
 
-// ProbeSource schedules the probes of absent targets: one at a time for each target.
+// ProbeSource schedules the probes of absent targets, and of those to which a connection was
+// lost: one of either kind at a time for each target.
 type ProbeSource interface {
 	// NextProbe returns the time until the next probe is due, or false if there is none
 	// to wait for.
@@ -29,18 +34,28 @@
 
 var _ ProbeSource = (*CombinedRouter)(nil)
 
-// NextProbe asks the absences, which the routers share.
-func (c *CombinedRouter) NextProbe() (time.Duration, bool) { return c.Models.opts.absences.nextProbe() }
+// NextProbe returns the time until the next probe of either kind.
+func (c *CombinedRouter) NextProbe() (time.Duration, bool) {
+	if c.Models.opts.restarts.probeDue() {
+		return 0, true
+	}
+	return c.Models.opts.absences.nextProbe()
+}
 
 // ProbesChanged returns the channel of the absences.
 func (c *CombinedRouter) ProbesChanged() <-chan struct{} { return c.Models.opts.absences.wake }
 
 // TakeProbes returns the probes of models' and services' targets alike.
-func (c *CombinedRouter) TakeProbes() []Probe { return c.Models.opts.absences.takeProbes() }
+func (c *CombinedRouter) TakeProbes() []Probe {
+	return append(c.Models.opts.restarts.takeProbes(), c.Models.opts.absences.takeProbes()...)
+}
 
 // ObserveProbe records the result of a probe.
 func (c *CombinedRouter) ObserveProbe(probe Probe, accepted bool) {
-	c.Models.opts.absences.observeProbe(probe, accepted)
+	c.Models.opts.restarts.observeProbe(probe, accepted)
+	if !probe.Lost {
+		c.Models.opts.absences.observeProbe(probe, accepted)
+	}
 }
 
 // nextProbe returns the time until the next probe is due.
@@ -108,12 +123,13 @@
 // TakeProbeResults returns the results of this daemon's probes since the last call, for the
 // other daemons.
 func (c *CombinedRouter) TakeProbeResults() []backlog.ProbeResult {
-	return c.Models.opts.absences.takeProbeResults()
+	return append(c.Models.opts.restarts.takeUnsent(), c.Models.opts.absences.takeProbeResults()...)
 }
 
 // LearnProbeResults records the results of other daemons' probes.
 func (c *CombinedRouter) LearnProbeResults(results []backlog.ProbeResult) {
 	if len(results) > 0 {
+		c.Models.opts.restarts.learn(results)
 		c.Models.opts.absences.learnProbeResults(results)
 	}
 }
--- a/pkg/streamorigin/doc.go
+++ b/pkg/streamorigin/doc.go
@@ -1,14 +1,17 @@
 // Package streamorigin knows which software version of its target began a stream, so that
 // a stream which a caller takes up again at any daemon goes on at that version.
 //
-// A caller names the request that brought the first event of its stream. The daemon that
-// served it may have ended since. While a pool has targets of several versions, each
-// daemon therefore sends the streams that it begins to its neighbors with its next report.
-// A daemon that doesn't know a stream sends a question to those that it is linked to, of its
-// own cell and one of each other, and waits a moment.
+// Who knows it: the daemon that began the stream; while a pool has several versions also the
+// daemons that get its reports, and, of streams that last over 50 ms, the store. All others ask
+// the daemons that they are linked to. Of a pool with one version nobody has to know a stream:
+// no stream begins at a version that the pool's record in the store lacks, and a daemon takes a
+// version for the only one after it has read that record anew.
 //
-// Where a pool has had one version for as long as a stream can last, nothing is sent and
-// nothing has to be known. No stream begins at a version that the record in the store lacks,
-// and a daemon relies on a version being the only one after it has read that record anew.
-// So neither an old view nor a pause of the process lets a stream go on at another version.
+// For how long: as long as a caller may take the stream up, by the longest timeout in force since
+// it began and the patience of its callers. If nobody knows, the stream is refused as not run,
+// after 450 ms at most. So is one that began at a target whose process may have been another one
+// than that which stated the version.
+//
+// What it costs: six bytes a stream to each neighbor and up to ten writes a second for each host
+// while versions are mixed; else a part of one read of the store for each stream taken up.
 package streamorigin
--- a/pkg/streamorigin/lookup.go
+++ b/pkg/streamorigin/lookup.go
@@ -20,11 +20,11 @@
 // It waits up to lookupTimeout for other daemons, and fails if the version is not known.
 func (t *Table) VersionOf(ctx context.Context, pool ident.Pool, by, began ident.Request) (ident.SoftwareVersion, error) {
 	key := keyOf(began)
-	if version := t.inferred(ctx, pool, key); version != nil {
+	if version := t.inferred(ctx, pool, key); version != nil && *version != ident.UnknownVersion {
 		return *version, nil
 	}
 	version := t.recorded(ctx, pool, key, began)
-	if version == nil {
+	if version == nil || *version == ident.UnknownVersion {
 		t.lookups.WithLabelValues("unknown").Inc()
 		t.logUnknown(pool, by, began)
 		return "", errUnknownVersion
--- a/pkg/streamorigin/table.go
+++ b/pkg/streamorigin/table.go
@@ -189,10 +189,14 @@
 }
 
 // Began records that a target of a software version has begun the stream of a request, or has
-// gone on with it for a caller that took it up.
+// gone on with it for a caller that took it up. ident.UnknownVersion counts as one more version:
+// the stream then goes on nowhere.
 func (t *Table) Began(pool ident.Pool, id ident.Request, version ident.SoftwareVersion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if version == ident.UnknownVersion {
+		t.versionsOf(pool).see(version, t.opts.Now())
+	}
 	key, versions := keyOf(id), t.observe(pool)
 	o := origin{version: version, pool: pool, at: t.opts.Now()}
 	t.add(key, o)
