--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -79,7 +79,7 @@
 	d.newSupply()
 	d.duties = d.newDutyManager(d.currentDuties)
 	d.callers = drain.New(drain.Options{
-		Server: entry.NewServer(d.newHandler()), Listener: opts.Listener, Log: opts.Log,
+		Server: entry.NewServer(d.newHandler(), entry.ServerOptions{Config: d.config, FileDescriptors: entry.DescriptorLimit(0), Registerer: d.registry}), Listener: opts.Listener, Log: opts.Log,
 		BalancerDelay: opts.BalancerDelay,
 		OnStop:        []drain.Hook{{Name: "release the duties", Run: d.duties.release}},
 		OnDrained: []drain.Hook{
--- a/pkg/entry/cost_test.go
+++ b/pkg/entry/cost_test.go
@@ -69,7 +69,7 @@
 		Relay: relay.New(relay.Options{Router: routing.NewLeastOutstanding(view), Client: client, Config: config}),
 	})
 	c.daemon = httptest.NewUnstartedServer(nil)
-	c.daemon.Config = entry.NewServer(handler)
+	c.daemon.Config = entry.NewServer(handler, entry.ServerOptions{})
 	c.daemon.Start()
 	t.Cleanup(func() {
 		c.client.CloseIdleConnections()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -115,7 +115,10 @@
 	g.quotas = g.newQuotas(admission.UnlimitedController{})
 	g.duties = g.newDutyManager()
 	g.callers = drain.New(drain.Options{
-		Server: entry.NewServer(g.newHandler()), Listener: opts.Listener, Log: opts.Log,
+		Server: entry.NewServer(g.newHandler(), entry.ServerOptions{
+			Config: opts.Published, FileDescriptors: entry.DescriptorLimit(opts.FileDescriptors), Registerer: g.registry,
+		}),
+		Listener: opts.Listener, Log: opts.Log,
 		Grace: opts.StopGrace, BalancerDelay: opts.StopGrace * balancerShare / graceParts, MaxCloseDelay: opts.StopGrace * closeShare / graceParts,
 		OnStop:    []drain.Hook{{Name: "release the duties", Run: g.duties.release}},
 		OnDrained: []drain.Hook{{Name: "write the last usage checkpoint", Run: g.counter.Leave}},
--- a/pkg/gateway/options.go
+++ b/pkg/gateway/options.go
@@ -63,6 +63,9 @@
 	LinesDropped func() int64
 	// Limits are the initial limits. ApplyLimits replaces them.
 	Limits Limits
+	// FileDescriptors is how many descriptors the process may have; zero means as many as the
+	// kernel allows.
+	FileDescriptors int
 	// StopGrace is the time after which the process is killed once a stop is
 	// requested.
 	StopGrace time.Duration
--- a/pkg/standin/rig/rig.go
+++ b/pkg/standin/rig/rig.go
@@ -96,7 +96,7 @@
 		Config: r.Config, Admission: r.opts.Admission, Relay: relayer, Recorder: r.Usage, Log: r.opts.Log,
 		Registerer: r.Registry, MaxBodyBytes: maxBodyBytes, Claims: registry,
 	})
-	r.serve(DaemonAddress, entry.NewServer(r.Handler))
+	r.serve(DaemonAddress, entry.NewServer(r.Handler, entry.ServerOptions{}))
 	return r, nil
 }
 
