Look at all parts of a prompt that are identified (case parts)

Requests with a part that crashes engines went on reaching them, when that part was the 18th of their prompts.

Cause: pkg/poison looked at the first 16 parts, while 64 are identified.

Change: it looks at 64, and remembers 32,768 answers, not 8,192. TestTableIsBounded has 32 prompts under a crash, as before, with 128 parts each instead of 32; with 128 prompts it would have taken nine times as long.

Result: TestPartBehindManyOthersIsSuspect failed before.

--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -15,9 +15,9 @@
 	maxKeptKeys = 32768
 	maxLost     = 256
 	// maxAnswers bounds the keys whose newest answer is kept.
-	maxAnswers = 8192
+	maxAnswers = 32768
 	// maxParts bounds the parts of one prompt that are looked at.
-	maxParts = 16
+	maxParts = 64
 	// maxAge is how long a crash is kept.
 	maxAge = 30 * time.Minute
 )
