--- a/pkg/poison/requestverdict.go
+++ b/pkg/poison/requestverdict.go
@@ -87,7 +87,7 @@
 				continue
 			}
 			found := t.crashesOf(part)
-			if len(found) > max(crashes, minCrashes-1) && !t.answeredBefore(part, found) && countPrompts(found, part) >= minPrompts {
+			if len(found) > max(crashes, minCrashes-1) && t.standingOf(part, found) < answeredLately && countPrompts(found, part) >= minPrompts {
 				return true
 			}
 		}
--- a/pkg/poison/verdict.go
+++ b/pkg/poison/verdict.go
@@ -56,9 +56,12 @@
 	if len(counted) < minCrashes || t.underOneRequest(counted) {
 		return Verdict{Crashes: len(counted)}
 	}
+	standing := t.standingOf(part, counted)
+	if standing > neverAnswered {
+		counted = slices.DeleteFunc(counted, func(c *crash) bool { return t.explained(c, part, standing) })
+	}
 	count := len(counted)
-	if t.answeredBefore(part, counted) {
-		counted = slices.DeleteFunc(counted, func(c *crash) bool { return t.explained(c, part) })
+	if standing == answeredLately {
 		count, threshold = countMoments(counted), minCrashesAnswered
 	}
 	if count < threshold || countPrompts(counted, part) < minPrompts {
@@ -84,16 +87,32 @@
 	return found
 }
 
-// answeredBefore reports whether a part was answered shortly before the first of its
-// crashes.
-func (t *Table) answeredBefore(part Key, crashes []*crash) bool {
+// standing is how an answer before a part's crashes speaks for the part.
+type standing int
+
+// The standings, from the worst to the best.
+const (
+	neverAnswered standing = iota
+	// answeredOnce is an answer more than answeredFor before the first crash.
+	answeredOnce
+	answeredLately
+)
+
+// standingOf returns the standing of a part with crashes, which are sorted by time.
+func (t *Table) standingOf(part Key, crashes []*crash) standing {
 	at, ok := t.answered[part]
-	return ok && len(crashes) > 0 && crashes[0].at-at <= answeredFor.Milliseconds()
+	switch {
+	case !ok || len(crashes) == 0:
+		return neverAnswered
+	case crashes[0].at-at <= answeredFor.Milliseconds():
+		return answeredLately
+	}
+	return answeredOnce
 }
 
 // explained reports whether another part of a crash's prompts, one with at least
-// minCrashes and no answer before them, explains the crash.
-func (t *Table) explained(c *crash, part Key) bool {
+// minCrashes and a worse standing, explains the crash.
+func (t *Table) explained(c *crash, part Key, own standing) bool {
 	for _, prompt := range c.lost {
 		for _, hash := range prompt.Parts {
 			other := partKey(hash)
@@ -101,7 +120,7 @@
 				continue
 			}
 			crashes := t.crashesOf(other)
-			if !t.answeredBefore(other, crashes) && len(crashes) >= minCrashes && countPrompts(crashes, other) >= minPrompts {
+			if t.standingOf(other, crashes) < own && len(crashes) >= minCrashes && countPrompts(crashes, other) >= minPrompts {
 				return true
 			}
 		}
--- a/pkg/poison/verdict_test.go
+++ b/pkg/poison/verdict_test.go
@@ -94,6 +94,24 @@
 	must.False(t, table.Judge(partKey(common), after(10_000)).Suspect)
 }
 
+// TestPartAnsweredLongAgoIsNotBlamed guards against refusing sound requests since a part that they
+// share with the ones that crash targets has not been answered for over a minute, say after a pause
+// of its workspace. Without another part that explains the crashes it is suspect.
+func TestPartAnsweredLongAgoIsNotBlamed(t *testing.T) {
+	const pause = 90_000
+	for name, parts := range map[string][]uint64{"explained": {common, bad}, "alone": {common}} {
+		table := NewTable()
+		table.Merge(&Evidence{Answers: []Answer{answer(0, common)}}, after(0))
+		for i := range 5 {
+			at := int64(pause + i*300)
+			table.Merge(&Evidence{Crashes: []Crash{end(i, at, uint64(100+i), parts...)}}, after(at))
+		}
+		now := after(pause + 2000)
+		must.Eq(t, name == "explained", table.Judge(partKey(bad), now).Suspect, must.Sprint(name))
+		must.Eq(t, name == "alone", table.Judge(partKey(common), now).Suspect, must.Sprint(name))
+	}
+}
+
 // TestPartThatTurnsBadIsSuspect has crashes under a part that was answered before.
 func TestPartThatTurnsBadIsSuspect(t *testing.T) {
 	table := NewTable()
