--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -209,7 +209,7 @@
 		s.handler.metrics.firstPart.WithLabelValues(class).Observe(observation.FirstPart.Seconds())
 	}
 	if result.Outcome == request.Answered {
-		s.handler.durations.observe(s.req.Route, observation.Total)
+		s.handler.durations.observe(s.req.Route, observation.Total, s.req.MaxOutputTokens)
 		s.handler.metrics.duration.WithLabelValues(class).Observe(observation.Total.Seconds())
 	}
 	s.handler.opts.Observer.Observe(observation)
--- a/pkg/entry/timeleft.go
+++ b/pkg/entry/timeleft.go
@@ -16,8 +16,8 @@
 const slowdownAllowed = 2
 
 // checkTimeLeft returns an error if the daemon is stopping and may be killed before the
-// request ends: it may take slowdownAllowed times as long as the longest recent request of
-// its route, or until its deadline if there was none. A request that is taken has its
+// request ends: it may take slowdownAllowed times as long as requests of its route and length
+// are expected to, or until its deadline if there was none. A request that is taken has its
 // deadline before the kill, so that it ends with an answer even if it takes longer.
 func (s *session) checkTimeLeft() error {
 	left, stopping := s.handler.opts.TimeLeft()
@@ -25,7 +25,7 @@
 		return nil
 	}
 	need := time.Until(s.req.Deadline)
-	if expected, ok := s.handler.durations.expected(s.req.Route); ok {
+	if expected, ok := s.handler.durations.expected(s.req.Route, s.req.MaxOutputTokens); ok {
 		need = min(need, slowdownAllowed*expected)
 	}
 	if need+endingMargin > left {
