Probe a target up to three times after a lost connection

Cause: a process that ends may close its connections shortly before its listener, so that a single probe is accepted; pkg/poison has met the same.

Change: a target that accepts a connection after one was lost is probed again 20 ms and 120 ms later.

--- a/pkg/presenceprobe/prober.go
+++ b/pkg/presenceprobe/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/routing"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
@@ -43,14 +44,31 @@
 	}
 }
 
-// probe makes one connection and closes it.
+// lostDelays are the times, each after the one before, at which a target that has accepted a
+// connection after one was lost is probed again: a process that ends may close its connections
+// shortly before its listener.
+var lostDelays = [...]time.Duration{20 * time.Millisecond, 100 * time.Millisecond}
+
+// probe makes the connections of one probe.
 func (p *Prober) probe(ctx context.Context, probe routing.Probe) {
+	err := p.connect(ctx, probe.Address)
+	for _, delay := range lostDelays {
+		if probe.Lost && err == nil {
+			clock.Sleep(ctx, delay)
+			err = p.connect(ctx, probe.Address)
+		}
+	}
+	probe.Refused = target.Refused(err)
+	p.source.ObserveProbe(probe, err == nil)
+}
+
+// connect makes one connection and closes it.
+func (p *Prober) connect(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := p.dial(ctx, "tcp", probe.Address)
+	conn, err := p.dial(ctx, "tcp", address)
 	if err == nil {
 		_ = conn.Close()
 	}
-	probe.Refused = target.Refused(err)
-	p.source.ObserveProbe(probe, err == nil)
+	return err
 }
