--- a/cmd/amaranthplank/hosted.go
+++ b/cmd/amaranthplank/hosted.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime/debug"
 	"strconv"
 
 	"amaranthplank.example/amaranthplank/pkg/config"
@@ -21,6 +22,10 @@
 // platform.
 const adminPort = "9464"
 
+// collectedShare is the part of the process's memory that its heap may take before it is collected
+// more often. The other part is for what the runtime doesn't count.
+const collectedShare = 0.8
+
 // hostedFlags are the flags of a process on the platform.
 type hostedFlags struct {
 	// policy is the file with the fleet's defaults and exceptions.
@@ -56,6 +61,9 @@
 		stopLogging()
 		<-logFlushed
 	}()
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(collectedShare * float64(settings.MemoryBytes)))
+	}
 	opts, err := hostedOptions(settings, policy, log)
 	if err != nil {
 		return err
@@ -119,7 +127,7 @@
 		},
 		Format: platform.CallerFormat{}, Protocol: platform.ReplicaProtocol{}, StopGrace: s.StopGrace, Limits: limitsOf(s),
 		Sink: cloud, EngineOrderer: cloud, UsageWindow: s.UsageWindow, UsageReportDeadline: s.UsageReportDeadline,
-		RoleOrderer: platform.NewRoleOrderer(s.Host), LeaseTerm: s.LeaseTerm, FileDescriptors: s.FileDescriptors,
+		RoleOrderer: platform.NewRoleOrderer(s.Host), LeaseTerm: s.LeaseTerm, FileDescriptors: s.FileDescriptors, MemoryBytes: s.MemoryBytes,
 	}
 	var err error
 	if opts.Listener, err = net.Listen("tcp", s.Callers); err != nil {
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -19,7 +19,7 @@
 	if r.ContentLength > limit {
 		return nil, errBodyTooLarge
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, err := readAll(r, limit)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "failed to read the request body", "send the whole body without pauses")
 	}
@@ -30,5 +30,16 @@
 	return body, nil
 }
 
+// readAll reads a body of its stated length, or of up to one byte more than limit. The memory of
+// a body whose length is known is allocated once.
+func readAll(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength < 0 {
+		return io.ReadAll(io.LimitReader(r.Body, limit+1))
+	}
+	body := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(r.Body, body)
+	return body, err
+}
+
 // errBodyTooLarge is returned for a body above the size limit.
 var errBodyTooLarge = fault.New(fault.TooLarge, "the request body is too large", "send a smaller body")
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -13,13 +13,17 @@
 	opts      Options
 	metrics   *metrics
 	durations *durations
+	bodies    *bodyMemory
 }
 
 var _ http.Handler = (*Handler)(nil)
 
 // New returns a handler.
 func New(opts Options) *Handler {
-	return &Handler{opts: opts.withDefaults(), metrics: newMetrics(opts.Registerer), durations: newDurations()}
+	return &Handler{
+		opts: opts.withDefaults(), metrics: newMetrics(opts.Registerer), durations: newDurations(),
+		bodies: newBodyMemory(opts.BodyMemoryBytes, opts.Registerer),
+	}
 }
 
 // ServeHTTP serves one request. If a response fails after it has begun, ServeHTTP
--- a/pkg/entry/options.go
+++ b/pkg/entry/options.go
@@ -40,6 +40,9 @@
 	// MaxBodyBytes is the maximum size of a request body, unless the
 	// configuration sets one.
 	MaxBodyBytes int64
+	// BodyMemoryBytes is how many bytes of bodies are held at a time; zero sets no bound.
+	// Requests beyond it are refused.
+	BodyMemoryBytes int64
 	// BodyTimeout bounds how long a caller takes to send the body; zero means
 	// DefaultBodyTimeout.
 	BodyTimeout time.Duration
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -49,6 +49,8 @@
 	begun bool
 	// runs is how many targets may have run the request.
 	runs int
+	// bodyBytes are the bytes of the body that are counted as held.
+	bodyBytes int64
 	// tokenUsage is reported when the ticket is released.
 	tokenUsage request.TokenUsage
 }
@@ -64,6 +66,7 @@
 // release records an unknown outcome for a claim that is still open and releases
 // the ticket. It is deferred, so that it also runs after a panic.
 func (s *session) release() {
+	s.handler.bodies.release(s.bodyBytes)
 	s.settleClaim(request.Unknown)
 	if s.ticket != nil {
 		if counter, ok := s.ticket.(admission.RunCounter); ok {
@@ -89,6 +92,30 @@
 	return snapshot, nil
 }
 
+// readBody reads the body, whose bytes are counted until the session is released.
+func (s *session) readBody(snapshot *config.Snapshot) ([]byte, error) {
+	limit, timeout := s.handler.opts.bodyLimits(snapshot)
+	if length := s.httpReq.ContentLength; length > 0 && length <= limit {
+		if err := s.holdBody(length); err != nil {
+			return nil, err
+		}
+	}
+	body, err := readBody(s.writer.ResponseWriter, s.httpReq, limit, timeout)
+	if err == nil && s.bodyBytes == 0 {
+		err = s.holdBody(int64(len(body)))
+	}
+	return body, err
+}
+
+// holdBody counts the bytes of the body.
+func (s *session) holdBody(bytes int64) error {
+	if err := s.handler.bodies.take(bytes); err != nil {
+		return err
+	}
+	s.bodyBytes = bytes
+	return nil
+}
+
 // readRequest authenticates the caller, reads the body and builds the request.
 func (s *session) readRequest() error {
 	snapshot, err := s.currentConfig()
@@ -104,8 +131,7 @@
 	if s.caller.workspace == "" && !snapshot.MayBeOpen(s.httpReq.Host, s.httpReq.URL.Path) {
 		return errInvalidKey
 	}
-	limit, timeout := opts.bodyLimits(snapshot)
-	body, err := readBody(s.writer.ResponseWriter, s.httpReq, limit, timeout)
+	body, err := s.readBody(snapshot)
 	if err != nil {
 		return err
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -191,11 +191,14 @@
 	releaseShare  = 13
 )
 
+// bodyMemoryShare is the part of the process's memory that the bodies of requests may take.
+const bodyMemoryShare = 0.5
+
 // newHandler returns the handler for callers' requests.
 func (g *Gateway) newHandler() http.Handler {
 	return entry.New(entry.Options{
 		Format: g.opts.Format, Config: g.opts.Published, Admission: g.quotas.controller, Relay: g.relay,
-		Recorder: noRecorder{}, Log: g.opts.Log, Registerer: g.registry, Ready: g.checkServing, TimeLeft: g.timeLeft, MaxBodyBytes: maxBodyBytes,
+		Recorder: noRecorder{}, Log: g.opts.Log, Registerer: g.registry, Ready: g.checkServing, TimeLeft: g.timeLeft, MaxBodyBytes: maxBodyBytes, BodyMemoryBytes: int64(bodyMemoryShare * float64(g.opts.MemoryBytes)),
 	})
 }
 
--- a/pkg/gateway/options.go
+++ b/pkg/gateway/options.go
@@ -63,6 +63,9 @@
 	LinesDropped func() int64
 	// Limits are the initial limits. ApplyLimits replaces them.
 	Limits Limits
+	// MemoryBytes is the memory that the process may have; zero means that it is not known. A
+	// part of it is for the bodies of requests.
+	MemoryBytes int64
 	// FileDescriptors is how many descriptors the process may have; zero means as many as the
 	// kernel allows.
 	FileDescriptors int
