Keep the evidence on suspect parts when all daemons end (case poison)

After all processes were killed once, requests with a part that was refused reached engines again.

Cause: the evidence on parts lived in memory alone. Refused requests have a record in the store, parts had none.

Change: the daemon that notices a crash under a suspect part writes the evidence on suspect parts under a key of its own, with a lease as long as the suspicion, at most ten minutes. Daemons that start read it with their first read of the store.

--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -25,6 +26,7 @@
 	p.detector = poison.New(poison.Options{
 		Now: g.time.Now, Incarnation: g.incarnationOf, Dial: target.NewDialer().DialContext,
 		Send: func(e *poison.Evidence) { p.exchange.Send(e) }, Log: g.opts.Log, Registerer: g.registry,
+		Keep:    func(e *poison.Evidence, d time.Duration) { p.copy.Keep(e, d) },
 		Process: fmt.Sprint(g.opts.Host, "/", g.incarnation),
 	})
 	p.records = poison.NewRecords(p.detector, g.opts.Store)
--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -29,6 +29,9 @@
 	Dial target.Dial
 	// Send sends evidence to the other daemons. It must not block.
 	Send func(e *Evidence)
+	// Keep has the evidence on suspect parts kept for a time, also if all daemons end. It must not
+	// block, and may be nil.
+	Keep func(e *Evidence, d time.Duration)
 	// Process is the name of this process, which no other has.
 	Process string
 	Log     *slog.Logger
@@ -192,12 +195,36 @@
 		d.table.markOwn(fresh.Crashes)
 	}
 	d.update(&fresh, now, own)
+	if own {
+		d.keepSuspects(&fresh, now)
+	}
 	for _, answer := range fresh.Answers {
 		d.answersReported[answer.key()] = now.UnixMilli()
 	}
 	return fresh, d.answersToReport(fresh.Crashes, now)
 }
 
+// keepSuspects has the evidence on suspect parts kept, if new crashes are under one. d.mu must be
+// held.
+func (d *Detector) keepSuspects(fresh *Evidence, now time.Time) {
+	if d.opts.Keep == nil || !slices.ContainsFunc(fresh.Crashes, d.underSuspect) {
+		return
+	}
+	suspects, until := d.table.Suspects(now), now
+	for key, verdict := range suspects {
+		if key.Kind == PartKind && verdict.Until.After(until) {
+			until = verdict.Until
+		}
+	}
+	e := d.table.EvidenceOn(suspects)
+	d.opts.Keep(&e, until.Sub(now))
+}
+
+// underSuspect reports whether a suspect part is in a prompt of a crash. d.mu must be held.
+func (d *Detector) underSuspect(c Crash) bool {
+	return slices.ContainsFunc(c.keys(), func(key Key) bool { return key.Kind == PartKind && d.suspects[key.Hash] })
+}
+
 // SuspectEvidence returns the evidence on what is suspect, and on requests that may
 // become so, for a daemon that lacks it.
 func (d *Detector) SuspectEvidence() Evidence {
--- a/pkg/poison/exchange_test.go
+++ b/pkg/poison/exchange_test.go
@@ -107,7 +107,7 @@
 	d.detector = New(Options{
 		Now: time.Now, Incarnation: func(ident.Target) (ident.Incarnation, bool) { return 1_800_000_000_000, true },
 		Dial: func(context.Context, string, string) (net.Conn, error) { return nil, errRefused },
-		Send: func(e *Evidence) { d.exchange.Send(e) }, Log: log,
+		Send: func(e *Evidence) { d.exchange.Send(e) }, Keep: func(e *Evidence, kept time.Duration) { d.copy.Keep(e, kept) }, Log: log,
 	})
 	d.copy = NewStoreCopy(host, store, d.detector.Receive, log)
 	d.exchange = NewExchange(d.detector.Receive, d.copy.Add, log)
--- a/pkg/poison/storecopy.go
+++ b/pkg/poison/storecopy.go
@@ -25,8 +25,11 @@
 	// writeInterval is the least time between two writes, and callTimeout bounds one.
 	writeInterval = 250 * time.Millisecond
 	callTimeout   = 900 * time.Millisecond
-	// copyTTL is how long evidence stays in the store.
-	copyTTL = 30 * time.Second
+	// copyTTL is how long evidence stays in the store, and maxKeepTTL the longest time for that
+	// on suspect parts, under the host's key and suspectsSuffix.
+	copyTTL                     = 30 * time.Second
+	maxKeepTTL                  = 10 * time.Minute
+	suspectsSuffix external.Key = "/suspects"
 	// maxCopied bounds the crashes, and the answers, in a host's key, and copiedFor
 	// their age before the newest of them.
 	maxCopied = 32
@@ -34,15 +37,22 @@
 )
 
 // StoreCopy writes evidence that some daemon could not be sent over a link to the
-// store, and receives that of other hosts as a mirror.Listener.
+// store, and that on suspect parts for the time after all daemons have ended. It receives
+// that of other hosts as a mirror.Listener.
 type StoreCopy struct {
-	host    ident.Host
 	store   external.Store
 	receive func(e *Evidence) Evidence
 	log     *slog.Logger
 
-	mu      sync.Mutex
+	mu                 sync.Mutex
+	unlinked, suspects copiedEvidence
+}
+
+// copiedEvidence is evidence under one key.
+type copiedEvidence struct {
+	key     external.Key
 	latest  Evidence
+	ttl     time.Duration
 	changed bool
 	version external.Version
 }
@@ -51,16 +61,31 @@
 
 // NewStoreCopy returns a copy that is empty. receive adds received evidence.
 func NewStoreCopy(host ident.Host, store external.Store, receive func(e *Evidence) Evidence, log *slog.Logger) *StoreCopy {
-	return &StoreCopy{host: host, store: store, receive: receive, log: log}
+	key := KeyPrefix + external.Key(host)
+	return &StoreCopy{
+		store: store, receive: receive, log: log,
+		unlinked: copiedEvidence{key: key, ttl: copyTTL}, suspects: copiedEvidence{key: key + suspectsSuffix},
+	}
 }
 
 // Add has evidence written soon, beside the newest that was written before.
 func (s *StoreCopy) Add(e *Evidence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.latest.Crashes = newest(append(s.latest.Crashes, e.Crashes...), func(c Crash) int64 { return c.At })
-	s.latest.Answers = newest(append(s.latest.Answers, e.Answers...), func(a Answer) int64 { return a.At })
-	s.changed = true
+	latest := &s.unlinked.latest
+	latest.Crashes = newest(append(latest.Crashes, e.Crashes...), func(c Crash) int64 { return c.At })
+	latest.Answers = newest(append(latest.Answers, e.Answers...), func(a Answer) int64 { return a.At })
+	s.unlinked.changed = true
+}
+
+// Keep has the evidence on suspect parts written soon, for a time, in place of what was written
+// before.
+func (s *StoreCopy) Keep(e *Evidence, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slices.SortFunc(e.Crashes, func(a, b Crash) int { return cmp.Compare(b.At, a.At) })
+	s.suspects.latest = Evidence{Crashes: e.Crashes[:min(len(e.Crashes), maxCopied)]}
+	s.suspects.ttl, s.suspects.changed = min(max(d, copyTTL), maxKeepTTL), true
 }
 
 // newest returns the newest items, up to maxCopied, that are at most copiedFor older
@@ -76,57 +101,59 @@
 // Run writes until ctx ends. What could not be written is tried again.
 func (s *StoreCopy) Run(ctx context.Context) error {
 	return clock.Every(ctx, writeInterval, func() error {
-		s.mu.Lock()
-		changed, value, base := s.changed, s.latest, s.version
-		s.changed = false
-		s.mu.Unlock()
-		if !changed {
-			return nil
-		}
-		if err := s.write(ctx, &value, base); err != nil {
-			s.log.Info("crash evidence not written to the store, retrying", "error", err)
-			s.mu.Lock()
-			s.changed = true
-			s.mu.Unlock()
-		}
+		s.writeChanged(ctx, &s.unlinked)
+		s.writeChanged(ctx, &s.suspects)
 		return nil
 	})
 }
 
-// write replaces the host's key.
-func (s *StoreCopy) write(ctx context.Context, e *Evidence, base external.Version) error {
-	value, err := json.Marshal(e)
+// writeChanged writes evidence that has changed.
+func (s *StoreCopy) writeChanged(ctx context.Context, copied *copiedEvidence) {
+	s.mu.Lock()
+	changed, value := copied.changed, *copied
+	copied.changed = false
+	s.mu.Unlock()
+	if !changed {
+		return
+	}
+	version, err := s.write(ctx, &value)
+	if err != nil {
+		s.log.Info("crash evidence not written to the store, retrying", "error", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		copied.changed = true
+		return
+	}
+	copied.version = version
+}
+
+// write replaces a key, and returns its version.
+func (s *StoreCopy) write(ctx context.Context, copied *copiedEvidence) (external.Version, error) {
+	value, err := json.Marshal(&copied.latest)
 	if err != nil {
-		return err
+		return external.NoVersion, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	lease, err := s.store.Grant(ctx, copyTTL)
+	lease, err := s.store.Grant(ctx, copied.ttl)
 	if err != nil {
-		return err
+		return external.NoVersion, err
 	}
-	swap := external.Swap{Key: s.key(), Value: value, Lease: lease, Base: base}
+	swap := external.Swap{Key: copied.key, Value: value, Lease: lease, Base: copied.version}
 	version, err := s.store.CompareAndSwap(ctx, swap)
 	if errors.Is(err, external.ErrVersionConflict) {
 		var entry external.Entry
 		if entry, err = s.store.Get(ctx, swap.Key); err != nil && !errors.Is(err, external.ErrKeyNotFound) {
-			return err
+			return external.NoVersion, err
 		}
 		swap.Base = entry.Version
 		version, err = s.store.CompareAndSwap(ctx, swap)
 	}
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version = version
-	return nil
+	return version, err
 }
 
-// key returns the host's key.
-func (s *StoreCopy) key() external.Key { return KeyPrefix + external.Key(s.host) }
-
 // Follows reports whether a key holds evidence.
 func (s *StoreCopy) Follows(key external.Key) bool {
 	return strings.HasPrefix(string(key), string(KeyPrefix))
