--- a/pkg/entry/idleconnections_test.go
+++ b/pkg/entry/idleconnections_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,11 +13,11 @@
 	"amaranthplank.example/amaranthplank/pkg/config"
 )
 
-// idleConfig states how long a connection may be idle.
-type idleConfig struct{ limit time.Duration }
+// idleConfig states how long a connection may be idle, in nanoseconds.
+type idleConfig struct{ limit atomic.Int64 }
 
 func (c *idleConfig) Current() *config.Snapshot {
-	return config.NewSnapshot(1, &config.Document{Limits: config.Limits{IdleTimeout: config.Duration(c.limit)}})
+	return config.NewSnapshot(1, &config.Document{Limits: config.Limits{IdleTimeout: config.Duration(c.limit.Load())}})
 }
 
 // idleTestLimit is how long a connection may be idle.
@@ -42,7 +43,8 @@
 // closing one that is in use, was used again, or may be idle for longer by now.
 func TestIdleConnectionIsClosedInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		source := &idleConfig{limit: idleTestLimit}
+		source := &idleConfig{}
+		source.limit.Store(int64(idleTestLimit))
 		c := newConnections(source, 0, nil)
 		_, idleClosed := newIdleConn(t, c)
 		busy, busyClosed := newIdleConn(t, c)
@@ -56,7 +58,7 @@
 		must.True(t, idleClosed())
 		must.False(t, busyClosed())
 		must.False(t, reusedClosed())
-		source.limit = 2 * idleTestLimit
+		source.limit.Store(int64(2 * idleTestLimit))
 		time.Sleep(idleTestLimit)
 		must.False(t, reusedClosed())
 		time.Sleep(idleTestLimit)
--- a/pkg/streamorigin/drawnevents_test.go
+++ b/pkg/streamorigin/drawnevents_test.go
@@ -133,7 +133,7 @@
 		o.store.away.Store(true)
 		o.later(2*time.Second, func() { o.store.away.Store(false) })
 	case kind < 14:
-		o.timeout = time.Duration(1+o.random.IntN(6)) * time.Second
+		o.timeout.Store(int64(1+o.random.IntN(6)) * int64(time.Second))
 	case kind == 14:
 		o.drill()
 	case kind == 15 && o.random.IntN(4) == 0:
--- a/pkg/streamorigin/drawnorder_test.go
+++ b/pkg/streamorigin/drawnorder_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,7 +74,8 @@
 	daemons []*drawnDaemon
 	targets map[string]*drawnTarget
 	copied  *memstore.Snapshot
-	timeout time.Duration
+	// timeout is that of the configuration in force, in nanoseconds.
+	timeout atomic.Int64
 	streams []*drawnStream
 	pending []pendingEvent
 	named   int
@@ -104,7 +106,7 @@
 	d.view = registry.New(registry.Options{Prefix: entriesPrefix, Decode: decodeDrawn, Log: log})
 	var m *mirror.Mirror
 	d.table = New(Options{
-		View: d.view, Now: time.Now, Retention: func() time.Duration { return o.timeout + callerPatience },
+		View: d.view, Now: time.Now, Retention: func() time.Duration { return time.Duration(o.timeout.Load()) + callerPatience },
 		Age: func() (time.Duration, bool) { return m.Age() }, Ask: func(_ ident.Pool, key []byte) { o.ask(d, key) },
 		Log: log, Registerer: prometheus.NewRegistry(),
 	})
@@ -198,7 +200,7 @@
 // goOn has a stream go on at a daemon until it breaks off.
 func (o *drawnOrder) goOn(d *drawnDaemon, stream *drawnStream) {
 	d.table.Began(stream.pool, stream.id, stream.version)
-	stream.until = time.Now().Add(time.Duration(o.random.Int64N(int64(o.timeout))) + callerPatience)
+	stream.until = time.Now().Add(time.Duration(o.random.Int64N(o.timeout.Load())) + callerPatience)
 }
 
 // drawStream returns a random stream, more often one of the newest or the oldest.
--- a/pkg/streamorigin/fleetrig_test.go
+++ b/pkg/streamorigin/fleetrig_test.go
@@ -89,15 +89,16 @@
 	// stores are the store as each daemon reaches it.
 	stores []*daemonStore
 	cancel context.CancelFunc
-	// retention is the time in force in which streams may be taken up.
-	retention time.Duration
+	// retention is the time in force in which streams may be taken up, in nanoseconds.
+	retention atomic.Int64
 }
 
 // withOrigins runs a test over a store that was used before, if traced is set.
 func withOrigins(t *testing.T, traced bool, body func(f *originFleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := memstore.New(clock.NewRuntime())
-		f := &originFleet{t: t, memory: memory, store: &countingStore{Store: memory}, retention: testRetention}
+		f := &originFleet{t: t, memory: memory, store: &countingStore{Store: memory}}
+		f.retention.Store(int64(testRetention))
 		key := external.Key("configuration")
 		if traced {
 			key = testTrace + "a"
@@ -127,7 +128,7 @@
 		guard := storeera.New(reached, log, prometheus.NewRegistry())
 		var m *mirror.Mirror
 		table.Table = New(Options{
-			View: table, Now: time.Now, Retention: func() time.Duration { return f.retention },
+			View: table, Now: time.Now, Retention: func() time.Duration { return time.Duration(f.retention.Load()) },
 			Age: func() (time.Duration, bool) { return m.Age() }, Log: log, Registerer: prometheus.NewRegistry(),
 		})
 		records := NewRecords(table.Table, RecordOptions{
--- a/pkg/streamorigin/orders_test.go
+++ b/pkg/streamorigin/orders_test.go
@@ -33,8 +33,9 @@
 			memory := memstore.New(clock.NewRuntime())
 			o := &drawnOrder{
 				t: t, random: random, memory: memory, store: &countingStore{Store: memory}, targets: make(map[string]*drawnTarget),
-				daemons: make([]*drawnDaemon, 2+random.IntN(7)), timeout: 3 * time.Second,
+				daemons: make([]*drawnDaemon, 2+random.IntN(7)),
 			}
+			o.timeout.Store(int64(3 * time.Second))
 			o.play()
 			if o.mixed > 0 {
 				t.Errorf("seed %d: %d of %d streams that went on are mixed, with %d daemons", seed, o.mixed, o.wentOn, len(o.daemons))
--- a/pkg/streamorigin/records_test.go
+++ b/pkg/streamorigin/records_test.go
@@ -235,13 +235,13 @@
 // the former one are still taken up.
 func TestRetentionOutlastsAllDaemons(t *testing.T) {
 	withOrigins(t, false, func(f *originFleet) {
-		f.retention = 6 * testRetention
+		f.retention.Store(int64(6 * testRetention))
 		f.start(4, "v1", "v2")
 		time.Sleep(time.Minute)
 		f.see("v2")
 		time.Sleep(time.Second)
 		f.end()
-		f.retention = testRetention
+		f.retention.Store(int64(testRetention))
 		f.start(4, "v2")
 		time.Sleep(4 * testRetention)
 		must.Eq(t, "unknown", f.all("a"))
