--- a/pkg/config/roster_test.go
+++ b/pkg/config/roster_test.go
@@ -51,7 +51,11 @@
 
 func (heldAuthority) Duty() ident.Duty            { return RosterDuty }
 func (heldAuthority) Fencing() ident.FencingToken { return 1 }
-func (heldAuthority) Check() error                { return nil }
+func (a heldAuthority) Call(ctx context.Context, send func(ctx context.Context) error) error {
+	return lease.CallUnder(ctx, a, send)
+}
+
+func (heldAuthority) Check() error { return nil }
 
 var _ lease.Authority = heldAuthority{}
 
--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -13,6 +13,7 @@
 	"amaranthplank.example/amaranthplank/pkg/rolekeeper"
 	"amaranthplank.example/amaranthplank/pkg/supplykeeper"
 	"amaranthplank.example/amaranthplank/pkg/tally"
+	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
 // The duties, each of which is held by one daemon at a time.
@@ -39,7 +40,7 @@
 		Host: g.opts.Host, Incarnation: g.incarnation, FailureDomain: g.opts.FailureDomain,
 		Store: g.opts.Store, Clock: clock.Boot{}, Members: g.presence, Random: newRandom(),
 		Ready:  func() bool { return g.checkReady() == nil },
-		Timing: leaseTiming(g.opts.LeaseTerm, g.opts.StopGrace), Log: g.opts.Log, Registerer: g.registry,
+		Timing: leaseTiming(&g.opts), Log: g.opts.Log, Registerer: g.registry,
 	})
 	reporter := &tally.Reporter{
 		Store: g.opts.Store, Sink: g.opts.Sink, Time: g.time, Window: g.opts.UsageWindow, ReportDeadline: g.opts.UsageReportDeadline,
@@ -76,12 +77,15 @@
 )
 
 // leaseTiming returns the timing of the duties' leases.
-func leaseTiming(leaseTerm, stopGrace time.Duration) lease.Timing {
+func leaseTiming(opts *Options) lease.Timing {
 	t := lease.DefaultTiming()
-	t.TTL = max(minLeaseTTL, leaseTerm)
+	t.TTL = max(minLeaseTTL, opts.LeaseTerm)
 	t.RenewInterval = t.TTL / renewalsPerLease
 	t.PollInterval, t.RankWait, t.CallTimeout = dutyPollInterval, rankWait, dutyCallTimeout
-	t.ReleaseFor = stopGrace * releaseShare / graceParts
+	t.ReleaseFor = opts.StopGrace * releaseShare / graceParts
+	if opts.FencingUnchecked {
+		t.HandoverDelay = target.UndeliveredFor
+	}
 	return t
 }
 
--- a/pkg/gateway/options.go
+++ b/pkg/gateway/options.go
@@ -59,6 +59,10 @@
 	// other process may take the duty, unless its holder releases it. The TTL of the
 	// duties' leases is LeaseTerm, but at least minLeaseTTL.
 	LeaseTerm time.Duration
+	// FencingUnchecked is set if the platform and the targets don't refuse calls with an old
+	// fencing token. The work of a duty's next holder is then delayed until no call of the
+	// former one can arrive, see lease.Timing.HandoverDelay.
+	FencingUnchecked bool
 	// LinesDropped returns the number of dropped log lines. It may be nil.
 	LinesDropped func() int64
 	// Limits are the initial limits. ApplyLimits replaces them.
--- /dev/null
+++ b/pkg/lease/handover.go
@@ -0,0 +1,135 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"amaranthplank.example/amaranthplank/pkg/clock"
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+)
+
+// HandoverPrefix is the prefix of the keys of handover records.
+const HandoverPrefix external.Key = "handover/"
+
+// HandoverKeyOf returns the key of a duty's handover record. The key is bound to no lease
+// and remains while nobody holds the duty.
+func HandoverKeyOf(duty ident.Duty) external.Key { return HandoverPrefix + external.Key(duty) }
+
+// HandoverRecord states whether calls of a duty's holders may still be under way. Each holder
+// writes an unsettled one before its first call.
+type HandoverRecord struct {
+	Writer Writer       `json:"writer"`
+	Era    external.Era `json:"era,omitempty"`
+	// Settled is set by a holder that has stopped if no call of it, or of one before it, can
+	// take effect any more.
+	Settled bool `json:"settled,omitempty"`
+}
+
+// handover separates the calls of one holder of a duty from those of former holders: the
+// work begins once none of the latter can take effect any more.
+type handover struct {
+	manager   *Manager
+	authority *dutyAuthority
+	writer    Writer
+	// takenAt is when this process found that it holds the duty.
+	takenAt time.Duration
+	// version is that of the unsettled record, once it was written.
+	version external.Version
+	// before is whether the record before this holder's was settled.
+	before bool
+	// begun is set once the work may begin.
+	begun bool
+}
+
+// newHandover returns the handover to a process that has just taken a duty.
+func (m *Manager) newHandover(a *dutyAuthority) *handover {
+	return &handover{manager: m, authority: a, writer: m.nextWriter(), takenAt: m.opts.Clock.Now()}
+}
+
+// begin returns once the work may begin. It fails if ctx or the authority ends before.
+func (h *handover) begin(ctx context.Context) error {
+	delay := h.manager.timing.HandoverDelay
+	if delay == 0 {
+		return nil
+	}
+	for h.open(ctx) != nil {
+		clock.Sleep(ctx, h.manager.timing.RankWait)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	if !h.before {
+		h.manager.opts.Log.Info("duty's work delayed, calls of a former holder may be under way",
+			"duty", h.authority.duty, "fencing", h.authority.fencing, "delay", delay)
+		h.waitUntil(ctx, h.takenAt+delay)
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	h.begun = true
+	return h.authority.Check()
+}
+
+// waitUntil waits for a time of the manager's clock or the end of ctx.
+func (h *handover) waitUntil(ctx context.Context, until time.Duration) {
+	for ctx.Err() == nil {
+		remaining := until - h.manager.opts.Clock.Now()
+		if remaining <= 0 {
+			return
+		}
+		clock.Sleep(ctx, remaining)
+	}
+}
+
+// open writes the unsettled record and finds out whether the one before was settled. A
+// missing record, an unreadable one or one of another era of the store counts as unsettled.
+func (h *handover) open(ctx context.Context) error {
+	m := h.manager
+	ctx, cancel := context.WithTimeout(ctx, m.timing.CallTimeout)
+	defer cancel()
+	entry, err := m.opts.Store.Get(ctx, HandoverKeyOf(h.authority.duty))
+	if err != nil && !errors.Is(err, external.ErrKeyNotFound) {
+		return err
+	}
+	era, _ := external.EraOf(m.opts.Store)
+	var last HandoverRecord
+	if json.Unmarshal(entry.Value, &last) != nil {
+		last = HandoverRecord{}
+	}
+	if last.Writer == h.writer {
+		// The response to the write was lost.
+		h.version = entry.Version
+		return nil
+	}
+	h.before = last.Settled && last.Era == era
+	h.version, err = h.write(ctx, entry.Version, HandoverRecord{Writer: h.writer, Era: era})
+	return err
+}
+
+// settle writes the settled record after the work has returned, unless a call may be under
+// way. If that fails, the next holder waits.
+func (h *handover) settle() {
+	m := h.manager
+	if !h.begun || h.authority.unansweredSince(m.opts.Clock.Now()-m.timing.HandoverDelay) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), m.timing.CallTimeout)
+	defer cancel()
+	era, _ := external.EraOf(m.opts.Store)
+	if _, err := h.write(ctx, h.version, HandoverRecord{Writer: h.writer, Era: era, Settled: true}); err != nil {
+		m.opts.Log.Info("duty's handover not settled, the next holder waits", "duty", h.authority.duty, "error", err)
+	}
+}
+
+// write replaces the record that has the base version.
+func (h *handover) write(ctx context.Context, base external.Version, record HandoverRecord) (external.Version, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return external.NoVersion, err
+	}
+	return h.manager.opts.Store.CompareAndSwap(ctx, external.Swap{Key: HandoverKeyOf(h.authority.duty), Base: base, Value: value})
+}
--- /dev/null
+++ b/pkg/lease/handover_test.go
@@ -0,0 +1,243 @@
+package lease_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/lease"
+	"amaranthplank.example/amaranthplank/pkg/standin/faultstore"
+)
+
+const (
+	// undeliveredFor is how long a call that was sent on a cut path may still arrive.
+	undeliveredFor = 3 * time.Second
+	// receiverCallTime is how long a caller waits for an answer, receiverCallPause the time
+	// between its calls.
+	receiverCallTime  = time.Second
+	receiverCallPause = 400 * time.Millisecond
+	// pathStep is how often a call that is held up tries its path again.
+	pathStep = 50 * time.Millisecond
+)
+
+// receiver is a system that carries out calls and checks no fencing tokens.
+type receiver struct {
+	mu      sync.Mutex
+	highest ident.FencingToken
+	calls   int
+	// late counts calls that came after one with a higher fencing token.
+	late int
+}
+
+// take takes one call.
+func (r *receiver) take(fencing ident.FencingToken) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls++
+	if fencing < r.highest {
+		r.late++
+	}
+	r.highest = max(r.highest, fencing)
+}
+
+// path is the path of one process to the store and to the receiver.
+type path struct {
+	node *node
+	cut  atomic.Bool
+}
+
+// setCut cuts or heals the path.
+func (p *path) setCut(cut bool) {
+	p.cut.Store(cut)
+	p.node.process.SetPartitioned(faultstore.SideStore, cut)
+}
+
+// send makes one call. On a cut path the call is held up, whatever becomes of its caller, and
+// arrives if the path heals within undeliveredFor.
+func (p *path) send(ctx context.Context, r *receiver, fencing ident.FencingToken) error {
+	if !p.cut.Load() {
+		r.take(fencing)
+		return nil
+	}
+	go func() {
+		for range undeliveredFor / pathStep {
+			time.Sleep(pathStep)
+			if !p.cut.Load() {
+				r.take(fencing)
+				return
+			}
+		}
+	}()
+	select {
+	case <-ctx.Done():
+	case <-time.After(receiverCallTime):
+	}
+	return fault.New(fault.Unknown, "no answer", "repeat the call")
+}
+
+// work calls the receiver until ctx ends.
+func (p *path) work(r *receiver) lease.Work {
+	return func(ctx context.Context, authority lease.Authority) error {
+		for ctx.Err() == nil {
+			_ = authority.Call(ctx, func(ctx context.Context) error { return p.send(ctx, r, authority.Fencing()) })
+			time.Sleep(receiverCallPause)
+		}
+		return nil
+	}
+}
+
+// callCluster is a cluster whose work calls a receiver.
+type callCluster struct {
+	*cluster
+	receiver receiver
+	paths    []*path
+}
+
+// newCallCluster returns a running cluster of four processes that compete for one duty.
+func newCallCluster(store external.Store, handoverDelay time.Duration) *callCluster {
+	timing := lease.DefaultTiming()
+	timing.TTL, timing.RenewInterval, timing.PollInterval = 3*time.Second, time.Second, time.Second
+	timing.RankWait, timing.CallTimeout, timing.HandoverDelay = 400*time.Millisecond, 900*time.Millisecond, handoverDelay
+	c := &callCluster{cluster: newCluster(store, 4, 1, timing, exactRate)}
+	for _, n := range c.nodes {
+		p := &path{node: n}
+		c.paths = append(c.paths, p)
+		c.run(p)
+	}
+	return c
+}
+
+// run starts the competition of a process.
+func (c *callCluster) run(p *path) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.node.cancel = cancel
+	work := p.work(&c.receiver)
+	p.node.work.Go(func() {
+		_ = p.node.manager.Run(ctx, c.duties[0], func(ctx context.Context, authority lease.Authority) error {
+			c.recordAcquisition(p.node, authority)
+			return work(ctx, authority)
+		})
+	})
+}
+
+// holding returns the path of the process whose work began last.
+func (c *callCluster) holding() *path {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.acquired[c.duties[0]]
+	for _, p := range c.paths {
+		if p.node.host == list[len(list)-1].host {
+			return p
+		}
+	}
+	return nil
+}
+
+// cutHolder cuts the holder's path for a while and returns how many calls were late.
+func cutHolder(handoverDelay, cut time.Duration) (late, calls int) {
+	c := newCallCluster(newStore(), handoverDelay)
+	time.Sleep(10 * time.Second)
+	p := c.holding()
+	p.setCut(true)
+	time.Sleep(cut)
+	p.setCut(false)
+	time.Sleep(15 * time.Second)
+	c.stop()
+	return c.receiver.late, c.receiver.calls
+}
+
+// TestCallsOfFormerHolderArriveBeforeSuccessors guards against a call of a process that no longer
+// holds a duty which arrives after one of its successor, because its bytes were held up on a path
+// that was cut: at cuts of all lengths, and whatever the sender has done with its connection.
+func TestCallsOfFormerHolderArriveBeforeSuccessors(t *testing.T) {
+	withoutDelay := 0
+	for cut := time.Second; cut < 9*time.Second; cut += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			late, _ := cutHolder(0, cut)
+			withoutDelay += late
+			late, calls := cutHolder(undeliveredFor+pathStep, cut)
+			must.Zero(t, late, must.Sprint(cut))
+			must.Positive(t, calls)
+		})
+	}
+	must.Positive(t, withoutDelay, must.Sprint("without a delay calls are late"))
+}
+
+// TestCallsArriveInOrderUnderFaults guards against the same under cuts, restarts, kills and lost
+// answers of the store in any order.
+func TestCallsArriveInOrderUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		events := rapid.SliceOfN(drawEvent(4), 1, 8).Draw(rt, "events")
+		late, calls := 0, 0
+		synctest.Test(t, func(*testing.T) {
+			c := newCallCluster(newStore(), undeliveredFor+pathStep)
+			for _, e := range events {
+				time.Sleep(e.before)
+				c.disturb(e)
+			}
+			time.Sleep(15 * time.Second)
+			c.heal()
+			for _, p := range c.paths {
+				p.setCut(false)
+			}
+			time.Sleep(30 * time.Second)
+			c.stop()
+			late, calls = c.receiver.late, c.receiver.calls
+		})
+		must.Zero(rt, late)
+		must.Positive(rt, calls)
+	})
+}
+
+// disturb injects the fault of an event.
+func (c *callCluster) disturb(e faultEvent) {
+	p := c.paths[e.node]
+	switch e.kind {
+	case 0, 1:
+		p.setCut(e.on)
+	case 2:
+		// The process ends in order and competes again.
+		p.node.cancel()
+		p.node.work.Wait()
+		c.run(p)
+	case 3:
+		p.setCut(true)
+		time.Sleep(e.length / 5)
+		p.setCut(false)
+	default:
+		c.apply(e)
+	}
+}
+
+// TestSettledHandoverIsNotDelayed guards against a pause of a duty's work after an orderly end
+// of its holder whose calls were all answered, and against none if one was not.
+func TestSettledHandoverIsNotDelayed(t *testing.T) {
+	const delay = 20 * time.Second
+	for name, cut := range map[string]bool{"answered": false, "unanswered": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCallCluster(newStore(), delay)
+				time.Sleep(delay + 10*time.Second)
+				p := c.holding()
+				p.cut.Store(cut)
+				time.Sleep(2 * receiverCallTime)
+				p.node.cancel()
+				p.node.work.Wait()
+				time.Sleep(delay / 2)
+				must.Eq(t, cut, c.holding() == p)
+				time.Sleep(delay)
+				must.NotEq(t, p.node.host, c.holding().node.host)
+				c.stop()
+			})
+		})
+	}
+}
--- a/pkg/lease/hold.go
+++ b/pkg/lease/hold.go
@@ -23,7 +23,8 @@
 	endLost endReason = "lost"
 )
 
-// hold runs the work until it returns, the authority ends or ctx is canceled.
+// hold runs the work until it returns, the authority ends or ctx is canceled. The work
+// begins once no call of a former holder can take effect any more, see handover.
 // The duty is released only after the work has returned.
 func (c *campaign) hold(ctx context.Context, lease *storeLease, version external.Version) {
 	m := c.manager
@@ -37,8 +38,12 @@
 	var background sync.WaitGroup
 	background.Go(func() { c.keepRenewed(workCtx, lease) })
 	background.Go(func() { c.verifyHolder(workCtx, a) })
+	handover := m.newHandover(a)
 	go func() {
 		defer close(done)
+		if handover.begin(workCtx) != nil {
+			return
+		}
 		if err := c.work(workCtx, a); err != nil && workCtx.Err() == nil {
 			m.opts.Log.Warn("duty's work failed", "duty", c.duty, "error", err)
 		}
@@ -57,6 +62,9 @@
 	m.held.Add(-1)
 	m.metrics.held.Dec()
 	m.opts.Log.Info("duty ended", "duty", c.duty, "fencing", a.fencing, "ending", reason)
+	if reason != endLost {
+		handover.settle()
+	}
 	c.cleanUp(ctx, reason, version)
 }
 
--- a/pkg/rolekeeper/keeper.go
+++ b/pkg/rolekeeper/keeper.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
@@ -232,10 +234,10 @@
 	}
 	incarnation := incarnationOf(state)
 	order := Order{Target: state.Record, Role: role, Fencing: authority.Fencing(), After: k.accepted[incarnation]}
-	if err := authority.Check(); err != nil {
+	err := authority.Call(ctx, func(ctx context.Context) error { return k.opts.Orderer.Order(ctx, order) })
+	if errors.Is(err, lease.ErrLost) {
 		return err
 	}
-	err := k.opts.Orderer.Order(ctx, order)
 	kind := fault.KindOf(err)
 	k.opts.Log.Info("role ordered", "target", order.Target.Target, "role", role, "from", state.Load.Role,
 		"fencing", order.Fencing, "after", order.After, "error", err)
--- a/pkg/rolekeeper/keeper_test.go
+++ b/pkg/rolekeeper/keeper_test.go
@@ -15,6 +15,7 @@
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/lease"
 )
 
 // fakeEngines simulates engines that carry out role orders and daemons that exclude
@@ -114,6 +115,10 @@
 func (a *authority) Duty() ident.Duty            { return "engines" }
 func (a *authority) Fencing() ident.FencingToken { return 7 }
 
+func (a *authority) Call(ctx context.Context, send func(ctx context.Context) error) error {
+	return lease.CallUnder(ctx, a, send)
+}
+
 func (a *authority) Check() error {
 	if a.lost {
 		return fault.New(fault.Fenced, "lost", "stop")
--- a/pkg/supplykeeper/keeper.go
+++ b/pkg/supplykeeper/keeper.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/external"
@@ -147,13 +149,13 @@
 // authority is lost.
 func (k *Keeper) order(ctx context.Context, authority lease.Authority, model *config.Model, state *Domain, due DueOrder) error {
 	order := Order{Model: model.Name, Domain: state.Name, Kind: due.Kind, Count: due.Count, Fencing: authority.Fencing()}
-	if err := authority.Check(); err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	err := k.opts.Orderer.OrderEngines(ctx, order)
+	err := authority.Call(ctx, func(ctx context.Context) error { return k.opts.Orderer.OrderEngines(ctx, order) })
+	if errors.Is(err, lease.ErrLost) {
+		return err
+	}
 	k.opts.Log.Info("engines ordered", "model", order.Model, "failureDomain", order.Domain, "kind", order.Kind, "count", order.Count,
 		"have", state.Have, "fencing", order.Fencing, "error", err)
 	key := group{model: order.Model, domain: order.Domain, kind: order.Kind}
--- a/pkg/supplykeeper/keeper_test.go
+++ b/pkg/supplykeeper/keeper_test.go
@@ -16,6 +16,7 @@
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/lease"
 )
 
 // bootTime is the time from an order until its engines are there.
@@ -120,7 +121,11 @@
 
 func (heldAuthority) Duty() ident.Duty            { return "engines" }
 func (heldAuthority) Fencing() ident.FencingToken { return 7 }
-func (heldAuthority) Check() error                { return nil }
+
+func (a heldAuthority) Call(ctx context.Context, send func(ctx context.Context) error) error {
+	return lease.CallUnder(ctx, a, send)
+}
+func (heldAuthority) Check() error { return nil }
 
 // runKeeper runs a keeper whose desired counts are one dependable and four
 // reclaimable engines in each failure domain. It calls change after 30 seconds
--- a/pkg/tally/reporter.go
+++ b/pkg/tally/reporter.go
@@ -217,7 +217,10 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := r.Sink.Report(call, closed.Window, closed.Counts, authority.Fencing()); err != nil {
+	err := authority.Call(call, func(ctx context.Context) error {
+		return r.Sink.Report(ctx, closed.Window, closed.Counts, authority.Fencing())
+	})
+	if err != nil {
 		return err
 	}
 	r.Log.Info("usage window reported", "window", closed.Window, "workspaces", len(closed.Counts), "fencing", authority.Fencing())
--- a/pkg/tally/tally_test.go
+++ b/pkg/tally/tally_test.go
@@ -15,6 +15,7 @@
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/lease"
 	"amaranthplank.example/amaranthplank/pkg/mirror"
 	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
 )
@@ -66,6 +67,10 @@
 func (a *fakeAuthority) Duty() ident.Duty            { return "usage" }
 func (a *fakeAuthority) Fencing() ident.FencingToken { return 7 }
 
+func (a *fakeAuthority) Call(ctx context.Context, send func(ctx context.Context) error) error {
+	return lease.CallUnder(ctx, a, send)
+}
+
 func (a *fakeAuthority) Check() error {
 	if a.lost {
 		return fault.New(fault.Fenced, "lost", "stop")
--- a/pkg/target/dialer.go
+++ b/pkg/target/dialer.go
@@ -21,6 +21,11 @@
 	keepAliveCount    = 3
 )
 
+// UndeliveredFor is how long what was written to a connection of NewDialer may still reach the
+// other end after its path was cut, whatever becomes of the connection: userTimeout and a
+// margin for the kernel's timers and the network's delay.
+const UndeliveredFor = userTimeout + 500*time.Millisecond
+
 // NewDialer returns a dialer whose connections fail if the other end stops
 // acknowledging data or keep-alive probes.
 func NewDialer() *net.Dialer {
--- a/pkg/usage/cluster_test.go
+++ b/pkg/usage/cluster_test.go
@@ -88,7 +88,11 @@
 	cancel  context.CancelFunc
 }
 
-func (a *shardAuthority) Duty() ident.Duty            { return Duty(a.shard) }
+func (a *shardAuthority) Duty() ident.Duty { return Duty(a.shard) }
+func (a *shardAuthority) Call(ctx context.Context, send func(ctx context.Context) error) error {
+	return lease.CallUnder(ctx, a, send)
+}
+
 func (a *shardAuthority) Fencing() ident.FencingToken { return a.fencing }
 
 func (a *shardAuthority) Check() error {
