--- a/pkg/drain/options.go
+++ b/pkg/drain/options.go
@@ -24,6 +24,8 @@
 	// Grace is the time after which the process is killed once a stop is requested;
 	// zero means never.
 	Grace time.Duration
+	// EndingMargin is how long before the end of Grace the context of Ending is canceled.
+	EndingMargin time.Duration
 	// OnStop hooks run as soon as a stop is requested, for example to release
 	// leases to other daemons.
 	OnStop []Hook
--- a/pkg/drain/server.go
+++ b/pkg/drain/server.go
@@ -20,6 +20,12 @@
 	stopRequested chan struct{}
 	done          chan struct{}
 	once          sync.Once
+	// balancerAwayAt is when the balancer sends no more requests, or nil as long as no stop
+	// is requested.
+	balancerAwayAt atomic.Pointer[time.Time]
+	// ending is canceled by endAll shortly before the process is killed.
+	ending context.Context //nolint:containedctx // It is that of the process, not of a call.
+	endAll context.CancelFunc
 	// killedAt is when the process is killed, or nil as long as no stop is requested
 	// or if it never is.
 	killedAt atomic.Pointer[time.Time]
@@ -39,6 +45,7 @@
 // opts.Server.
 func New(opts Options) *Server {
 	s := &Server{opts: opts, createdAt: time.Now(), stopRequested: make(chan struct{}), done: make(chan struct{})}
+	s.ending, s.endAll = context.WithCancel(context.Background())
 	s.setPhase(Serving)
 	opts.Server.Handler = s.trackRequests(opts.Server.Handler)
 	return s
@@ -72,9 +79,12 @@
 // Stop requests a graceful shutdown and returns immediately.
 func (s *Server) Stop() {
 	s.once.Do(func() {
+		awayAt := time.Now().Add(s.opts.BalancerDelay)
+		s.balancerAwayAt.Store(&awayAt)
 		if s.opts.Grace > 0 {
 			killedAt := time.Now().Add(s.opts.Grace)
 			s.killedAt.Store(&killedAt)
+			time.AfterFunc(s.opts.Grace-s.opts.EndingMargin, s.endAll)
 		}
 		close(s.stopRequested)
 	})
@@ -90,6 +100,17 @@
 	return time.Until(*killedAt), true
 }
 
+// Ending returns a context that is canceled shortly before the process is killed, when
+// requests that still run must end to be answered at all.
+func (s *Server) Ending() context.Context { return s.ending }
+
+// BalancerAway reports whether a stop was requested so long ago that the balancer sends
+// no more requests. Those on open connections may still arrive.
+func (s *Server) BalancerAway() bool {
+	awayAt := s.balancerAwayAt.Load()
+	return awayAt != nil && !time.Now().Before(*awayAt)
+}
+
 // Done returns a channel that is closed once Run has returned.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
--- a/pkg/entry/options.go
+++ b/pkg/entry/options.go
@@ -32,6 +32,9 @@
 	// false if it is not known to be. A request that may take longer is refused. A nil
 	// TimeLeft means that the process is never killed.
 	TimeLeft func() (time.Duration, bool)
+	// BalancerAway reports whether the balancer sends a stopping daemon no more requests.
+	// Nil means that it may always do.
+	BalancerAway func() bool
 	// Claims makes a request with an idempotency key run at most once in the
 	// fleet. If nil, idempotency keys are left to the targets.
 	Claims *claims.Registry
@@ -82,6 +85,9 @@
 	if o.Ready == nil {
 		o.Ready = func() error { return nil }
 	}
+	if o.BalancerAway == nil {
+		o.BalancerAway = func() bool { return false }
+	}
 	if o.TimeLeft == nil {
 		o.TimeLeft = func() (time.Duration, bool) { return 0, false }
 	}
--- a/pkg/entry/timeleft.go
+++ b/pkg/entry/timeleft.go
@@ -6,9 +6,9 @@
 	"amaranthplank.example/amaranthplank/pkg/config"
 )
 
-// endingMargin is the time before the process is killed by which a request must have
+// EndingMargin is the time before the process is killed by which a request must have
 // ended, so that the end of its answer still reaches the caller.
-const endingMargin = 250 * time.Millisecond
+const EndingMargin = 250 * time.Millisecond
 
 // slowdownAllowed is by how much requests may become slower than the longest recent one of
 // their route. The load changes within a stop, and a refused caller loses one round trip
@@ -16,27 +16,37 @@
 const slowdownAllowed = 2
 
 // checkTimeLeft returns an error if the daemon is stopping and may be killed before the
-// request ends: it may take slowdownAllowed times as long as requests of its route and length
-// are expected to, or until its deadline if there was none. A request that is taken has its
-// deadline before the kill, so that it ends with an answer even if it takes longer.
+// request ends. Once the balancer sends no more requests, that is if the request's deadline is
+// not before the kill, whatever requests of its route took: its caller reaches another daemon.
+// Until then a refused caller may be sent back here, so a request is taken that ends before the
+// kill even if it takes slowdownAllowed times as long as expected; its deadline is then
+// before the kill, so that it ends with an answer even if it takes longer.
 func (s *session) checkTimeLeft() error {
 	left, stopping := s.handler.opts.TimeLeft()
 	if !stopping {
 		return nil
 	}
-	need := time.Until(s.req.Deadline)
-	if expected, ok := s.handler.durations.expected(s.req.Route, s.req.MaxOutputTokens); ok {
-		need = min(need, slowdownAllowed*expected)
-	}
-	if need+endingMargin > left {
+	if s.timeNeeded()+EndingMargin > left {
 		return errStopping
 	}
-	if latest := time.Now().Add(left - endingMargin); latest.Before(s.req.Deadline) {
+	if latest := time.Now().Add(left - EndingMargin); latest.Before(s.req.Deadline) {
 		s.req.Deadline, s.deadline = latest, latest
 	}
 	return nil
 }
 
+// timeNeeded returns how long the request may take on a stopping daemon.
+func (s *session) timeNeeded() time.Duration {
+	need := time.Until(s.req.Deadline)
+	if s.handler.opts.BalancerAway() {
+		return need
+	}
+	if expected, ok := s.handler.durations.expected(s.req.Route, s.req.MaxOutputTokens); ok {
+		need = min(need, slowdownAllowed*expected)
+	}
+	return need
+}
+
 // laterDeadline returns the request's deadline by the route that the configuration now in
 // force has for it, whatever its name, or the zero time if there is none. It is before the
 // process is killed.
@@ -49,7 +59,7 @@
 	knobs := snapshot.Knobs(config.Selector{Workspace: s.req.Workspace, Route: route.Name, Model: s.req.Model, Service: s.req.Service})
 	deadline := s.readAt.Add(requestTimeout(s.wait, route, &knobs.Retry))
 	if left, stopping := s.handler.opts.TimeLeft(); stopping {
-		if latest := time.Now().Add(left - endingMargin); latest.Before(deadline) {
+		if latest := time.Now().Add(left - EndingMargin); latest.Before(deadline) {
 			return latest
 		}
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -119,7 +119,7 @@
 			Config: opts.Published, FileDescriptors: entry.DescriptorLimit(opts.FileDescriptors), Registerer: g.registry,
 		}),
 		Listener: opts.Listener, Log: opts.Log,
-		Grace: opts.StopGrace, BalancerDelay: opts.StopGrace * balancerShare / graceParts, MaxCloseDelay: opts.StopGrace * closeShare / graceParts,
+		Grace: opts.StopGrace, EndingMargin: entry.EndingMargin, BalancerDelay: opts.StopGrace * balancerShare / graceParts, MaxCloseDelay: opts.StopGrace * closeShare / graceParts,
 		OnStop:    []drain.Hook{{Name: "release the duties", Run: g.duties.release}},
 		OnDrained: []drain.Hook{{Name: "write the last usage checkpoint", Run: g.counter.Leave}},
 	})
@@ -176,7 +176,7 @@
 		Router: g.router, Client: target.NewClient(), Config: opts.Published, Protocol: opts.Protocol,
 		Log: opts.Log, Registerer: g.registry, OnRun: g.counter.RequestStarted,
 		RetryBudget: g.retryBudget, CrashGuard: g.poison.detector, StreamOrigins: g.origins.table,
-		Waiting: g.newWaiter(),
+		Waiting: g.newWaiter(), Ending: func() context.Context { return g.callers.Ending() },
 	})
 }
 
@@ -198,7 +198,7 @@
 func (g *Gateway) newHandler() http.Handler {
 	return entry.New(entry.Options{
 		Format: g.opts.Format, Config: g.opts.Published, Admission: g.quotas.controller, Relay: g.relay,
-		Recorder: noRecorder{}, Log: g.opts.Log, Registerer: g.registry, Ready: g.checkServing, TimeLeft: g.timeLeft, MaxBodyBytes: maxBodyBytes, BodyMemoryBytes: int64(bodyMemoryShare * float64(g.opts.MemoryBytes)),
+		Recorder: noRecorder{}, Log: g.opts.Log, Registerer: g.registry, Ready: g.checkServing, TimeLeft: g.timeLeft, BalancerAway: g.balancerAway, MaxBodyBytes: maxBodyBytes, BodyMemoryBytes: int64(bodyMemoryShare * float64(g.opts.MemoryBytes)),
 	})
 }
 
@@ -206,6 +206,9 @@
 // no stop was requested.
 func (g *Gateway) timeLeft() (time.Duration, bool) { return g.callers.TimeLeft() }
 
+// balancerAway reports whether the balancer sends this stopping daemon no more requests.
+func (g *Gateway) balancerAway() bool { return g.callers.BalancerAway() }
+
 // noRecorder discards usage records.
 type noRecorder struct{}
 
--- a/pkg/relay/deadline.go
+++ b/pkg/relay/deadline.go
@@ -14,6 +14,8 @@
 	cancel context.CancelCauseFunc
 	// later is Request.LaterDeadline.
 	later func() time.Time
+	// detach separates the deadline from the end of the process.
+	detach func() bool
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -22,8 +24,9 @@
 	begun, passed bool
 }
 
-// startDeadline returns a context that ends at the request's deadline, and the deadline.
-func startDeadline(ctx context.Context, req *request.Request) (context.Context, *deadline) {
+// startDeadline returns a context that ends at the request's deadline or with the process's
+// ending, and the deadline.
+func startDeadline(ctx, ending context.Context, req *request.Request) (context.Context, *deadline) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	d := &deadline{cancel: cancel, later: req.LaterDeadline, at: req.Deadline}
 	d.mu.Lock()
@@ -33,9 +36,21 @@
 	if left <= 0 {
 		d.end(context.DeadlineExceeded)
 	}
+	d.detach = context.AfterFunc(ending, d.pass)
 	return ctx, d
 }
 
+// pass makes the deadline pass now.
+func (d *deadline) pass() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.passed {
+		d.timer.Stop()
+		d.at = time.Now()
+		d.end(context.DeadlineExceeded)
+	}
+}
+
 // expire puts the deadline off or ends the context.
 func (d *deadline) expire() {
 	d.mu.Lock()
@@ -99,6 +114,7 @@
 
 // stop ends the context and frees the timer.
 func (d *deadline) stop() {
+	d.detach()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.timer.Stop()
--- a/pkg/relay/deadline_test.go
+++ b/pkg/relay/deadline_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +15,7 @@
 func newTestDeadline(t *testing.T) (ended <-chan struct{}, d *deadline) {
 	now := time.Now()
 	req := &request.Request{Deadline: now.Add(time.Second), LaterDeadline: func() time.Time { return now.Add(3 * time.Second) }}
-	ctx, d := startDeadline(t.Context(), req)
+	ctx, d := startDeadline(t.Context(), context.Background(), req)
 	t.Cleanup(d.stop)
 	return ctx.Done(), d
 }
@@ -65,7 +66,7 @@
 // before it came to the relay.
 func TestPassedDeadlineEndsAtOnce(t *testing.T) {
 	for range 100 {
-		ctx, d := startDeadline(t.Context(), &request.Request{Deadline: time.Now()})
+		ctx, d := startDeadline(t.Context(), context.Background(), &request.Request{Deadline: time.Now()})
 		must.Error(t, ctx.Err())
 		must.False(t, d.beginAnswer())
 		d.stop()
@@ -113,3 +114,25 @@
 		})
 	}
 }
+
+// TestEndOfTheProcessEndsRequests guards against a request that has no answer when its process is
+// killed, since its deadline is later: also one that may be put off.
+func TestEndOfTheProcessEndsRequests(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ending, end := context.WithCancel(context.Background())
+			now := time.Now()
+			ctx, d := startDeadline(t.Context(), ending, &request.Request{
+				Deadline: now.Add(time.Second), LaterDeadline: func() time.Time { return now.Add(3 * time.Second) },
+			})
+			defer d.stop()
+			must.True(t, !begun || d.beginAnswer())
+			time.Sleep(100 * time.Millisecond)
+			end()
+			<-ctx.Done()
+			must.Eq(t, 100*time.Millisecond, time.Since(now))
+			must.ErrorIs(t, context.Cause(ctx), context.DeadlineExceeded)
+			must.False(t, d.putOff())
+		})
+	}
+}
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 
@@ -45,6 +46,9 @@
 	// Waiting holds requests of models until there is room for them. If nil, a request
 	// that no engine takes in time is refused immediately.
 	Waiting *waitlist.Waiter
+	// Ending returns a context that is canceled shortly before the process is killed, which
+	// ends all requests so that they are answered. Nil means that the process is never killed.
+	Ending func() context.Context
 	// Log may be nil.
 	Log *slog.Logger
 	// Registerer registers the metrics; if nil, they are not registered.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -25,6 +25,9 @@
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
+	if opts.Ending == nil {
+		opts.Ending = context.Background
+	}
 	protocol := opts.Protocol
 	if protocol == nil {
 		protocol = EngineProtocol{}
@@ -42,7 +45,7 @@
 func (r *Relay) Do(ctx context.Context, req *request.Request, w http.ResponseWriter) Result {
 	c := newCall(r, req, w)
 	c.caller = ctx
-	ctx, c.deadline = startDeadline(ctx, req)
+	ctx, c.deadline = startDeadline(ctx, r.opts.Ending(), req)
 	defer c.deadline.stop()
 	result := c.do(ctx)
 	c.recordEnd()
