Count the time without room from when the request is sent

Cause: the test alone. The moment from which there is room was counted from before the relay was created, the time that the request took from after that; on a loaded machine the creation took 5 ms. The request had waited until there was room.

Change: both count from the same moment. The bound is as before.

--- a/pkg/relay/wait_test.go
+++ b/pkg/relay/wait_test.go
@@ -53,7 +53,7 @@
 	t.Cleanup(server.Close)
 	source := config.NewPublishedSource(&config.Document{Defaults: config.BuiltinKnobs()}, slog.New(slog.DiscardHandler))
 	must.True(t, source.Offer(1, &config.Document{}))
-	router := &fullRouter{room: time.Now().Add(full)}
+	router := &fullRouter{}
 	router.state = fleet.TargetState{Record: external.TargetRecord{Target: "t-1", Address: strings.TrimPrefix(server.URL, "http://")}}
 	relay := New(Options{Router: router, Client: target.NewClient(), Config: source, Waiting: waitlist.New(waitlist.Options{
 		Bounds: waitlist.Bounds{Entries: 4, Bytes: 1 << 20}, NoRoom: func(err error) bool { return errors.Is(err, routing.ErrNoRoom) },
@@ -63,6 +63,7 @@
 		Host: "h", Path: "/x", Header: http.Header{}, Body: []byte("b"), Deadline: time.Now().Add(time.Second),
 	}
 	began := time.Now()
+	router.room = began.Add(full)
 	result = relay.Do(ctx, req, httptest.NewRecorder())
 	must.Eq(t, full > 0, router.spare.Load(), must.Sprint("only a request that waits takes spare room alone"))
 	return result, time.Since(began), arrived.Load()
