--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -67,6 +67,8 @@
 	guardCleared bool
 	// losses are the targets that may have ended under the request.
 	losses losses
+	// kind is the kind of content of the stream whose beginning the caller has.
+	kind contentKind
 	// begun is set once an attempt that ended has written a part of the answer.
 	begun bool
 	// ran is set once a target has begun to run the request. The attempts of a hedged
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -114,10 +114,10 @@
 	switch {
 	case kind == ResponseRejected:
 		return drainRejection(response, w.cancel)
+	case (a.idleResumes > 0 || a.answerBegun()) && !a.call.mayContinue(kind, response):
+		return discard(response, trace, retry.Mismatch, errNotStream)
 	case kind == ResponseStream:
 		err = a.relayStream(w, response, protocol.Events(targetReq, response))
-	case a.idleResumes > 0 || a.answerBegun():
-		return discard(response, trace, retry.Mismatch, errNotStream)
 	default:
 		a.call.markRan()
 		err = a.relayUnary(w, response, kind)
--- a/pkg/relay/failure.go
+++ b/pkg/relay/failure.go
@@ -32,6 +32,9 @@
 	// errNotStream means that the response from which a stream was to continue is
 	// not a stream.
 	errNotStream = errors.New("the response is not the continuation of the stream")
+	// errNotContinued means that the response from which a stream was to continue ends
+	// without an event.
+	errNotContinued = errors.New("the continuation of the stream has no event")
 	// errNoLength means that the end of a response can't be distinguished from a
 	// broken connection.
 	errNoLength = errors.New("the response has neither a content length nor chunked encoding")
--- a/pkg/target/framereader.go
+++ b/pkg/target/framereader.go
@@ -26,9 +26,9 @@
 	lineStart int
 	// blank is whether the current frame has only blank lines so far.
 	blank bool
-	// acceptAnyField accepts frames with fields of any name, and returns their whole
+	// wholeEvents is set if frames are server-sent events, which are returned as their whole
 	// text.
-	acceptAnyField bool
+	wholeEvents bool
 }
 
 // NewFrameReader returns a reader of the stream in source.
@@ -40,7 +40,7 @@
 // The Text of its frames is the whole event, with the blank lines before it.
 func NewEventReader(source io.Reader) *FrameReader {
 	reader := NewFrameReader(source)
-	reader.acceptAnyField = true
+	reader.wholeEvents = true
 	return reader
 }
 
@@ -53,7 +53,7 @@
 		if stop := f.findFrameEnd(); stop > 0 {
 			text := f.buffer[f.start:stop]
 			f.start = stop
-			if f.acceptAnyField {
+			if f.wholeEvents {
 				return parseEvent(text)
 			}
 			return parseFrame(text)
@@ -84,7 +84,7 @@
 		text := trimCR(f.buffer[f.lineStart:stop])
 		f.scanned, f.lineStart = stop+1, stop+1
 		f.blank = f.blank && len(text) == 0
-		if len(text) == 0 && (!f.blank || !f.acceptAnyField) {
+		if len(text) == 0 && (!f.blank || !f.wholeEvents) {
 			return stop + 1
 		}
 	}
@@ -111,7 +111,7 @@
 // onlyBlankLines reports whether a stream of events has only blank lines since the last
 // one, and ends with a line.
 func (f *FrameReader) onlyBlankLines() bool {
-	return f.acceptAnyField && f.blank && f.lineStart == f.end
+	return f.wholeEvents && f.blank && f.lineStart == f.end
 }
 
 // makeRoom moves the current frame to the front of the buffer. If it is there
@@ -132,14 +132,21 @@
 	return nil
 }
 
-// parseEvent parses an event with fields of any name, of which it reads only the
-// ID.
+// parseEvent parses an event, of which it reads only the ID. Each of its lines must be a comment
+// or a field of an event, so that the head of a response within a stream is no part of one.
 func parseEvent(text []byte) (Frame, error) {
 	frame := Frame{Text: text}
 	for line := range bytes.Lines(text) {
-		line = trimCR(bytes.TrimSuffix(line, []byte("\n")))
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+		name, value, _ := bytes.Cut(trimCR(bytes.TrimSuffix(line, []byte("\n"))), []byte(":"))
+		switch {
+		case len(name) == 0:
+		case string(name) == "id" && frame.ID == 0:
 			frame.ID = parseID(trimLeadingSpace(value))
+			if frame.ID == 0 {
+				return Frame{}, ErrFrameMalformed
+			}
+		case string(name) == "id" || !isEventField(name):
+			return Frame{}, ErrFrameMalformed
 		}
 	}
 	if frame.ID == 0 {
@@ -148,6 +155,16 @@
 	return frame, nil
 }
 
+// isEventField reports whether an event may have a field of a name: those of server-sent events,
+// and fields of targets, in lowercase and beginning with "x-".
+func isEventField(name []byte) bool {
+	switch string(name) {
+	case "data", "event", "retry":
+		return true
+	}
+	return bytes.HasPrefix(name, []byte("x-")) && bytes.Equal(name, bytes.ToLower(name)) && !bytes.ContainsAny(name, " \t")
+}
+
 // parseFrame parses the lines of one frame.
 func parseFrame(text []byte) (Frame, error) {
 	var frame Frame
