--- a/pkg/entry/bodymemory.go
+++ b/pkg/entry/bodymemory.go
@@ -1,50 +1,45 @@
 package entry
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
+	"amaranthplank.example/amaranthplank/pkg/bytebudget"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 )
 
-// bodyMemory counts the bytes of the bodies that requests hold until they end, and bounds them.
+// bodyMemory bounds the bytes of the bodies that requests hold until they end.
 type bodyMemory struct {
-	// most is the most bytes, or zero without a bound.
-	most    int64
-	held    atomic.Int64
+	*bytebudget.Budget
+
 	refused prometheus.Counter
 }
 
 // newBodyMemory returns a memory that holds nothing. The metrics are registered unless registerer
 // is nil.
 func newBodyMemory(most int64, registerer prometheus.Registerer) *bodyMemory {
-	m := &bodyMemory{most: most}
+	m := &bodyMemory{Budget: bytebudget.New(most)}
 	factory := promauto.With(registerer)
 	m.refused = factory.NewCounter(prometheus.CounterOpts{
 		Name: "amaranthplank_requests_beyond_memory_total", Help: "Requests refused since the bodies of others take the memory.",
 	})
 	factory.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "amaranthplank_body_bytes", Help: "Bytes of the request bodies that are held at present.",
-	}, func() float64 { return float64(m.held.Load()) })
+	}, func() float64 { return float64(m.Held()) })
 	return m
 }
 
 // take counts the bytes of a body. It fails if they exceed the bound.
 func (m *bodyMemory) take(bytes int64) error {
-	if held := m.held.Add(bytes); m.most > 0 && held > m.most {
-		m.held.Add(-bytes)
+	if !m.Take(bytes) {
 		m.refused.Inc()
 		return errBodyMemory
 	}
 	return nil
 }
 
-// release no longer counts the bytes of a body.
-func (m *bodyMemory) release(bytes int64) { m.held.Add(-bytes) }
-
 // bodyMemoryRetryAfter is the Retry-After of requests that are refused for their body's memory.
 const bodyMemoryRetryAfter = 250 * time.Millisecond
 
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -66,7 +66,7 @@
 // release records an unknown outcome for a claim that is still open and releases
 // the ticket. It is deferred, so that it also runs after a panic.
 func (s *session) release() {
-	s.handler.bodies.release(s.bodyBytes)
+	s.handler.bodies.Release(s.bodyBytes)
 	s.settleClaim(request.Unknown)
 	if s.ticket != nil {
 		if counter, ok := s.ticket.(admission.RunCounter); ok {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"amaranthplank.example/amaranthplank/pkg/admission"
 	"amaranthplank.example/amaranthplank/pkg/backlog"
+	"amaranthplank.example/amaranthplank/pkg/bytebudget"
 	"amaranthplank.example/amaranthplank/pkg/capacity"
 	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/config"
@@ -176,6 +177,7 @@
 		Router: g.router, Client: target.NewClient(), Config: opts.Published, Protocol: opts.Protocol,
 		Log: opts.Log, Registerer: g.registry, OnRun: g.counter.RequestStarted,
 		RetryBudget: g.retryBudget, CrashGuard: g.poison.detector, StreamOrigins: g.origins.table,
+		Memory:  bytebudget.New(int64(responseMemoryShare * float64(opts.MemoryBytes))),
 		Waiting: g.newWaiter(), Ending: func() context.Context { return g.callers.Ending() },
 	})
 }
@@ -191,8 +193,13 @@
 	releaseShare  = 13
 )
 
-// bodyMemoryShare is the part of the process's memory that the bodies of requests may take.
-const bodyMemoryShare = 0.5
+const (
+	// bodyMemoryShare is the part of the process's memory that the bodies of requests may take.
+	bodyMemoryShare = 0.5
+	// responseMemoryShare is the part that responses may take before they are forwarded. Each
+	// growing one takes up to twice its part for a moment.
+	responseMemoryShare = 0.1
+)
 
 // newHandler returns the handler for callers' requests.
 func (g *Gateway) newHandler() http.Handler {
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -76,9 +76,24 @@
 	ran atomic.Bool
 	// lostHedges are the attempts of a hedged request that ended because of another's answer.
 	lostHedges int
-	result     Result
+	// held are the bytes of responses that count as held until the request ends.
+	held   atomic.Int64
+	result Result
 }
 
+// hold counts bytes of a response as held until the request ends. It reports false if the
+// memory for responses is used up.
+func (c *call) hold(bytes int64) bool {
+	if !c.relay.opts.Memory.Take(bytes) {
+		return false
+	}
+	c.held.Add(bytes)
+	return true
+}
+
+// release no longer counts the bytes of responses as held.
+func (c *call) release() { c.relay.opts.Memory.Release(c.held.Swap(0)) }
+
 // newCall returns a call before its first attempt.
 func newCall(r *Relay, req *request.Request, w http.ResponseWriter) *call {
 	knobs := r.knobs(req)
--- a/pkg/relay/engines.go
+++ b/pkg/relay/engines.go
@@ -140,6 +140,9 @@
 // Follows reports whether the event IDs are consecutive.
 func (e *engineEvents) Follows(before, next uint64) bool { return next == before+1 }
 
+// Close frees the memory of the frames.
+func (e *engineEvents) Close() { e.reader.Close() }
+
 // Drain reads the end of the response.
 func (e *engineEvents) Drain() error {
 	if _, err := e.reader.Next(); !errors.Is(err, io.EOF) {
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -73,7 +73,7 @@
 func (a *attempt) newTargetRequest() *TargetRequest {
 	return &TargetRequest{
 		Request: a.call.req, Attempt: a.id, Target: a.record, LastEventID: a.lastEvent,
-		Remaining: time.Until(a.call.deadline.time()), Source: a.source, CacheHolder: a.cacheHolder,
+		Remaining: time.Until(a.call.deadline.time()), Source: a.source, CacheHolder: a.cacheHolder, Memory: a.call.relay.opts.Memory,
 	}
 }
 
@@ -117,7 +117,7 @@
 	case (a.idleResumes > 0 || a.answerBegun()) && !a.call.mayContinue(kind, response):
 		return discard(response, trace, retry.Mismatch, errNotStream)
 	case kind == ResponseStream:
-		err = a.relayStream(w, response, protocol.Events(targetReq, response))
+		err = a.relayStream(w, response, a.eventsOf(protocol.Events(targetReq, response)))
 	default:
 		a.call.markRan()
 		err = a.relayUnary(w, response, kind)
--- a/pkg/relay/failure.go
+++ b/pkg/relay/failure.go
@@ -88,6 +88,8 @@
 		return retry.DeadlinePassed
 	case errors.Is(err, errTooLarge):
 		return retry.TooLarge
+	case errors.Is(err, errNotContinued):
+		return retry.Mismatch
 	case errors.Is(err, target.ErrFrameMalformed), errors.Is(err, target.ErrFrameTooLarge):
 		// An event above the limit is one that doesn't end, as of a target in
 		// trouble; another target may answer properly.
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"amaranthplank.example/amaranthplank/pkg/bytebudget"
 	"amaranthplank.example/amaranthplank/pkg/config"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/request"
@@ -46,6 +47,9 @@
 	// Waiting holds requests of models until there is room for them. If nil, a request
 	// that no engine takes in time is refused immediately.
 	Waiting *waitlist.Waiter
+	// Memory bounds the bytes of responses that are held before they are forwarded, of all
+	// requests together. Nil sets no bound.
+	Memory *bytebudget.Budget
 	// Ending returns a context that is canceled shortly before the process is killed, which
 	// ends all requests so that they are answered. Nil means that the process is never killed.
 	Ending func() context.Context
--- a/pkg/relay/protocol.go
+++ b/pkg/relay/protocol.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/bytebudget"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
@@ -66,6 +67,8 @@
 	CacheHolder string
 	// PromptOnly reports whether only the prompt is to be computed.
 	PromptOnly bool
+	// Memory bounds the bytes that responses hold together. It may be nil.
+	Memory *bytebudget.Budget
 }
 
 // KVSource identifies the KV cache of a prompt at the engine that computed it.
@@ -118,6 +121,8 @@
 	Follows(before, next uint64) bool
 	// Drain reads to the end of the response after the last event.
 	Drain() error
+	// Close frees the memory of the events, whose texts can't be used any more.
+	Close()
 }
 
 // usageReader is implemented by a Protocol whose responses may contain token
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -47,6 +47,7 @@
 	c.caller = ctx
 	ctx, c.deadline = startDeadline(ctx, r.opts.Ending(), req)
 	defer c.deadline.stop()
+	defer c.release()
 	result := c.do(ctx)
 	c.recordEnd()
 	result.Ran, result.Deadline = c.ran.Load(), c.deadline.time()
--- a/pkg/relay/response.go
+++ b/pkg/relay/response.go
@@ -10,6 +10,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// whole is whether body is all of the response's.
+	whole bool
 	// length is the content length of the response, negative if unknown.
 	length int64
 }
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"mime"
 	"net/http"
 	"time"
 
@@ -17,6 +16,7 @@
 // relayStream writes a stream's events to the caller, up to the last one. On a failure
 // the caller has been sent all that was written.
 func (a *attempt) relayStream(w *watchdog, response *http.Response, events EventReader) error {
+	defer events.Close()
 	err := a.relayEvents(w, response, events)
 	if err != nil && a.call.result.ResponseStarted {
 		// The failure that ends the stream is returned.
@@ -27,8 +27,6 @@
 
 // relayEvents writes a stream's events to the caller, up to the last one.
 func (a *attempt) relayEvents(w *watchdog, response *http.Response, events EventReader) error {
-	// The rest of a stream has an event at least, so that a target's empty response does not end it.
-	mayEnd := !a.answerBegun()
 	controller := http.NewResponseController(a.call.writer)
 	for {
 		event, err := events.Next()
@@ -38,10 +36,6 @@
 		if err := a.acceptEvent(w, events, event); err != nil {
 			return err
 		}
-		mayEnd = mayEnd || event.ID != 0
-		if event.Last && !mayEnd {
-			return &exchangeError{failure: retry.Mismatch, cause: errNotContinued}
-		}
 		if event.ID == 0 && !event.Last {
 			if err := a.flushBefore(events); err != nil {
 				return err
@@ -68,28 +62,6 @@
 	}
 }
 
-// contentKind is the kind of a response's content.
-type contentKind struct{ mediaType, encoding string }
-
-// kindOfContent returns the kind of a response's content.
-func kindOfContent(response *http.Response) contentKind {
-	mediaType, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	return contentKind{mediaType: mediaType, encoding: response.Header.Get("Content-Encoding")}
-}
-
-// matches reports whether the content of two responses may be parts of one stream. A media type
-// that is not stated may be any.
-func (k contentKind) matches(other contentKind) bool {
-	unstated := k.mediaType == "" || other.mediaType == ""
-	return k.encoding == other.encoding && (unstated || k.mediaType == other.mediaType)
-}
-
-// mayContinue reports whether a response may bring the rest of the stream whose beginning the
-// caller has: a stream with content of the same kind.
-func (c *call) mayContinue(kind ResponseKind, response *http.Response) bool {
-	return kind == ResponseStream && (!c.result.ResponseStarted || kindOfContent(response).matches(c.kind))
-}
-
 // flushBefore sends the caller what was written, unless the next event is in memory. An
 // event that came together with a comment was not sent yet.
 func (a *attempt) flushBefore(events EventReader) error {
--- a/pkg/relay/unary.go
+++ b/pkg/relay/unary.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -14,6 +13,9 @@
 	// maxBufferedBytes is the largest response that is read whole before any of
 	// it is written to the caller.
 	maxBufferedBytes = 1 << 20
+	// initialBufferBytes is what each request may hold of a response besides the memory for
+	// responses.
+	initialBufferBytes = 4 << 10
 	// maxResponseBytes bounds all other responses.
 	maxResponseBytes = 256 << 20
 	// copyBufferBytes is the buffer size for copying large responses.
@@ -27,15 +29,14 @@
 	if err != nil {
 		return err
 	}
-	whole := len(got.body) <= maxBufferedBytes
-	if kind == ResponseFailed && whole {
+	if kind == ResponseFailed && got.whole {
 		a.refusal = got
 		return &exchangeError{failure: retry.Refused, cause: errRefused}
 	}
 	if a.claimAnswer != nil && !a.claimAnswer() {
 		return &exchangeError{failure: retry.CallerGone, cause: errHedgeLost}
 	}
-	if !whole {
+	if !got.whole {
 		return a.relayLarge(w.ctx, got, response.Body)
 	}
 	a.readUsage(got.body)
@@ -45,9 +46,8 @@
 	return nil
 }
 
-// bufferResponse reads a response to its end or, if it is larger than
-// maxBufferedBytes, one byte beyond that. The exchange is not left for silence
-// afterwards.
+// bufferResponse reads a response to its end, up to maxBufferedBytes and as far as the
+// memory for responses allows. The exchange is not left for silence afterwards.
 func (a *attempt) bufferResponse(w *watchdog, response *http.Response) (*bufferedResponse, error) {
 	silence := &exchangeError{failure: retry.Silence, cause: errSilence}
 	if a.call.req.Stream && !w.disarm() {
@@ -59,14 +59,38 @@
 	if response.ContentLength > maxResponseBytes {
 		return nil, &exchangeError{failure: retry.TooLarge, cause: errTooLarge}
 	}
-	var body bytes.Buffer
-	if _, err := body.ReadFrom(io.LimitReader(&watchedBody{body: response.Body, watchdog: w}, maxBufferedBytes+1)); err != nil {
+	body, whole, err := a.call.readHeld(&watchedBody{body: response.Body, watchdog: w})
+	if err != nil {
 		return nil, a.call.classify(w.ctx, err)
 	}
-	if !w.disarm() && body.Len() > maxBufferedBytes {
+	if !w.disarm() && !whole {
 		return nil, silence
 	}
-	return &bufferedResponse{status: response.StatusCode, header: response.Header, body: body.Bytes(), length: response.ContentLength}, nil
+	return &bufferedResponse{status: response.StatusCode, header: response.Header, body: body, whole: whole, length: response.ContentLength}, nil
+}
+
+// readHeld reads a body to its end, which whole reports, or until maxBufferedBytes or the memory
+// for responses are used up. The bytes beyond initialBufferBytes are held until the request ends.
+func (c *call) readHeld(body io.Reader) (text []byte, whole bool, err error) {
+	text = make([]byte, 0, initialBufferBytes)
+	for len(text) < maxBufferedBytes {
+		if len(text) == cap(text) {
+			more := min(cap(text), maxBufferedBytes-cap(text))
+			if !c.hold(int64(more)) {
+				return text, false, nil
+			}
+			text = append(make([]byte, 0, cap(text)+more), text...)
+		}
+		n, err := body.Read(text[len(text):cap(text)])
+		text = text[:len(text)+n]
+		if err == io.EOF {
+			return text, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return text, false, nil
 }
 
 // relayLarge writes the part of a response that was read, then copies the rest.
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -34,7 +34,7 @@
 	// maxIdlePerTarget bounds the pooled connections of one target.
 	maxIdlePerTarget = 64
 	// maxHeaderBytes bounds the header of a target's response.
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 16 << 10
 )
 
 // Client sends HTTP requests to targets. It follows no redirects, keeps no cookies,
--- a/pkg/target/framereader.go
+++ b/pkg/target/framereader.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+
+	"amaranthplank.example/amaranthplank/pkg/bytebudget"
 )
 
 const (
@@ -29,6 +31,10 @@
 	// wholeEvents is set if frames are server-sent events, which are returned as their whole
 	// text.
 	wholeEvents bool
+	// budget bounds the sum of the buffers beyond initialBufferBytes, of which held bytes
+	// are this one's.
+	budget *bytebudget.Budget
+	held   int64
 }
 
 // NewFrameReader returns a reader of the stream in source.
@@ -37,9 +43,11 @@
 }
 
 // NewEventReader returns a reader that accepts any server-sent event with an ID.
-// The Text of its frames is the whole event, with the blank lines before it.
-func NewEventReader(source io.Reader) *FrameReader {
+// The Text of its frames is the whole event, with the blank lines before it. The buffer of the
+// reader is taken from a budget, which may be nil, until Close.
+func NewEventReader(source io.Reader, budget *bytebudget.Budget) *FrameReader {
 	reader := NewFrameReader(source)
+	reader.budget = budget
 	reader.wholeEvents = true
 	return reader
 }
@@ -115,12 +123,14 @@
 }
 
 // makeRoom moves the current frame to the front of the buffer. If it is there
-// already, makeRoom doubles the buffer.
+// already, makeRoom doubles the buffer. It fails with ErrFrameTooLarge at the frame's limit
+// or if the budget is used up.
 func (f *FrameReader) makeRoom() error {
 	if f.start == 0 {
-		if len(f.buffer) >= MaxFrameBytes {
+		if len(f.buffer) >= MaxFrameBytes || !f.budget.Take(int64(len(f.buffer))) {
 			return ErrFrameTooLarge
 		}
+		f.held += int64(len(f.buffer))
 		f.buffer = append(f.buffer, make([]byte, len(f.buffer))...)
 		return nil
 	}
@@ -132,6 +142,12 @@
 	return nil
 }
 
+// Close frees the buffer. The reader can't be used any more.
+func (f *FrameReader) Close() {
+	f.budget.Release(f.held)
+	f.held, f.buffer = 0, nil
+}
+
 // parseEvent parses an event, of which it reads only the ID. Each of its lines must be a comment
 // or a field of an event, so that the head of a response within a stream is no part of one.
 func parseEvent(text []byte) (Frame, error) {
--- a/pkg/target/framereader_test.go
+++ b/pkg/target/framereader_test.go
@@ -58,11 +58,11 @@
 // TestBlankLinesAreNotReady guards against an event that is held back because blank
 // lines, after which nothing follows, arrived with it.
 func TestBlankLinesAreNotReady(t *testing.T) {
-	reader := NewEventReader(strings.NewReader("id: 1\n\n\n\r\n\n\nid: 2\n\n"))
+	reader := NewEventReader(strings.NewReader("id: 1\n\n\n\r\n\n\nid: 2\n\n"), nil)
 	_, err := reader.Next()
 	must.NoError(t, err)
 	must.True(t, reader.Ready())
-	reader = NewEventReader(strings.NewReader("id: 1\n\n\n\r\n\n\n"))
+	reader = NewEventReader(strings.NewReader("id: 1\n\n\n\r\n\n\n"), nil)
 	_, err = reader.Next()
 	must.NoError(t, err)
 	must.False(t, reader.Ready())
