--- a/pkg/lease/handover_test.go
+++ b/pkg/lease/handover_test.go
@@ -11,11 +11,13 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"amaranthplank.example/amaranthplank/pkg/clock"
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/ident"
 	"amaranthplank.example/amaranthplank/pkg/lease"
 	"amaranthplank.example/amaranthplank/pkg/standin/faultstore"
+	"amaranthplank.example/amaranthplank/pkg/standin/memstore"
 )
 
 const (
@@ -49,6 +51,13 @@
 	r.highest = max(r.highest, fencing)
 }
 
+// count returns how many calls came.
+func (r *receiver) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls
+}
+
 // path is the path of one process to the store and to the receiver.
 type path struct {
 	node *node
@@ -184,13 +193,36 @@
 				time.Sleep(e.before)
 				c.disturb(e)
 			}
-			time.Sleep(15 * time.Second)
-			c.heal()
-			for _, p := range c.paths {
-				p.setCut(false)
+			c.endTrouble()
+			late, calls = c.receiver.late, c.receiver.calls
+		})
+		must.Zero(rt, late)
+		must.Positive(rt, calls)
+	})
+}
+
+// TestCallsArriveInOrderOverEras guards against the same while the store goes back to older copies,
+// whose handover records may be settled though calls are under way.
+func TestCallsArriveInOrderOverEras(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		events := rapid.SliceOfN(drawEvent(4), 1, 8).Draw(rt, "events")
+		drills := drawDrills(rt, len(events))
+		late, calls := 0, 0
+		synctest.Test(t, func(*testing.T) {
+			memory := memstore.New(clock.NewRuntime())
+			snapshot := memory.Snapshot()
+			c := newCallCluster(memory, undeliveredFor+pathStep)
+			for i, e := range events {
+				time.Sleep(e.before)
+				c.disturb(e)
+				switch drills[i] {
+				case 1:
+					snapshot = memory.Snapshot()
+				case 2:
+					memory.Restore(snapshot)
+				}
 			}
-			time.Sleep(30 * time.Second)
-			c.stop()
+			c.endTrouble()
 			late, calls = c.receiver.late, c.receiver.calls
 		})
 		must.Zero(rt, late)
@@ -198,6 +230,17 @@
 	})
 }
 
+// endTrouble lets the cluster recover, and stops it.
+func (c *callCluster) endTrouble() {
+	time.Sleep(15 * time.Second)
+	c.heal()
+	for _, p := range c.paths {
+		p.setCut(false)
+	}
+	time.Sleep(30 * time.Second)
+	c.stop()
+}
+
 // disturb injects the fault of an event.
 func (c *callCluster) disturb(e faultEvent) {
 	p := c.paths[e.node]
@@ -241,3 +284,31 @@
 		})
 	}
 }
+
+// TestUnreadableHandoverCountsAsUnsettled guards against work that begins at once, or never, after
+// another writer or an older copy of the store has left a record that is odd or of another era.
+func TestUnreadableHandoverCountsAsUnsettled(t *testing.T) {
+	const delay = 20 * time.Second
+	for name, c := range map[string]struct {
+		record  string
+		settled bool
+	}{
+		"settled": {`{"settled":true}`, true}, "other era": {`{"settled":true,"era":3}`, false}, "unsettled": {`{}`, false},
+		"empty": {"", false}, "null": {"null", false}, "no text": {"\xff", false}, "list": {"[true]", false},
+		"other types": {`{"settled":"true","writer":7}`, false}, "negative era": {`{"settled":true,"era":-1}`, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newStore()
+				_, err := store.CompareAndSwap(t.Context(), external.Swap{Key: lease.HandoverKeyOf("engines/model-0"), Value: []byte(c.record)})
+				must.NoError(t, err)
+				cluster := newCallCluster(store, delay)
+				time.Sleep(delay / 2)
+				must.Eq(t, c.settled, cluster.receiver.count() > 0)
+				time.Sleep(delay)
+				must.Positive(t, cluster.receiver.count())
+				cluster.stop()
+			})
+		})
+	}
+}
