Read a daemon's readiness before its revisions

Cause: the test's observer alone. It read the revisions first and the readiness after them, without the other goroutines being held; a daemon that loaded a revision and became ready in between looked as if it served revision 0, which no daemon can: evaluate gives no readiness before a revision is loaded (pkg/config/freshness.go).

Change: the readiness is read first. A daemon that serves an old revision is seen as before, 100 ms later at most.

--- a/pkg/config/freshness_test.go
+++ b/pkg/config/freshness_test.go
@@ -45,12 +45,14 @@
 		n.mu.Lock()
 		m, id := n.manager, fmt.Sprintf("%d/%d", n.index, n.incarnation)
 		n.mu.Unlock()
+		// The readiness comes first: a daemon may load a revision and become ready in between.
+		ready := m.Ready() == nil
 		own := m.Revisions()
 		if !own.Covers(o.highest[id]) {
 			o.violations = append(o.violations, fmt.Sprintf("%s went back from %v to %v", id, o.highest[id], own))
 		}
 		o.highest[id] = own
-		if m.Ready() != nil && (!ignoreFreshness || own.Config == 0) {
+		if !ready && (!ignoreFreshness || own.Config == 0) {
 			continue
 		}
 		o.served++
