--- a/pkg/lease/handover.go
+++ b/pkg/lease/handover.go
@@ -39,8 +39,8 @@
 	takenAt time.Duration
 	// version is that of the unsettled record, once it was written.
 	version external.Version
-	// before is whether the record before this holder's was settled.
-	before bool
+	// wasSettled is whether the record before this holder's was settled.
+	wasSettled bool
 	// begun is set once the work may begin.
 	begun bool
 }
@@ -62,7 +62,7 @@
 			return ctx.Err()
 		}
 	}
-	if !h.before {
+	if !h.wasSettled {
 		h.manager.opts.Log.Info("duty's work delayed, calls of a former holder may be under way",
 			"duty", h.authority.duty, "fencing", h.authority.fencing, "delay", delay)
 		h.waitUntil(ctx, h.takenAt+delay)
@@ -105,7 +105,7 @@
 		h.version = entry.Version
 		return nil
 	}
-	h.before = last.Settled && last.Era == era
+	h.wasSettled = last.Settled && last.Era == era
 	h.version, err = h.write(ctx, entry.Version, HandoverRecord{Writer: h.writer, Era: era})
 	return err
 }
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -67,8 +67,8 @@
 	guardCleared bool
 	// losses are the targets that may have ended under the request.
 	losses losses
-	// kind is the kind of content of the stream whose beginning the caller has.
-	kind contentKind
+	// begunKind is the kind of content of the stream whose beginning the caller has.
+	begunKind contentKind
 	// begun is set once an attempt that ended has written a part of the answer.
 	begun bool
 	// ran is set once a target has begun to run the request. The attempts of a hedged
@@ -76,23 +76,23 @@
 	ran atomic.Bool
 	// lostHedges are the attempts of a hedged request that ended because of another's answer.
 	lostHedges int
-	// held are the bytes of responses that count as held until the request ends.
-	held   atomic.Int64
-	result Result
+	// heldBytes are the bytes of responses that count as held until the request ends.
+	heldBytes atomic.Int64
+	result    Result
 }
 
-// hold counts bytes of a response as held until the request ends. It reports false if the
+// holdBytes counts bytes of a response as held until the request ends. It reports false if the
 // memory for responses is used up.
-func (c *call) hold(bytes int64) bool {
+func (c *call) holdBytes(bytes int64) bool {
 	if !c.relay.opts.Memory.Take(bytes) {
 		return false
 	}
-	c.held.Add(bytes)
+	c.heldBytes.Add(bytes)
 	return true
 }
 
-// release no longer counts the bytes of responses as held.
-func (c *call) release() { c.relay.opts.Memory.Release(c.held.Swap(0)) }
+// releaseBytes no longer counts the bytes of responses as held.
+func (c *call) releaseBytes() { c.relay.opts.Memory.Release(c.heldBytes.Swap(0)) }
 
 // newCall returns a call before its first attempt.
 func newCall(r *Relay, req *request.Request, w http.ResponseWriter) *call {
--- a/pkg/relay/continuation.go
+++ b/pkg/relay/continuation.go
@@ -24,7 +24,7 @@
 // mayContinue reports whether a response may bring the rest of the stream whose beginning the
 // caller has: a stream with content of the same kind.
 func (c *call) mayContinue(kind ResponseKind, response *http.Response) bool {
-	return kind == ResponseStream && (!c.result.ResponseStarted || kindOfContent(response).matches(c.kind))
+	return kind == ResponseStream && (!c.result.ResponseStarted || kindOfContent(response).matches(c.begunKind))
 }
 
 // eventsOf returns a reader of a response's events. If the caller has the beginning of the
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -47,7 +47,7 @@
 	c.caller = ctx
 	ctx, c.deadline = startDeadline(ctx, r.opts.Ending(), req)
 	defer c.deadline.stop()
-	defer c.release()
+	defer c.releaseBytes()
 	result := c.do(ctx)
 	c.recordEnd()
 	result.Ran, result.Deadline = c.ran.Load(), c.deadline.time()
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -106,7 +106,7 @@
 	if !a.call.result.ResponseStarted {
 		header := a.call.writer.Header()
 		a.call.relay.protocol.CopyHeaders(header, response.Header)
-		a.call.kind = kindOfContent(response)
+		a.call.begunKind = kindOfContent(response)
 		header.Set("Content-Type", eventStream)
 		header.Set("Cache-Control", "no-cache")
 		a.call.writer.WriteHeader(http.StatusOK)
--- a/pkg/relay/unary.go
+++ b/pkg/relay/unary.go
@@ -76,7 +76,7 @@
 	for len(text) < maxBufferedBytes {
 		if len(text) == cap(text) {
 			more := min(cap(text), maxBufferedBytes-cap(text))
-			if !c.hold(int64(more)) {
+			if !c.holdBytes(int64(more)) {
 				return text, false, nil
 			}
 			text = append(make([]byte, 0, cap(text)+more), text...)
