Don't delay a duty's work at the first start of the whole system

A missing record counts as settled at the first start of the whole system (`firstStart`), unless the store has come back from an older copy. A later start whose record is missing is delayed as before.

--- a/cmd/amaranthplank/hosted.go
+++ b/cmd/amaranthplank/hosted.go
@@ -127,7 +127,7 @@
 		},
 		Format: platform.CallerFormat{}, Protocol: platform.ReplicaProtocol{}, StopGrace: s.StopGrace, Limits: limitsOf(s),
 		Sink: cloud, EngineOrderer: cloud, UsageWindow: s.UsageWindow, UsageReportDeadline: s.UsageReportDeadline,
-		RoleOrderer: platform.NewRoleOrderer(s.Host), LeaseTerm: s.LeaseTerm, FencingUnchecked: !s.ChecksFencing, FileDescriptors: s.FileDescriptors, MemoryBytes: s.MemoryBytes,
+		RoleOrderer: platform.NewRoleOrderer(s.Host), LeaseTerm: s.LeaseTerm, FencingUnchecked: !s.ChecksFencing, FirstStart: s.FirstStart, FileDescriptors: s.FileDescriptors, MemoryBytes: s.MemoryBytes,
 	}
 	var err error
 	if opts.Listener, err = net.Listen("tcp", s.Callers); err != nil {
--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -40,7 +40,7 @@
 		Host: g.opts.Host, Incarnation: g.incarnation, FailureDomain: g.opts.FailureDomain,
 		Store: g.opts.Store, Clock: clock.Boot{}, Members: g.presence, Random: newRandom(),
 		Ready:  func() bool { return g.checkReady() == nil },
-		Timing: leaseTiming(&g.opts), Log: g.opts.Log, Registerer: g.registry,
+		Timing: leaseTiming(&g.opts), FirstStart: g.opts.FirstStart, Log: g.opts.Log, Registerer: g.registry,
 	})
 	reporter := &tally.Reporter{
 		Store: g.opts.Store, Sink: g.opts.Sink, Time: g.time, Window: g.opts.UsageWindow, ReportDeadline: g.opts.UsageReportDeadline,
--- a/pkg/gateway/options.go
+++ b/pkg/gateway/options.go
@@ -63,6 +63,8 @@
 	// fencing token. The work of a duty's next holder is then delayed until no call of the
 	// former one can arrive, see lease.Timing.HandoverDelay.
 	FencingUnchecked bool
+	// FirstStart is set if the whole system starts for the first time.
+	FirstStart bool
 	// LinesDropped returns the number of dropped log lines. It may be nil.
 	LinesDropped func() int64
 	// Limits are the initial limits. ApplyLimits replaces them.
--- a/pkg/lease/handover.go
+++ b/pkg/lease/handover.go
@@ -85,8 +85,9 @@
 	}
 }
 
-// open writes the unsettled record and finds out whether the one before was settled. A
-// missing record, an unreadable one or one of another era of the store counts as unsettled.
+// open writes the unsettled record and finds out whether the one before was settled. An
+// unreadable record or one of another era of the store counts as unsettled, a missing one too
+// unless the whole system starts for the first time and the store has lost nothing.
 func (h *handover) open(ctx context.Context) error {
 	m := h.manager
 	ctx, cancel := context.WithTimeout(ctx, m.timing.CallTimeout)
@@ -106,6 +107,9 @@
 		return nil
 	}
 	h.wasSettled = last.Settled && last.Era == era
+	if entry.Version == external.NoVersion {
+		h.wasSettled = m.opts.FirstStart && era == 0
+	}
 	h.version, err = h.write(ctx, entry.Version, HandoverRecord{Writer: h.writer, Era: era})
 	return err
 }
--- a/pkg/lease/handover_test.go
+++ b/pkg/lease/handover_test.go
@@ -113,6 +113,15 @@
 
 // newCallCluster returns a running cluster of four processes that compete for one duty.
 func newCallCluster(store external.Store, handoverDelay time.Duration) *callCluster {
+	c := newUnstartedCallCluster(store, handoverDelay)
+	for _, p := range c.paths {
+		c.run(p)
+	}
+	return c
+}
+
+// newUnstartedCallCluster returns the same before its start.
+func newUnstartedCallCluster(store external.Store, handoverDelay time.Duration) *callCluster {
 	timing := lease.DefaultTiming()
 	timing.TTL, timing.RenewInterval, timing.PollInterval = 3*time.Second, time.Second, time.Second
 	timing.RankWait, timing.CallTimeout, timing.HandoverDelay = 400*time.Millisecond, 900*time.Millisecond, handoverDelay
@@ -120,7 +129,6 @@
 	for _, n := range c.nodes {
 		p := &path{node: n}
 		c.paths = append(c.paths, p)
-		c.run(p)
 	}
 	return c
 }
@@ -312,3 +320,24 @@
 		})
 	}
 }
+
+// TestFirstStartIsNotDelayed guards against a delay at the first start of the whole system, and
+// against none at a later one whose record is missing.
+func TestFirstStartIsNotDelayed(t *testing.T) {
+	const delay = 20 * time.Second
+	for _, first := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newUnstartedCallCluster(newStore(), delay)
+			for _, p := range c.paths {
+				p.node.options.FirstStart = first
+				p.node.manager = lease.NewManager(p.node.options)
+				c.run(p)
+			}
+			time.Sleep(delay / 2)
+			must.Eq(t, first, c.receiver.count() > 0)
+			time.Sleep(delay)
+			must.Positive(t, c.receiver.count())
+			c.stop()
+		})
+	}
+}
--- a/pkg/lease/options.go
+++ b/pkg/lease/options.go
@@ -25,9 +25,12 @@
 	Members membership.View
 	// Ready reports whether the process has a usable view of the fleet. A
 	// process that is not ready acquires no duty. Nil means always ready.
-	Ready  func() bool
-	Timing Timing
-	Log    *slog.Logger
+	Ready func() bool
+	// FirstStart is set if the whole system starts for the first time, so that no process has
+	// held a duty before unless the store has its handover record.
+	FirstStart bool
+	Timing     Timing
+	Log        *slog.Logger
 	// Random is the source of jitter. The manager guards it with a mutex.
 	Random *rand.Rand
 	// Registerer registers the metrics; nil leaves them unregistered.
