Leave begun answers alone at the end of a stop

Cause: all requests ended 250 ms before the kill, also those whose answer had begun. Such an answer may still end in time, and an end can't replace it by a failure.

Change: only requests whose answer has not begun end then.

Result: go test -race ./pkg/relay and TestChangesCutNoRequest, the tests of stops and of the grace period in platform hold.

--- a/pkg/relay/deadline.go
+++ b/pkg/relay/deadline.go
@@ -24,8 +24,8 @@
 	begun, passed bool
 }
 
-// startDeadline returns a context that ends at the request's deadline or with the process's
-// ending, and the deadline.
+// startDeadline returns a context that ends at the request's deadline, or with the process's
+// ending unless the answer has begun, and the deadline.
 func startDeadline(ctx, ending context.Context, req *request.Request) (context.Context, *deadline) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	d := &deadline{cancel: cancel, later: req.LaterDeadline, at: req.Deadline}
@@ -40,11 +40,12 @@
 	return ctx, d
 }
 
-// pass makes the deadline pass now.
+// pass makes the deadline pass now, unless the answer has begun: it may still end before the kill,
+// and can't be replaced by a failure.
 func (d *deadline) pass() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.passed {
+	if !d.passed && !d.begun {
 		d.timer.Stop()
 		d.at = time.Now()
 		d.end(context.DeadlineExceeded)
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -51,7 +51,7 @@
 	// requests together. Nil sets no bound.
 	Memory *bytebudget.Budget
 	// Ending returns a context that is canceled shortly before the process is killed, which
-	// ends all requests so that they are answered. Nil means that the process is never killed.
+	// ends all requests whose answer has not begun, so that they are answered. Nil means that the process is never killed.
 	Ending func() context.Context
 	// Log may be nil.
 	Log *slog.Logger
