--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -84,7 +84,7 @@
 	t.PollInterval, t.RankWait, t.CallTimeout = dutyPollInterval, rankWait, dutyCallTimeout
 	t.ReleaseFor = opts.StopGrace * releaseShare / graceParts
 	if opts.FencingUnchecked {
-		t.HandoverDelay = target.UndeliveredFor
+		t.HandoverDelay = max(target.UndeliveredFor, opts.LeaseTerm)
 	}
 	return t
 }
--- a/pkg/gateway/duties_test.go
+++ b/pkg/gateway/duties_test.go
@@ -16,4 +16,6 @@
 	must.Zero(t, leaseTiming(&opts).HandoverDelay)
 	opts.FencingUnchecked = true
 	must.Eq(t, target.UndeliveredFor, leaseTiming(&opts).HandoverDelay)
+	opts.LeaseTerm = 2 * target.UndeliveredFor
+	must.Eq(t, opts.LeaseTerm, leaseTiming(&opts).HandoverDelay)
 }
--- a/pkg/lease/handover.go
+++ b/pkg/lease/handover.go
@@ -24,23 +24,29 @@
 type HandoverRecord struct {
 	Writer Writer       `json:"writer"`
 	Era    external.Era `json:"era,omitempty"`
+	// Before is the last other host that held the duty before the writer's.
+	Before ident.Host `json:"before,omitempty"`
 	// Settled is set by a holder that has stopped if no call of it, or of one before it, can
 	// take effect any more.
 	Settled bool `json:"settled,omitempty"`
 }
 
 // handover separates the calls of one holder of a duty from those of former holders: the
-// work begins once none of the latter can take effect any more.
+// work begins once none of the latter can take effect any more. A host whose successor hands the
+// duty back to it waits as long, so that two hosts don't take turns within that time.
 type handover struct {
 	manager   *Manager
 	authority *dutyAuthority
 	writer    Writer
-	// takenAt is when this process found that it holds the duty.
+	// takenAt is when this process took the duty, by its own reading.
 	takenAt time.Duration
 	// version is that of the unsettled record, once it was written.
 	version external.Version
-	// wasSettled is whether the record before this holder's was settled.
-	wasSettled bool
+	// wasSettled is whether the record before this holder's was settled, returns whether this
+	// host held the duty before the last other one.
+	wasSettled, returns bool
+	// before is the last other host that held the duty.
+	before ident.Host
 	// begun is set once the work may begin.
 	begun bool
 }
@@ -62,9 +68,9 @@
 			return ctx.Err()
 		}
 	}
-	if !h.wasSettled {
-		h.manager.opts.Log.Info("duty's work delayed, calls of a former holder may be under way",
-			"duty", h.authority.duty, "fencing", h.authority.fencing, "delay", delay)
+	if !h.wasSettled || h.returns {
+		h.manager.opts.Log.Info("duty's work delayed", "duty", h.authority.duty, "fencing", h.authority.fencing,
+			"settled", h.wasSettled, "returns", h.returns, "delay", delay)
 		h.waitUntil(ctx, h.takenAt+delay)
 	}
 	if err := ctx.Err(); err != nil {
@@ -110,7 +116,11 @@
 	if entry.Version == external.NoVersion {
 		h.wasSettled = m.opts.FirstStart && era == 0
 	}
-	h.version, err = h.write(ctx, entry.Version, HandoverRecord{Writer: h.writer, Era: era})
+	h.before, h.returns = last.Writer.Host, last.Before == h.writer.Host
+	if last.Writer.Host == h.writer.Host {
+		h.before, h.returns = last.Before, false
+	}
+	h.version, err = h.write(ctx, entry.Version, HandoverRecord{Writer: h.writer, Era: era, Before: h.before})
 	return err
 }
 
@@ -124,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), m.timing.CallTimeout)
 	defer cancel()
 	era, _ := external.EraOf(m.opts.Store)
-	if _, err := h.write(ctx, h.version, HandoverRecord{Writer: h.writer, Era: era, Settled: true}); err != nil {
+	if _, err := h.write(ctx, h.version, HandoverRecord{Writer: h.writer, Era: era, Before: h.before, Settled: true}); err != nil {
 		m.opts.Log.Info("duty's handover not settled, the next holder waits", "duty", h.authority.duty, "error", err)
 	}
 }
--- a/pkg/lease/handover_test.go
+++ b/pkg/lease/handover_test.go
@@ -36,12 +36,18 @@
 	mu      sync.Mutex
 	highest ident.FencingToken
 	calls   int
-	// late counts calls that came after one with a higher fencing token.
-	late int
+	// late counts calls that came after one with a higher fencing token, turns those that came
+	// within undeliveredFor after one of the same host with one of another host in between.
+	late, turns int
+	// last is the host of the last call, left when the calls of each other host ended.
+	last ident.Host
+	left map[ident.Host]time.Time
+	// lastAt is when the last call came.
+	lastAt time.Time
 }
 
-// take takes one call.
-func (r *receiver) take(fencing ident.FencingToken) {
+// take takes one call of a host.
+func (r *receiver) take(host ident.Host, fencing ident.FencingToken) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.calls++
@@ -49,6 +55,23 @@
 		r.late++
 	}
 	r.highest = max(r.highest, fencing)
+	if r.left == nil {
+		r.left = make(map[ident.Host]time.Time)
+	}
+	if host != r.last {
+		r.left[r.last] = r.lastAt
+		if left, ok := r.left[host]; ok && time.Since(left) < undeliveredFor {
+			r.turns++
+		}
+	}
+	r.last, r.lastAt = host, time.Now()
+}
+
+// disorder returns how many calls were late or of hosts that take turns.
+func (r *receiver) disorder() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.late + r.turns
 }
 
 // count returns how many calls came.
@@ -74,14 +97,14 @@
 // arrives if the path heals within undeliveredFor.
 func (p *path) send(ctx context.Context, r *receiver, fencing ident.FencingToken) error {
 	if !p.cut.Load() {
-		r.take(fencing)
+		r.take(p.node.host, fencing)
 		return nil
 	}
 	go func() {
 		for range undeliveredFor / pathStep {
 			time.Sleep(pathStep)
 			if !p.cut.Load() {
-				r.take(fencing)
+				r.take(p.node.host, fencing)
 				return
 			}
 		}
@@ -159,7 +182,7 @@
 	return nil
 }
 
-// cutHolder cuts the holder's path for a while and returns how many calls were late.
+// cutHolder cuts the holder's path for a while and returns how many calls were out of order.
 func cutHolder(handoverDelay, cut time.Duration) (late, calls int) {
 	c := newCallCluster(newStore(), handoverDelay)
 	time.Sleep(10 * time.Second)
@@ -169,7 +192,7 @@
 	p.setCut(false)
 	time.Sleep(15 * time.Second)
 	c.stop()
-	return c.receiver.late, c.receiver.calls
+	return c.receiver.disorder(), c.receiver.calls
 }
 
 // TestCallsOfFormerHolderArriveBeforeSuccessors guards against a call of a process that no longer
@@ -202,7 +225,7 @@
 				c.disturb(e)
 			}
 			c.endTrouble()
-			late, calls = c.receiver.late, c.receiver.calls
+			late, calls = c.receiver.disorder(), c.receiver.calls
 		})
 		must.Zero(rt, late)
 		must.Positive(rt, calls)
@@ -231,7 +254,7 @@
 				}
 			}
 			c.endTrouble()
-			late, calls = c.receiver.late, c.receiver.calls
+			late, calls = c.receiver.disorder(), c.receiver.calls
 		})
 		must.Zero(rt, late)
 		must.Positive(rt, calls)
@@ -341,3 +364,28 @@
 		})
 	}
 }
+
+// TestHostsDoNotTakeTurns guards against a duty that goes to another host and back within the
+// time of a lease by two orderly ends, after each of which the work of the next holder begins at once.
+func TestHostsDoNotTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newUnstartedCallCluster(newStore(), undeliveredFor+pathStep)
+		c.nodes, c.paths = c.nodes[:2], c.paths[:2]
+		for _, p := range c.paths {
+			c.run(p)
+		}
+		time.Sleep(10 * time.Second)
+		for range 6 {
+			p := c.holding()
+			before := c.receiver.count()
+			p.node.cancel()
+			p.node.work.Wait()
+			for c.holding() == p || c.receiver.count() == before {
+				time.Sleep(pathStep)
+			}
+			c.run(p)
+		}
+		c.stop()
+		must.Zero(t, c.receiver.disorder())
+	})
+}
--- a/pkg/lease/timing.go
+++ b/pkg/lease/timing.go
@@ -29,9 +29,10 @@
 	// CallTimeout bounds one call to the store.
 	CallTimeout time.Duration
 	// HandoverDelay is how long after a change of holder a call of the former one may still
-	// take effect. The work of a new holder begins that much later, unless the former one
-	// has recorded that all its calls were answered. Zero stands for receivers that refuse
-	// old fencing tokens themselves.
+	// take effect, and within which two hosts must not take turns. The work of a new holder
+	// begins that much later, unless the former one has recorded that all its calls were
+	// answered and took the duty from another host. Zero stands for receivers that refuse old
+	// fencing tokens themselves.
 	HandoverDelay time.Duration
 	// ReleaseFor is how long a stopping holder keeps trying to release its duty.
 	ReleaseFor time.Duration
