Refuse by its head what can't end before a stop

A stopping daemon refused a request only once its body was there, though host, path and deadline, all in its head, showed that it could not end in time.

Change: where the format describes a request without its body, the same check is made before the body is read.

--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -131,6 +131,9 @@
 	if s.caller.workspace == "" && !snapshot.MayBeOpen(s.httpReq.Host, s.httpReq.URL.Path) {
 		return errInvalidKey
 	}
+	if err := s.checkTimeLeftByHead(snapshot); err != nil {
+		return err
+	}
 	body, err := s.readBody(snapshot)
 	if err != nil {
 		return err
--- a/pkg/entry/timeleft.go
+++ b/pkg/entry/timeleft.go
@@ -35,6 +35,25 @@
 	return nil
 }
 
+// checkTimeLeftByHead returns an error if the head of a request shows already that a stopping
+// daemon may be killed before it ends, so that its caller need not send the body. A request whose
+// format describes it only with its body passes.
+func (s *session) checkTimeLeftByHead(snapshot *config.Snapshot) error {
+	left, stopping := s.handler.opts.TimeLeft()
+	if !stopping || !s.handler.opts.BalancerAway() {
+		return nil
+	}
+	description, err := s.handler.opts.Format.Describe(s.httpReq, nil)
+	if err != nil {
+		return nil //nolint:nilerr // It is described again with its body.
+	}
+	req, err := buildRequest(snapshot, s.httpReq, s.id, s.caller, &description, nil)
+	if err == nil && time.Until(req.Deadline)+EndingMargin > left {
+		return errStopping
+	}
+	return nil //nolint:nilerr // As above.
+}
+
 // timeNeeded returns how long the request may take on a stopping daemon.
 func (s *session) timeNeeded() time.Duration {
 	need := time.Until(s.req.Deadline)
