--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -50,8 +50,9 @@
 	// Memory bounds the bytes of responses that are held before they are forwarded, of all
 	// requests together. Nil sets no bound.
 	Memory *bytebudget.Budget
-	// Ending returns a context that is canceled shortly before the process is killed, which
-	// ends all requests whose answer has not begun, so that they are answered. Nil means that the process is never killed.
+	// Ending returns a context that is canceled shortly before the process is killed. All
+	// requests whose answer has not begun end with it, so that they are answered. Nil means
+	// that the process is never killed.
 	Ending func() context.Context
 	// Log may be nil.
 	Log *slog.Logger
--- a/pkg/target/calldialer.go
+++ b/pkg/target/calldialer.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 	"sync/atomic"
-
-	"amaranthplank.example/amaranthplank/pkg/lease"
 )
 
 // DialCall connects like NewDialer's dialer, for calls that must not take effect after their
@@ -13,25 +11,28 @@
 // closed in order, for as long as the path is cut. So a connection that is closed before the other
 // end has answered is reset: the kernel discards what was not delivered.
 func DialCall(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := NewDialer().DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+	return dialCall(ctx, network, address, func() error { return nil })
+}
+
+// NewCheckedDial returns a Dial like DialCall, for connections that each bring one call. A
+// connection writes nothing more once check fails for the context of its call, and the write
+// fails with that error.
+func NewCheckedDial(check func(ctx context.Context) error) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		return dialCall(ctx, network, address, func() error { return check(ctx) })
 	}
-	return &callConn{Conn: c, check: func() error { return nil }}, nil
 }
 
-// DialDutyCall connects like DialCall, for one call of a duty, whose connection is not used for
-// others. A write fails with lease.ErrLost once the authority that ctx carries has ended, so that
-// a process that stood still after it had begun the call sends nothing.
-func DialDutyCall(ctx context.Context, network, address string) (net.Conn, error) {
+// dialCall makes a connection that writes only while check returns nil.
+func dialCall(ctx context.Context, network, address string, check func() error) (net.Conn, error) {
 	c, err := NewDialer().DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return &callConn{Conn: c, check: func() error { return lease.CheckCall(ctx) }}, nil
+	return &callConn{Conn: c, check: check}, nil
 }
 
-// callConn is a connection of DialCall or DialDutyCall.
+// callConn is a connection of DialCall or NewCheckedDial.
 type callConn struct {
 	net.Conn
 
