Move rigs and measurements of tests into files of their own

Two tests that only print tables of the pages, and skipped themselves otherwise, have the build tag measure instead: TestSlopes (pkg/lease) and TestCompareStrategies (pkg/dissemination).

--- a/pkg/dissemination/bounds_test.go
+++ b/pkg/dissemination/bounds_test.go
@@ -1,10 +1,6 @@
 package dissemination
 
 import (
-	"fmt"
-	"os"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -32,39 +28,3 @@
 	costly := measure(newFleet(16, Epidemic{8, 8}, 1), scenario{}, 5*time.Second)
 	must.Greater(t, maxControlBytes, costly.worst)
 }
-
-// fleetSizes returns the fleet sizes from the environment.
-func fleetSizes() []int {
-	var sizes []int
-	for _, field := range strings.Fields(os.Getenv("AMARANTHPLANK_COMPARE")) {
-		n, err := strconv.Atoi(field)
-		if err == nil {
-			sizes = append(sizes, n)
-		}
-	}
-	return sizes
-}
-
-// TestCompareStrategies prints the table of docs/DECISIONS/dissemination.md.
-func TestCompareStrategies(t *testing.T) {
-	if os.Getenv("AMARANTHPLANK_COMPARE") == "" {
-		t.Skip("set AMARANTHPLANK_COMPARE to the sizes, such as \"8 64 330\"")
-	}
-	candidates := []Strategy{Flat{}, Epidemic{2, 8}, Epidemic{3, 8}, Trees{2}, Trees{4}}
-	scenarios := []scenario{
-		{"5% loss, 10% restarting", 0.05, 0.1, false},
-		{"the same, half cut off for 15 s", 0.05, 0.1, true},
-	}
-	for _, s := range scenarios {
-		fmt.Printf("%s\n%-28s    sent   worst     p50     p99     max  change   gaps\n", s.name, "")
-		for _, size := range fleetSizes() {
-			for _, c := range candidates {
-				if !strings.Contains(fmt.Sprintf("%T%v", c, c), os.Getenv("AMARANTHPLANK_CANDIDATE")) {
-					continue
-				}
-				r := measure(newFleet(size, c, 1), s, time.Minute)
-				fmt.Printf("%4d %-23s %s\n", size, fmt.Sprintf("%T%v", c, c), r.String())
-			}
-		}
-	}
-}
--- a/pkg/lease/slope_test.go
+++ b/pkg/lease/slope_test.go
@@ -1,7 +1,6 @@
 package lease_test
 
 import (
-	"flag"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,19 +93,3 @@
 		must.LessEq(t, bound, gap)
 	}
 }
-
-// slopes enables the measurement that docs/CAPACITY.md quotes.
-var slopes = flag.Bool("slopes", false, "measure store calls at several sizes")
-
-// TestSlopes prints the store call rates that the docs quote. It asserts nothing.
-func TestSlopes(t *testing.T) {
-	if !*slopes {
-		t.Skip("measurement only, run with -slopes")
-	}
-	for _, hosts := range []int{8, 32, 128, designHosts} {
-		for _, duties := range []int{2, designDuties} {
-			got := steadyRates(t, hosts, duties)
-			t.Logf("%3d hosts, %2d duties: %.1f reads/s, %.1f writes/s", hosts, duties, got.reads, got.writes)
-		}
-	}
-}
