--- a/pkg/dissemination/compare_test.go
+++ b/pkg/dissemination/compare_test.go
@@ -27,9 +27,12 @@
 // TestCompareStrategies prints the table of docs/DECISIONS/dissemination.md.
 func TestCompareStrategies(*testing.T) {
 	candidates := []Strategy{Flat{}, Epidemic{2, 8}, Epidemic{3, 8}, Trees{2}, Trees{4}}
-	scenarios := []scenario{
-		{"5% loss, 10% restarting", 0.05, 0.1, false},
-		{"the same, half cut off for 15 s", 0.05, 0.1, true},
+	scenarios := []struct {
+		name string
+		scenario
+	}{
+		{"5% loss, 10% restarting", scenario{loss: 0.05, restarts: 0.1}},
+		{"the same, half cut off for 15 s", scenario{loss: 0.05, restarts: 0.1, partitioned: true}},
 	}
 	for _, s := range scenarios {
 		fmt.Printf("%s\n%-28s    sent   worst     p50     p99     max  change   gaps\n", s.name, "")
@@ -38,7 +41,7 @@
 				if !strings.Contains(fmt.Sprintf("%T%v", c, c), os.Getenv("AMARANTHPLANK_CANDIDATE")) {
 					continue
 				}
-				r := measure(newFleet(size, c, 1), s, time.Minute)
+				r := measure(newFleet(size, c, 1), s.scenario, time.Minute)
 				fmt.Printf("%4d %-23s %s\n", size, fmt.Sprintf("%T%v", c, c), r.String())
 			}
 		}
--- a/pkg/dissemination/measure_test.go
+++ b/pkg/dissemination/measure_test.go
@@ -41,7 +41,6 @@
 
 // scenario is the faults of a simulation.
 type scenario struct {
-	name        string
 	loss        float64
 	restarts    float64
 	partitioned bool
--- a/pkg/entry/timeleft.go
+++ b/pkg/entry/timeleft.go
@@ -51,7 +51,7 @@
 	if err == nil && time.Until(req.Deadline)+EndingMargin > left {
 		return errStopping
 	}
-	return nil //nolint:nilerr // As above.
+	return nil
 }
 
 // timeNeeded returns how long the request may take on a stopping daemon.
