--- /dev/null
+++ b/review/rig-2/poison.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+func init() { cases["poison"] = poisonCase }
+
+const (
+	// sharedParts is how many parts the prompts share, and badPart the place of the one that
+	// crashes replicas, from 1.
+	sharedParts = 70
+	badPart     = 10
+	// contact is contactMs of the settings.
+	contact = 3 * time.Second
+	// away is how long a replica is away after a crash.
+	away = 3 * time.Second
+)
+
+// poisonCase sends prompts of many parts, one of which crashes each replica that begins to write an
+// answer on it.
+func poisonCase(w *world) int {
+	w.configure(configText)
+	engines, err := w.addEngines("counting", 2, 8)
+	if err != nil {
+		return unable
+	}
+	shared := sharedParts
+	if os.Getenv("RIG_FEW_PARTS") != "" {
+		shared = 20
+	}
+	var mu sync.Mutex
+	var crashes, reached []time.Time
+	bad := fmt.Sprintf("%04x", 0xaa00+badPart)
+	for _, e := range engines {
+		e.run = func(r *replica, answer http.ResponseWriter, q *http.Request, body string) {
+			if !strings.Contains(q.Header.Get(name("prompt")), bad+":") {
+				e.stream(r, answer, q, body)
+				return
+			}
+			mu.Lock()
+			crashes = append(crashes, time.Now())
+			mu.Unlock()
+			w.note("%s crashes under %s", r.id, q.Header.Get("X-Request-Id"))
+			go func() {
+				r.crash()
+				time.Sleep(away)
+				_ = r.again()
+			}()
+			abort()
+		}
+		begin := e.before
+		e.before = func(r *replica, answer http.ResponseWriter, q *http.Request, a *arrival) bool {
+			if strings.Contains(q.Header.Get(name("prompt")), bad+":") {
+				mu.Lock()
+				reached = append(reached, a.at)
+				mu.Unlock()
+			}
+			return begin(r, answer, q, a)
+		}
+	}
+	for range 3 {
+		w.addDaemon("")
+	}
+	if !w.startAll() {
+		return unable
+	}
+	time.Sleep(3500 * time.Millisecond)
+	parts := make([]string, 0, shared)
+	for i := 1; i <= shared; i++ {
+		if w.trouble || i != badPart {
+			parts = append(parts, fmt.Sprintf("%04x:40", 0xaa00+i))
+		}
+	}
+	answered := 0
+	for n := range 50 {
+		id := fmt.Sprintf("%016x", 0x3000+n)
+		header := append(callerHeader(id, 5000), "X-Model: m", fmt.Sprintf("%s: %d,4", name("tokens"), 40*len(parts)+300),
+			fmt.Sprintf("%s: %s,%06x:300", name("prompt"), strings.Join(parts, ","), 0xb00000+n))
+		d := w.daemons[n%len(w.daemons)]
+		go func() {
+			a := d.once("POST", "/check/x", shop, header, fmt.Sprint("question ", n), 6*time.Second)
+			w.note("request %s to %s: %s", id, d.name, a)
+			if a.status == 200 && a.whole {
+				mu.Lock()
+				answered++
+				mu.Unlock()
+			}
+		}()
+		time.Sleep(700 * time.Millisecond)
+	}
+	time.Sleep(4 * time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	late := 0
+	if len(crashes) >= 5 {
+		for _, at := range reached {
+			if at.After(crashes[4].Add(contact)) {
+				late++
+			}
+		}
+	}
+	w.note("%d crashes; %d such requests reached replicas later than contactMs after the fifth; %d answered", len(crashes), late, answered)
+	switch {
+	case late > 3:
+		return broken
+	case !w.trouble && answered < 45:
+		return unable
+	}
+	return held
+}
--- a/review/rig-2/target.go
+++ b/review/rig-2/target.go
@@ -38,16 +38,16 @@
 		return unable
 	}
 	time.Sleep(3500 * time.Millisecond)
-	targets := []string{"/read/balance?item=7%23b", "/read/a%7Cb", "/read/caf%C3%A9", "/read/%7Bid%7D", "/read/a%22b", "/read/a%5Eb"}
+	targets := []string{"/post/adjust?item=rice%232&by=-40", "/post/caf%C3%A9?by=1", "/post/a%7Cb?by=1", "/post/%7Bid%7D?by=1"}
 	if w.trouble {
-		targets = []string{"/read/balance?item=7#b", "/read/a|b", "/read/caf\xc3\xa9", "/read/{id}", "/read/a\"b", "/read/a^b"}
+		targets = []string{"/post/adjust?item=rice#2&by=-40", "/post/caf\xc3\xa9?by=1", "/post/a|b?by=1", "/post/{id}?by=1"}
 	}
 	sent := map[string]string{}
 	verdict := held
 	for i, target := range targets {
 		id := fmt.Sprintf("%016x", 0x1000+i)
 		sent[id] = target
-		a := w.daemons[i%2].once("GET", target, shop, callerHeader(id, 3000), "", 3*time.Second)
+		a := w.daemons[i%2].once("POST", target, shop, callerHeader(id, 3000), "", 3*time.Second)
 		w.note("request %s for %q to %s: %s", id, target, w.daemons[i%2].name, a)
 		if a.err != nil {
 			verdict = unable
