--- a/review/rig-2/engines.go
+++ b/review/rig-2/engines.go
@@ -167,6 +167,8 @@
 
 // promptHeader describes a prompt with a shared part and one of its own.
 func promptHeader(shared string, sharedTokens int, own string, ownTokens, output int) []string {
-	return []string{"X-Model: m", fmt.Sprintf("%s: %d,%d", name("tokens"), sharedTokens+ownTokens, output),
-		fmt.Sprintf("%s: %s:%d,%s:%d", name("prompt"), shared, sharedTokens, own, ownTokens)}
+	return []string{
+		"X-Model: m", fmt.Sprintf("%s: %d,%d", name("tokens"), sharedTokens+ownTokens, output),
+		fmt.Sprintf("%s: %s:%d,%s:%d", name("prompt"), shared, sharedTokens, own, ownTokens),
+	}
 }
--- a/review/rig-2/replica.go
+++ b/review/rig-2/replica.go
@@ -45,8 +45,10 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{world: w, id: id, service: service, stage: stage, version: "v1", zone: "z1", slots: slots, state: "ready",
-		address: listener.Addr().String(), born: time.Now().UnixMilli(), quit: make(chan struct{})}
+	r := &replica{
+		world: w, id: id, service: service, stage: stage, version: "v1", zone: "z1", slots: slots, state: "ready",
+		address: listener.Addr().String(), born: time.Now().UnixMilli(), quit: make(chan struct{}),
+	}
 	r.serve(listener)
 	r.register()
 	go r.beat()
@@ -78,8 +80,10 @@
 // register writes the replica's entry.
 func (r *replica) register() {
 	r.mu.Lock()
-	entry := map[string]any{"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots,
-		"state": r.state, name("cold"): 0, "sequence": 0, "born": r.born}
+	entry := map[string]any{
+		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots,
+		"state": r.state, name("cold"): 0, "sequence": 0, "born": r.born,
+	}
 	if r.stage != "" {
 		entry["stage"] = r.stage
 		entry["models"] = []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}
@@ -122,8 +126,10 @@
 	}
 	id := q.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
-	a := arrival{at: time.Now(), id: id, method: q.Method, target: q.RequestURI, body: string(body), header: q.Header.Clone(),
-		prefill: q.Header.Get(name("stage")) == "prefill"}
+	a := arrival{
+		at: time.Now(), id: id, method: q.Method, target: q.RequestURI, body: string(body), header: q.Header.Clone(),
+		prefill: q.Header.Get(name("stage")) == "prefill",
+	}
 	if q.Header.Get(name("target")) != r.id {
 		w.Header().Set(name("notRun"), "1")
 		w.WriteHeader(421)
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -196,7 +196,7 @@
 	defer log.Close()
 	process := exec.Command(repository()+"/target/amaranthplank", "-platform")
 	process.Dir = repository()
-	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "AMARANTHPLANK_SETTINGS=" + path}
+	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), name("settings") + "=" + path}
 	process.Stdout, process.Stderr = log, log
 	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
