--- a/review/rig-2/poison.go
+++ b/review/rig-2/poison.go
@@ -23,6 +23,11 @@
 const (
 	// soundPieces is how many events a sound answer has.
 	soundPieces = 20
+	// badRequests requests with the bad part come in 20 s, and other callers' sound ones in
+	// between: 3 in 100 are bad.
+	badRequests = 24
+	badEvery    = 830 * time.Millisecond
+	soundEvery  = 25 * time.Millisecond
 	// badPart is the place of the part that crashes replicas, from 1.
 	badPart = 10
 	// contact is contactMs of the settings.
@@ -97,7 +102,7 @@
 	stop := make(chan struct{})
 	others := w.soundStreams(stop)
 	answered := 0
-	for n := range 50 {
+	for n := range badRequests {
 		id := fmt.Sprintf("%016x", 0x3000+n)
 		header := append(callerHeader(id, 5000), "X-Model: m", fmt.Sprintf("%s: %d,4", name("tokens"), 40*len(parts)+300),
 			fmt.Sprintf("%s: %s,%06x:300", name("prompt"), strings.Join(parts, ","), 0xb00000+n))
@@ -111,7 +116,7 @@
 				mu.Unlock()
 			}
 		}()
-		time.Sleep(700 * time.Millisecond)
+		time.Sleep(badEvery)
 	}
 	close(stop)
 	time.Sleep(4 * time.Second)
@@ -130,7 +135,7 @@
 	switch {
 	case late > 3:
 		return broken
-	case !w.trouble && answered < 45:
+	case !w.trouble && answered < badRequests-2:
 		return unable
 	}
 	return held
@@ -156,7 +161,7 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(150 * time.Millisecond):
+			case <-time.After(soundEvery):
 			}
 			go func() {
 				header := append(callerHeader(fmt.Sprintf("%016x", 0x900000+n), 3000), promptHeader("dd01", 92, fmt.Sprintf("e%05x", n), 291, 3)...)
