--- a/review/rig-2/poison.go
+++ b/review/rig-2/poison.go
@@ -78,7 +78,8 @@
 		}
 		begin := e.before
 		e.before = func(r *replica, answer http.ResponseWriter, q *http.Request, a *arrival) bool {
-			if strings.Contains(q.Header.Get(name("prompt")), bad+":") {
+			// A prompt that is read apart is the same request: it counts where the answer is written.
+			if !a.prefill && strings.Contains(q.Header.Get(name("prompt")), bad+":") {
 				mu.Lock()
 				reached = append(reached, a.at)
 				mu.Unlock()
