--- a/cmd/amaranthctl/main.go
+++ b/cmd/amaranthctl/main.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"amaranthplank.example/amaranthplank/pkg/ctl"
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 )
 
 // clientTimeout bounds one request to a daemon.
@@ -23,6 +24,7 @@
 func run() ctl.ExitCode {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	env := ctl.Env{Out: os.Stdout, Err: os.Stderr, Client: &http.Client{Timeout: clientTimeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone() //nolint:forcetypeassert // It is one by default.
+	env := ctl.Env{Out: os.Stdout, Err: os.Stderr, Client: &http.Client{Timeout: clientTimeout, Transport: responsecheck.New(transport)}}
 	return ctl.Run(ctx, env, ctl.Commands(), os.Args[1:])
 }
--- a/pkg/ctl/load.go
+++ b/pkg/ctl/load.go
@@ -14,6 +14,7 @@
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/load"
 	"amaranthplank.example/amaranthplank/pkg/request"
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 )
 
 // keyVariable is the environment variable that may hold the caller's key. There is
@@ -70,7 +71,7 @@
 		env.errorf("%v", err)
 		return ExitUsage
 	}
-	f.caller.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}}
+	f.caller.Client = &http.Client{Transport: responsecheck.New(&http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true})}
 	report := load.Run(ctx, &f.plan, &f.caller).Finish()
 	f.caller.Client.CloseIdleConnections()
 	f.print(env, report)
--- a/pkg/daemon/view.go
+++ b/pkg/daemon/view.go
@@ -6,6 +6,7 @@
 	"amaranthplank.example/amaranthplank/pkg/dissemination"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/ident"
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 	"amaranthplank.example/amaranthplank/pkg/targetwatch"
 )
 
@@ -18,7 +19,7 @@
 	})
 	d.targets = targetwatch.NewShared(targetwatch.Options{
 		Self: d.opts.Host, Orderer: d.opts.Targets, Dissemination: d.disseminator, Members: d.members,
-		Holds: heldTargets{config: d.config}, Client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+		Holds: heldTargets{config: d.config}, Client: &http.Client{Transport: responsecheck.New(&http.Transport{DisableCompression: true})},
 		Credential: d.opts.Credential, Events: d.applyCacheEvents, Log: d.opts.Log,
 	})
 }
--- a/pkg/external/httpclient/client.go
+++ b/pkg/external/httpclient/client.go
@@ -13,6 +13,7 @@
 
 	"amaranthplank.example/amaranthplank/pkg/external/wire"
 	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 )
 
 const (
@@ -39,7 +40,7 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	return &Client{base: base, client: &http.Client{Transport: transport}}
+	return &Client{base: base, client: &http.Client{Transport: responsecheck.New(transport)}}
 }
 
 const (
--- a/pkg/peer/dial.go
+++ b/pkg/peer/dial.go
@@ -11,6 +11,7 @@
 	"github.com/coder/websocket"
 
 	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 )
 
 // runDialers runs one dialer for each configured peer whose host name is higher
@@ -82,7 +83,7 @@
 	}
 	handshakeCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	conn, _, err := websocket.Dial(handshakeCtx, url, &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}}) //nolint:bodyclose // The library closes the body.
+	conn, _, err := websocket.Dial(handshakeCtx, url, &websocket.DialOptions{HTTPClient: &http.Client{Transport: responsecheck.New(transport)}}) //nolint:bodyclose // The library closes the body.
 	if err != nil {
 		return err
 	}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -139,7 +139,7 @@
 			return decision, err
 		}
 		if !a.waitBeforeResume(ctx) {
-			err = a.call.classify(ctx, ctx.Err())
+			err = a.classify(ctx, ctx.Err())
 			continue
 		}
 		err = a.resume(ctx)
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -66,7 +66,7 @@
 	if e.trace.Abort() {
 		a.advanceTo(retry.Sent)
 	}
-	e.err = a.call.classify(ctx, err)
+	e.err = a.classify(ctx, err)
 }
 
 // newTargetRequest returns the TargetRequest from which the protocol builds its request.
@@ -92,7 +92,7 @@
 	response, trace, err := a.send(outgoing, target.ReuseNone)
 	if err != nil {
 		trace.Abort()
-		return a.call.classify(w.ctx, err)
+		return a.classify(w.ctx, err)
 	}
 	if resumer.StreamGone(response) {
 		return discard(response, trace, retry.StreamGone, errStreamGone)
--- a/pkg/relay/failure.go
+++ b/pkg/relay/failure.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 	"amaranthplank.example/amaranthplank/pkg/retry"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
@@ -67,9 +68,20 @@
 	return retry.ConnectionLost
 }
 
-// classify wraps a connection error with the failure that caused it.
-func (c *call) classify(ctx context.Context, err error) error {
-	return &exchangeError{failure: c.failureFor(ctx, err), cause: err}
+// classify wraps a connection error with the failure that caused it. It counts and logs a malformed
+// response.
+func (a *attempt) classify(ctx context.Context, err error) error {
+	c := a.call
+	if malformed := responsecheck.As(err); malformed != nil {
+		c.relay.metrics.malformed.WithLabelValues(string(malformed.Reason)).Inc()
+		c.relay.opts.Log.Info("malformed response", "request", c.req.ID, "target", a.target, "reason", malformed.Reason, "error", malformed)
+	}
+	failure := c.failureFor(ctx, err)
+	if failure == retry.Mismatch && a.phase == retry.Unsent {
+		// What came before the request was sent is no response to it.
+		failure = retry.ConnectionLost
+	}
+	return &exchangeError{failure: failure, cause: err}
 }
 
 // failureFor returns the failure that caused err. It checks for the caller's
@@ -77,6 +89,7 @@
 // so cause the other errors.
 func (c *call) failureFor(ctx context.Context, err error) retry.Failure {
 	var operation *net.OpError
+	malformed := responsecheck.As(err)
 	switch {
 	case errors.Is(err, errWithheld):
 		return retry.ConnectFailed
@@ -94,6 +107,8 @@
 		// An event above the limit is one that doesn't end, as of a target in
 		// trouble; another target may answer properly.
 		return retry.Mismatch
+	case malformed != nil && !malformed.ConnectionEnded():
+		return retry.Mismatch
 	case errors.As(err, &operation) && operation.Op == "dial":
 		return retry.ConnectFailed
 	}
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -8,12 +8,13 @@
 
 // metrics are the relay's metrics. All label values come from fixed sets.
 type metrics struct {
-	failures *prometheus.CounterVec
-	events   prometheus.Counter
-	cancels  *prometheus.CounterVec
-	moves    prometheus.Counter
-	silences *prometheus.CounterVec
-	retries  *prometheus.CounterVec
+	failures  *prometheus.CounterVec
+	malformed *prometheus.CounterVec
+	events    prometheus.Counter
+	cancels   *prometheus.CounterVec
+	moves     prometheus.Counter
+	silences  *prometheus.CounterVec
+	retries   *prometheus.CounterVec
 }
 
 // newMetrics returns the metrics, registered unless registerer is nil.
@@ -23,6 +24,9 @@
 			Name: "amaranthplank_relay_failures_total",
 			Help: "Failed exchanges by phase, failure and what was decided.",
 		}, []string{"phase", "failure", "decision"}),
+		malformed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "amaranthplank_malformed_responses_total", Help: "Malformed responses of targets, by the part that is malformed.",
+		}, []string{"reason"}),
 		events: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "amaranthplank_relay_events_total", Help: "Stream events handed to callers.",
 		}),
@@ -41,7 +45,7 @@
 		}, []string{"budget", "result"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.failures, m.events, m.cancels, m.moves, m.silences, m.retries)
+		registerer.MustRegister(m.failures, m.malformed, m.events, m.cancels, m.moves, m.silences, m.retries)
 	}
 	return m
 }
--- a/pkg/relay/prefill.go
+++ b/pkg/relay/prefill.go
@@ -62,7 +62,7 @@
 	response, trace, err := a.send(outgoing, target.ReuseAny)
 	if err != nil {
 		trace.Abort()
-		return KVSource{}, a.call.classify(ctx, err)
+		return KVSource{}, a.classify(ctx, err)
 	}
 	kind := protocol.Classify(targetReq, response)
 	if kind == ResponseMismatched {
@@ -79,7 +79,7 @@
 	_ = response.Body.Close()
 	if err != nil {
 		trace.Abort()
-		return KVSource{}, a.call.classify(ctx, err)
+		return KVSource{}, a.classify(ctx, err)
 	}
 	a.reportPromptTime(time.Since(began))
 	return source, nil
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -31,7 +31,7 @@
 	for {
 		event, err := events.Next()
 		if err != nil {
-			return a.call.classify(w.ctx, err)
+			return a.classify(w.ctx, err)
 		}
 		if err := a.acceptEvent(w, events, event); err != nil {
 			return err
--- a/pkg/relay/unary.go
+++ b/pkg/relay/unary.go
@@ -61,7 +61,7 @@
 	}
 	body, whole, err := a.call.readHeld(&watchedBody{body: response.Body, watchdog: w})
 	if err != nil {
-		return nil, a.call.classify(w.ctx, err)
+		return nil, a.classify(w.ctx, err)
 	}
 	if !w.disarm() && !whole {
 		return nil, silence
@@ -121,7 +121,7 @@
 			return nil
 		}
 		if err != nil && err != io.EOF {
-			return a.call.classify(ctx, err)
+			return a.classify(ctx, err)
 		}
 		piece = buffer[:n]
 	}
--- /dev/null
+++ b/pkg/responsecheck/doc.go
@@ -0,0 +1,13 @@
+// Package responsecheck defines which HTTP/1 responses are well-formed, and provides the
+// transport by which every client of the program reads responses. It fails on all others with an
+// Error, so that a response of which a part is broken is never taken for a whole one.
+//
+// A well-formed response has
+//
+//   - a status line of HTTP/1.0 or HTTP/1.1 with a status from 200 to 599, after any number of
+//     informational responses; 101 only if the request asked for another protocol,
+//   - an end: all bytes of its length, its last chunk, or the end of its connection.
+//
+// net/http checks lengths and chunks. It accepts more heads than these (RFC 9112, sections 2.2, 5.1
+// and 6.3).
+package responsecheck
--- /dev/null
+++ b/pkg/responsecheck/errors.go
@@ -0,0 +1,40 @@
+package responsecheck
+
+import "github.com/go-faster/errors"
+
+// Reason is the part of a response that is not well-formed. Its text is a label of metrics.
+type Reason string
+
+// The reasons.
+const (
+	// BrokenStatus means that the status line is malformed or the status is none that a
+	// response may have.
+	BrokenStatus Reason = "status"
+	// IncompleteHead means that the connection ended within the head.
+	IncompleteHead Reason = "incomplete_head"
+	// Unrequested means that the response began before its request was sent.
+	Unrequested Reason = "unrequested"
+)
+
+// Error is the error of an exchange whose response is not well-formed.
+type Error struct {
+	Reason Reason
+	// detail describes the fault. It has no bytes of the response.
+	detail string
+}
+
+// Error describes the fault.
+func (e *Error) Error() string { return "the response is malformed: " + e.detail }
+
+// ConnectionEnded reports whether the fault is that the server ended the connection, as one
+// does that crashes.
+func (e *Error) ConnectionEnded() bool { return e.Reason == IncompleteHead }
+
+// As returns the Error in an error's chain, or nil.
+func As(err error) *Error {
+	var broken *Error
+	if errors.As(err, &broken) {
+		return broken
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/responsecheck/head.go
@@ -0,0 +1,104 @@
+package responsecheck
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// The errors of malformed heads.
+var (
+	errStatusLine = &Error{BrokenStatus, "its status line is not one of HTTP/1.0 or HTTP/1.1"}
+	errStatus     = &Error{BrokenStatus, "its status is none of 200 to 599"}
+)
+
+const (
+	// versionBytes is the length of "HTTP/1.1", statusBytes that of a status.
+	versionBytes = len("HTTP/1.1")
+	statusBytes  = len("200")
+	// maxStatus is the largest status.
+	maxStatus = 599
+)
+
+// head checks the head of one response, and those of the informational ones before it, as their
+// bytes arrive.
+type head struct {
+	// upgrade is whether the request asked for another protocol.
+	upgrade bool
+	// line is the part of an unfinished line that has arrived.
+	line []byte
+	// begun is whether a byte has arrived, complete whether all of the head has.
+	begun, complete bool
+	// status is the status, or zero before the status line.
+	status int
+}
+
+// read checks bytes of the response. It ignores those after the head.
+func (h *head) read(data []byte) error {
+	for !h.complete && len(data) > 0 {
+		h.begun = true
+		line, rest, ended := bytes.Cut(data, []byte("\n"))
+		if !ended || len(h.line) > 0 {
+			h.line = append(h.line, line...)
+			line = h.line
+		}
+		if !ended {
+			return nil
+		}
+		if err := h.readLine(line); err != nil {
+			return err
+		}
+		h.line, data = h.line[:0], rest
+	}
+	return nil
+}
+
+// readLine checks a line without its line feed.
+func (h *head) readLine(line []byte) error {
+	text := bytes.TrimSuffix(line, []byte("\r"))
+	switch {
+	case h.status == 0:
+		return h.readStatus(string(text))
+	case len(text) == 0:
+		return h.end()
+	}
+	return nil
+}
+
+// readStatus checks the status line.
+func (h *head) readStatus(line string) error {
+	version, rest, _ := strings.Cut(line, " ")
+	status, reason, _ := strings.Cut(rest, " ")
+	if len(version) != versionBytes || (version != "HTTP/1.1" && version != "HTTP/1.0") || !httpguts.ValidHeaderFieldValue(reason) {
+		return errStatusLine
+	}
+	if len(status) != statusBytes || !isNumber(status) {
+		return errStatus
+	}
+	for _, digit := range []byte(status) {
+		h.status = h.status*10 + int(digit-'0')
+	}
+	if h.status < http.StatusContinue || h.status > maxStatus || (h.status == http.StatusSwitchingProtocols && !h.upgrade) {
+		return errStatus
+	}
+	return nil
+}
+
+// end checks the head as a whole at its blank line. The head of a further response follows that of
+// an informational one.
+func (h *head) end() error {
+	informational := h.status < http.StatusOK && h.status != http.StatusSwitchingProtocols
+	if informational {
+		*h = head{upgrade: h.upgrade, begun: true, line: h.line}
+		return nil
+	}
+	h.complete = true
+	return nil
+}
+
+// isNumber reports whether a text consists of digits.
+func isNumber(text string) bool {
+	return text != "" && strings.Trim(text, "0123456789") == ""
+}
--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -7,9 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 )
 
 // Reuse selects the pooled connections that an exchange may use.
@@ -41,7 +40,7 @@
 // Client sends HTTP requests to targets. It follows no redirects, keeps no cookies,
 // requests no compression and never retries.
 type Client struct {
-	transports [ReuseNone + 1]*http.Transport
+	transports [ReuseNone + 1]*responsecheck.Transport
 }
 
 // Dial makes a connection.
@@ -60,10 +59,11 @@
 		return &countingConn{Conn: c}, nil
 	}
 	c := &Client{}
-	c.transports[ReuseAny] = newTransport(dialCounting, idleTimeout)
-	c.transports[ReuseRecent] = newTransport(dialCounting, recentIdleTimeout)
-	c.transports[ReuseNone] = newTransport(dialCounting, idleTimeout)
-	c.transports[ReuseNone].DisableKeepAlives = true
+	c.transports[ReuseAny] = responsecheck.New(newTransport(dialCounting, idleTimeout))
+	c.transports[ReuseRecent] = responsecheck.New(newTransport(dialCounting, recentIdleTimeout))
+	unpooled := newTransport(dialCounting, idleTimeout)
+	unpooled.DisableKeepAlives = true
+	c.transports[ReuseNone] = responsecheck.New(unpooled)
 	return c
 }
 
@@ -80,7 +80,7 @@
 }
 
 // Do sends one request. The trace reports whether the request may have left the
-// process. An absent body is replaced by an empty one, since the transport sends requests
+// process. It fails with a responsecheck.Error if the response is malformed. An absent body is replaced by an empty one, since the transport sends requests
 // without a body again when a reused connection breaks.
 func (c *Client) Do(r *http.Request, reuse Reuse) (*http.Response, *Trace, error) {
 	trace := &Trace{}
@@ -88,20 +88,10 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		r.Body = NewBody(strings.NewReader(""))
 	}
-	response, err := c.transports[reuse].RoundTrip(r.WithContext(trace.withTrace(r.Context())))
-	if err == nil && response.StatusCode < http.StatusOK {
-		// After a change of protocol the request's context no longer ends the
-		// connection.
-		_ = response.Body.Close()
-		return nil, trace, ErrProtocolChanged
-	}
+	response, err := c.transports[reuse].RoundTripOn(r, func(used net.Conn) { trace.gotConn(r.Context(), used) })
 	return response, trace, fault.Shorten(err)
 }
 
-// ErrProtocolChanged means that a target left HTTP instead of responding, which is
-// never requested.
-var ErrProtocolChanged = errors.New("the target changed the protocol")
-
 // Close closes the idle connections.
 func (c *Client) Close() {
 	for _, transport := range c.transports {
--- a/pkg/target/trace.go
+++ b/pkg/target/trace.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http/httptrace"
 	"sync"
 )
 
@@ -21,14 +20,6 @@
 	withheld error
 }
 
-// withTrace returns a context that makes the transport report its connection to
-// the trace.
-func (t *Trace) withTrace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { t.gotConn(ctx, info.Conn) },
-	})
-}
-
 // gotConn records the connection of the exchange, and checks whether the request may
 // still be sent.
 func (t *Trace) gotConn(ctx context.Context, c net.Conn) {
