--- a/pkg/responsecheck/doc.go
+++ b/pkg/responsecheck/doc.go
@@ -6,6 +6,8 @@
 //
 //   - a status line of HTTP/1.0 or HTTP/1.1 with a status from 200 to 599, after any number of
 //     informational responses; 101 only if the request asked for another protocol,
+//   - fields whose names are tokens and whose values have no control bytes, each on one line
+//     that ends with CRLF, and a blank line after the last,
 //   - an end: all bytes of its length, its last chunk, or the end of its connection.
 //
 // net/http checks lengths and chunks. It accepts more heads than these (RFC 9112, sections 2.2, 5.1
--- a/pkg/responsecheck/errors.go
+++ b/pkg/responsecheck/errors.go
@@ -10,6 +10,8 @@
 	// BrokenStatus means that the status line is malformed or the status is none that a
 	// response may have.
 	BrokenStatus Reason = "status"
+	// BrokenField means that the name or the value of a field is malformed.
+	BrokenField Reason = "field"
 	// IncompleteHead means that the connection ended within the head.
 	IncompleteHead Reason = "incomplete_head"
 	// Unrequested means that the response began before its request was sent.
--- a/pkg/responsecheck/head.go
+++ b/pkg/responsecheck/head.go
@@ -12,6 +12,9 @@
 var (
 	errStatusLine = &Error{BrokenStatus, "its status line is not one of HTTP/1.0 or HTTP/1.1"}
 	errStatus     = &Error{BrokenStatus, "its status is none of 200 to 599"}
+	errLineEnd    = &Error{BrokenField, "a line of its head does not end with CRLF"}
+	errName       = &Error{BrokenField, "the name of a field is not a token"}
+	errValue      = &Error{BrokenField, "the value of a field has a control byte"}
 )
 
 const (
@@ -57,14 +60,16 @@
 
 // readLine checks a line without its line feed.
 func (h *head) readLine(line []byte) error {
-	text := bytes.TrimSuffix(line, []byte("\r"))
+	text, ok := bytes.CutSuffix(line, []byte("\r"))
 	switch {
+	case !ok:
+		return errLineEnd
 	case h.status == 0:
 		return h.readStatus(string(text))
 	case len(text) == 0:
 		return h.end()
 	}
-	return nil
+	return h.readField(string(text))
 }
 
 // readStatus checks the status line.
@@ -86,6 +91,19 @@
 	return nil
 }
 
+// readField checks a field.
+func (h *head) readField(line string) error {
+	name, value, _ := strings.Cut(line, ":")
+	if !httpguts.ValidHeaderFieldName(name) {
+		return errName
+	}
+	value = strings.Trim(value, " \t")
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return errValue
+	}
+	return nil
+}
+
 // end checks the head as a whole at its blank line. The head of a further response follows that of
 // an informational one.
 func (h *head) end() error {
