--- a/pkg/responsecheck/errors.go
+++ b/pkg/responsecheck/errors.go
@@ -12,6 +12,8 @@
 	BrokenStatus Reason = "status"
 	// BrokenField means that the name or the value of a field is malformed.
 	BrokenField Reason = "field"
+	// BrokenFraming means that the head does not state in one valid way where the body ends.
+	BrokenFraming Reason = "framing"
 	// IncompleteHead means that the connection ended within the head.
 	IncompleteHead Reason = "incomplete_head"
 	// Unrequested means that the response began before its request was sent.
--- a/pkg/responsecheck/head.go
+++ b/pkg/responsecheck/head.go
@@ -15,6 +15,10 @@
 	errLineEnd    = &Error{BrokenField, "a line of its head does not end with CRLF"}
 	errName       = &Error{BrokenField, "the name of a field is not a token"}
 	errValue      = &Error{BrokenField, "the value of a field has a control byte"}
+	errLength     = &Error{BrokenFraming, "its content length is malformed or stated twice"}
+	errCoding     = &Error{BrokenFraming, "its transfer coding is not chunked, or stated twice or in HTTP/1.0"}
+	errTwoEnds    = &Error{BrokenFraming, "it states a content length and a transfer coding"}
+	errNoContent  = &Error{BrokenFraming, "its status allows no body, and it states one"}
 )
 
 const (
@@ -36,6 +40,12 @@
 	begun, complete bool
 	// status is the status, or zero before the status line.
 	status int
+	// oldVersion is whether the response is of HTTP/1.0.
+	oldVersion bool
+	// length is the value of Content-Length, or empty; coded is whether there is a transfer
+	// coding.
+	length string
+	coded  bool
 }
 
 // read checks bytes of the response. It ignores those after the head.
@@ -79,6 +89,7 @@
 	if len(version) != versionBytes || (version != "HTTP/1.1" && version != "HTTP/1.0") || !httpguts.ValidHeaderFieldValue(reason) {
 		return errStatusLine
 	}
+	h.oldVersion = version == "HTTP/1.0"
 	if len(status) != statusBytes || !isNumber(status) {
 		return errStatus
 	}
@@ -91,7 +102,7 @@
 	return nil
 }
 
-// readField checks a field.
+// readField checks a field and records what it states about the end of the body.
 func (h *head) readField(line string) error {
 	name, value, _ := strings.Cut(line, ":")
 	if !httpguts.ValidHeaderFieldName(name) {
@@ -101,6 +112,18 @@
 	if !httpguts.ValidHeaderFieldValue(value) {
 		return errValue
 	}
+	switch {
+	case strings.EqualFold(name, "Content-Length"):
+		if h.length != "" || !isNumber(value) {
+			return errLength
+		}
+		h.length = value
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		if h.coded || h.oldVersion || !strings.EqualFold(value, "chunked") {
+			return errCoding
+		}
+		h.coded = true
+	}
 	return nil
 }
 
@@ -108,7 +131,12 @@
 // an informational one.
 func (h *head) end() error {
 	informational := h.status < http.StatusOK && h.status != http.StatusSwitchingProtocols
-	if informational {
+	switch {
+	case h.length != "" && h.coded:
+		return errTwoEnds
+	case h.status == http.StatusNoContent && (h.coded || strings.Trim(h.length, "0") != ""):
+		return errNoContent
+	case informational:
 		*h = head{upgrade: h.upgrade, begun: true, line: h.line}
 		return nil
 	}
--- a/pkg/responsecheck/head_test.go
+++ b/pkg/responsecheck/head_test.go
@@ -43,9 +43,11 @@
 			response, readErr = http.ReadResponse(reader, nil)
 		}
 		if readErr != nil {
-			// What it reads of the framing is not checked here.
+			// It reads numbers as int64, and names that it doesn't know in other ways.
+			must.True(t, whole.length != "" || whole.coded, must.Sprint(readErr))
 			return
 		}
 		must.Eq(t, whole.status, response.StatusCode)
+		must.Eq(t, whole.coded && response.Body != http.NoBody, len(response.TransferEncoding) > 0 && response.Body != http.NoBody)
 	})
 }
--- a/pkg/responsecheck/transport.go
+++ b/pkg/responsecheck/transport.go
@@ -92,6 +92,9 @@
 		_ = response.Body.Close()
 		return nil, errUnrequested
 	}
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &trailedBody{ReadCloser: response.Body, response: response}
+	}
 	return response, nil
 }
 
