--- a/pkg/responsecheck/body.go
+++ b/pkg/responsecheck/body.go
@@ -3,10 +3,38 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"golang.org/x/net/http/httpguts"
 )
 
+// requestState is how far a request was taken by the transport.
+type requestState struct {
+	// taken is whether all of the body was read.
+	taken atomic.Bool
+}
+
+// requestBody is a request's body that records when all of it was read.
+type requestBody struct {
+	io.ReadCloser
+
+	state *requestState
+	// left is how many bytes follow, negative if that is not known.
+	left int64
+}
+
+// Read reads the body.
+func (b *requestBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.left >= 0 {
+		b.left = max(b.left-int64(n), 0)
+	}
+	if err == io.EOF || b.left == 0 {
+		b.state.taken.Store(true)
+	}
+	return n, err
+}
+
 // trailedBody is a response's body in chunks, which trailers may follow.
 type trailedBody struct {
 	io.ReadCloser
--- a/pkg/responsecheck/doc.go
+++ b/pkg/responsecheck/doc.go
@@ -10,8 +10,10 @@
 //     that ends with CRLF, and a blank line after the last,
 //   - one way at most to tell where its body ends: one Content-Length, or the transfer coding
 //     chunked in HTTP/1.1, and else the end of its connection,
-//   - an end: all bytes of its length, its last chunk, or the end of its connection.
+//   - an end: all bytes of its length, its last chunk, or a connection that ends in order once
+//     the server has received the whole request. A connection that ends earlier may as well have
+//     been reset.
 //
-// net/http checks lengths and chunks. It accepts more heads than these (RFC 9112, sections 2.2, 5.1
-// and 6.3).
+// net/http checks lengths and chunks. It accepts more heads than these, and does not notice a
+// reset that a write reports before a read does (RFC 9112, sections 2.2, 5.1, 6.3 and 9.6).
 package responsecheck
--- a/pkg/responsecheck/errors.go
+++ b/pkg/responsecheck/errors.go
@@ -16,6 +16,9 @@
 	BrokenFraming Reason = "framing"
 	// IncompleteHead means that the connection ended within the head.
 	IncompleteHead Reason = "incomplete_head"
+	// EarlyEnd means that the connection ended before the server had received the request,
+	// so that the end of the response can't be told from a reset.
+	EarlyEnd Reason = "early_end"
 	// Unrequested means that the response began before its request was sent.
 	Unrequested Reason = "unrequested"
 )
@@ -32,7 +35,7 @@
 
 // ConnectionEnded reports whether the fault is that the server ended the connection, as one
 // does that crashes.
-func (e *Error) ConnectionEnded() bool { return e.Reason == IncompleteHead }
+func (e *Error) ConnectionEnded() bool { return e.Reason == IncompleteHead || e.Reason == EarlyEnd }
 
 // As returns the Error in an error's chain, or nil.
 func As(err error) *Error {
--- a/pkg/responsecheck/transport.go
+++ b/pkg/responsecheck/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -71,19 +72,20 @@
 // RoundTripOn is RoundTrip, and passes each connection that it uses to connected before it writes
 // to it: as the dial function of the transport returned it, unless that was secured by TLS.
 func (t *Transport) RoundTripOn(r *http.Request, connected func(net.Conn)) (*http.Response, error) {
+	state := &requestState{}
 	var current *exchange
 	var used *conn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		current, used = nil, nil
 		if c, ok := info.Conn.(*conn); ok {
-			current = &exchange{head: head{upgrade: r.Header.Get("Upgrade") != ""}}
+			current = &exchange{request: state, head: head{upgrade: r.Header.Get("Upgrade") != ""}}
 			used = c
 			c.exchange.Store(current)
 			info.Conn = c.Conn
 		}
 		connected(info.Conn)
 	}}
-	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	response, err := t.base.RoundTrip(state.watch(r.WithContext(httptrace.WithClientTrace(r.Context(), trace))))
 	if err != nil {
 		return nil, err
 	}
@@ -100,3 +102,31 @@
 
 // CloseIdleConnections closes the idle connections.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// watch records in the state when the transport has read the body of a request, which it may
+// change.
+func (s *requestState) watch(r *http.Request) *http.Request {
+	if r.Body == nil || r.Body == http.NoBody {
+		s.taken.Store(true)
+		return r
+	}
+	wrap := func(body io.ReadCloser) io.ReadCloser {
+		left := r.ContentLength
+		if left == 0 {
+			left = -1
+		}
+		return &requestBody{ReadCloser: body, state: s, left: left}
+	}
+	r.Body = wrap(r.Body)
+	if again := r.GetBody; again != nil {
+		r.GetBody = func() (io.ReadCloser, error) {
+			body, err := again()
+			if err != nil {
+				return nil, err
+			}
+			s.taken.Store(false)
+			return wrap(body), nil
+		}
+	}
+	return r
+}
--- a/pkg/target/calldialer.go
+++ b/pkg/target/calldialer.go
@@ -42,6 +42,9 @@
 	unanswered atomic.Bool
 }
 
+// NetConn returns the connection below.
+func (c *callConn) NetConn() net.Conn { return c.Conn }
+
 // Write writes to the connection.
 func (c *callConn) Write(data []byte) (int, error) {
 	if err := c.check(); err != nil {
--- a/pkg/target/countingconn.go
+++ b/pkg/target/countingconn.go
@@ -23,6 +23,9 @@
 	sealed bool
 }
 
+// NetConn returns the connection below.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 // Write counts the bytes and writes them to the connection.
 func (c *countingConn) Write(data []byte) (int, error) {
 	c.mu.Lock()
