--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -11,8 +11,12 @@
 
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/operator"
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 )
 
+// maxResponseBytes bounds a daemon's response.
+const maxResponseBytes = 16 << 20
+
 // defaultOperator is the default base URL of a daemon's operator address.
 const defaultOperator = "http://127.0.0.1:9090"
 
@@ -48,7 +52,7 @@
 	if response.StatusCode != http.StatusOK {
 		return readError(response)
 	}
-	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
+	if err := responsecheck.DecodeJSON(response.Body, maxResponseBytes, result); err != nil {
 		return fault.Wrap(err, fault.Unknown, "the daemon's response can't be decoded", "use the amaranthctl of the daemon's version")
 	}
 	return nil
@@ -57,7 +61,7 @@
 // readError returns the error that the daemon sent.
 func readError(response *http.Response) error {
 	var body operator.ErrorBody
-	if err := json.NewDecoder(response.Body).Decode(&body); err != nil || body.Kind == "" {
+	if err := responsecheck.DecodeJSON(response.Body, maxResponseBytes, &body); err != nil || body.Kind == "" {
 		return fault.New(fault.Internal, "the daemon responded with "+response.Status, "check the daemon's log")
 	}
 	return &remoteError{body: body}
--- a/pkg/ctl/drain.go
+++ b/pkg/ctl/drain.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"amaranthplank.example/amaranthplank/pkg/drain"
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 )
 
 // drainPoll is the interval at which the status of a stopping daemon is polled.
@@ -52,6 +53,10 @@
 		case <-time.After(drainPoll):
 		}
 		next, err := f.call(ctx, env, http.MethodGet)
+		if malformed := responsecheck.As(err); malformed != nil && !malformed.ConnectionEnded() {
+			env.errorf("the daemon's status can't be read: %v; check -operator", err)
+			return ExitUnknown
+		}
 		if err != nil && ctx.Err() == nil {
 			return ExitOK
 		}
@@ -78,7 +83,7 @@
 	if response.StatusCode != http.StatusOK {
 		return status, errors.Errorf("the daemon responded with %s", response.Status)
 	}
-	return status, json.NewDecoder(response.Body).Decode(&status)
+	return status, responsecheck.DecodeJSON(response.Body, maxResponseBytes, &status)
 }
 
 // print prints the status as a line of text or JSON.
--- a/pkg/ctl/report.go
+++ b/pkg/ctl/report.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"amaranthplank.example/amaranthplank/pkg/burn"
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 )
 
 // reportFlags are the flags of report.
@@ -80,5 +81,5 @@
 	if response.StatusCode != http.StatusOK {
 		return report, errors.Errorf("the daemon responded with %s", response.Status)
 	}
-	return report, json.NewDecoder(response.Body).Decode(&report)
+	return report, responsecheck.DecodeJSON(response.Body, maxResponseBytes, &report)
 }
--- a/pkg/external/httpclient/client.go
+++ b/pkg/external/httpclient/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -78,15 +77,14 @@
 // readResponse decodes the result of a call, or returns its failure as an error.
 func readResponse[Result any](response *http.Response) (Result, error) {
 	var result Result
-	decoder := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes))
 	if response.StatusCode == http.StatusOK {
-		if err := decoder.Decode(&result); err != nil {
+		if err := responsecheck.DecodeJSON(response.Body, maxResponseBytes, &result); err != nil {
 			return result, fault.Wrap(err, fault.Unknown, "the platform's response can't be decoded", "check whether the call took effect")
 		}
 		return result, nil
 	}
 	var failure wire.Failure
-	if err := decoder.Decode(&failure); err != nil || failure.Kind == "" {
+	if err := responsecheck.DecodeJSON(response.Body, maxResponseBytes, &failure); err != nil || failure.Kind == "" {
 		return result, fault.New(fault.Unknown, "the platform returned an error without a reason", "check whether the call took effect")
 	}
 	return result, fault.New(failure.Kind, failure.Reason, failure.Remedy)
--- a/pkg/target/control.go
+++ b/pkg/target/control.go
@@ -5,13 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 )
 
 // maxControlBytes bounds the response to a control call.
@@ -46,6 +46,9 @@
 		return fault.Wrap(err, fault.Unavailable, fmt.Sprintf("engine %s could not be reached", engine.Target), "check that it is running and reachable")
 	}
 	defer func() { _ = response.Body.Close() }()
+	if _, err := responsecheck.ReadAll(response.Body, maxControlBytes); err != nil {
+		return fault.Wrap(err, fault.Unknown, fmt.Sprintf("the response of engine %s to order %s is not whole", engine.Target, order.OrderID), "no action is needed unless the order stays open")
+	}
 	switch {
 	case response.StatusCode < http.StatusMultipleChoices:
 		return nil
@@ -81,7 +84,7 @@
 	if response.StatusCode != http.StatusOK {
 		return fault.New(fault.Unavailable, fmt.Sprintf("target %s answered %s with status %s", record.Target, path, response.Status), "check the target's log")
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(result); err != nil {
+	if err := responsecheck.DecodeJSON(response.Body, maxControlBytes, result); err != nil {
 		return fault.Wrap(err, fault.Unavailable, fmt.Sprintf("the response of target %s to %s is malformed", record.Target, path), "check that it runs a compatible version")
 	}
 	return nil
--- a/pkg/targetwatch/poll.go
+++ b/pkg/targetwatch/poll.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -12,6 +10,7 @@
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/fault"
 	"amaranthplank.example/amaranthplank/pkg/fleet"
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 	"amaranthplank.example/amaranthplank/pkg/target"
 )
 
@@ -54,5 +53,5 @@
 	if response.StatusCode != http.StatusOK {
 		return errPollFailed
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(value)
+	return responsecheck.DecodeJSON(response.Body, maxResponseBytes, value)
 }
