Send a request anew whose kept connection ended before it was sent

Cause: a target wrote bytes that belong to no request after a complete answer. The transport closes such a connection when it reads them. That may be after the connection was chosen for the next request and before a byte of it was written; the attempt then counted as failed, and the route allows one.

A request of which nothing was sent, since its kept connection had ended, is built again and sent on a new connection to the same target, in the same attempt. The count of written bytes shows that nothing was sent; the connection is sealed first.

--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/retry"
 	"amaranthplank.example/amaranthplank/pkg/routing"
@@ -46,27 +48,38 @@
 	return a.handleResponse(e.watchdog, e.response, e.trace)
 }
 
-// exchange sends the request and waits for the head of the response.
+// exchange sends the request and waits for the head of the response. A request of which nothing was
+// sent, since its kept connection had ended, is sent on a new one.
 func (a *attempt) exchange(e *exchange) {
 	defer close(e.done)
-	ctx := e.watchdog.ctx
-	outgoing, err := a.call.relay.protocol.Request(ctx, a.newTargetRequest())
-	if err != nil {
-		e.err = &exchangeError{failure: retry.ConnectFailed, cause: err}
-		return
-	}
 	reuse := target.ReuseRecent
 	if a.call.req.Idempotent {
 		reuse = target.ReuseAny
 	}
-	e.response, e.trace, err = a.send(outgoing, reuse) //nolint:bodyclose // handleResponse and settleSecond close it.
-	if err == nil {
+	err := a.exchangeOn(e, reuse)
+	if err != nil && e.watchdog.ctx.Err() == nil && e.trace.Stale() && !e.trace.Abort() && e.trace.Withheld() == nil {
+		err = a.exchangeOn(e, target.ReuseNone)
+	}
+	var unbuilt *exchangeError
+	if err == nil || errors.As(err, &unbuilt) {
+		e.err = err
 		return
 	}
 	if e.trace.Abort() {
 		a.advanceTo(retry.Sent)
 	}
-	e.err = a.classify(ctx, err)
+	e.err = a.classify(e.watchdog.ctx, err)
+}
+
+// exchangeOn makes the exchange on a connection that may be used for it.
+func (a *attempt) exchangeOn(e *exchange, reuse target.Reuse) error {
+	e.trace = &target.Trace{}
+	outgoing, err := a.call.relay.protocol.Request(e.watchdog.ctx, a.newTargetRequest())
+	if err != nil {
+		return &exchangeError{failure: retry.ConnectFailed, cause: err}
+	}
+	e.response, e.trace, err = a.send(outgoing, reuse) //nolint:bodyclose // handleResponse and settleSecond close it.
+	return err
 }
 
 // newTargetRequest returns the TargetRequest from which the protocol builds its request.
--- a/pkg/target/trace.go
+++ b/pkg/target/trace.go
@@ -34,6 +34,14 @@
 	t.checkSend(ctx)
 }
 
+// Stale reports whether the exchange had a connection that had carried others before. Its target may
+// have ended it, or have sent bytes that belong to no request.
+func (t *Trace) Stale() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.bytesBefore > 0
+}
+
 // Abort closes the exchange's connection and reports whether any byte of the
 // exchange may have left the process. The result is final, since nothing can be
 // written to the connection any more.
