--- a/pkg/responsecheck/conn.go
+++ b/pkg/responsecheck/conn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"syscall"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -70,7 +71,7 @@
 			return 0, err
 		}
 	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		err = c.endOf(x)
 	}
 	return n, err
--- a/pkg/responsecheck/readers_test.go
+++ b/pkg/responsecheck/readers_test.go
@@ -163,8 +163,11 @@
 			Client: &http.Client{Transport: responsecheck.New(&http.Transport{})},
 		})
 		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- w.Run(ctx) }()
+		done := make(chan bool)
+		go func() {
+			_ = w.Run(ctx)
+			close(done)
+		}()
 		<-polled
 		<-polled
 		if snapshot := w.Snapshot(); snapshot != nil && snapshot.Target("i-1") != nil {
