--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -63,7 +63,7 @@
 	originNoted atomic.Bool
 	// next is the next attempt if it was begun in advance, or nil.
 	next *attempt
-	// guardCleared is set once the crash guard was notified that an answer goes on.
+	// guardCleared is set once the crash guard was notified that an answer continues.
 	guardCleared bool
 	// losses are the targets that may have ended under the request.
 	losses losses
--- a/pkg/relay/crashguard.go
+++ b/pkg/relay/crashguard.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// reportBegun reports to the crash guard once that an answer goes on after answerStart.
+// reportBegun reports to the crash guard once that an answer continues after answerStart.
 // Long answers would otherwise clear their prompts' parts only at their end.
 func (a *attempt) reportBegun() {
 	guard := a.call.relay.opts.CrashGuard
--- a/pkg/relay/next.go
+++ b/pkg/relay/next.go
@@ -114,7 +114,7 @@
 }
 
 // acceptsNewWork reports whether a target that was chosen before still accepts new
-// work, as far as the router knows.
+// work, by the router's view.
 func (c *call) acceptsNewWork(target ident.Target) bool {
 	checker, ok := c.relay.opts.Router.(routing.AvailabilityChecker)
 	return !ok || checker.AcceptsNewWork(target)
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -41,8 +41,8 @@
 	RetryBudget func(req *request.Request) (key string, share retry.Share)
 	// CrashGuard refuses requests that crash targets. It may be nil.
 	CrashGuard CrashGuard
-	// StreamOrigins knows the software versions that began streams. If nil, a stream that
-	// a caller takes up again may go on at any version.
+	// StreamOrigins holds the software versions that began streams. If nil, a stream that
+	// a caller takes up again may continue at any version.
 	StreamOrigins StreamOrigins
 	// Waiting holds requests of models until there is room for them. If nil, a request
 	// that no engine takes in time is refused immediately.
--- a/pkg/relay/second.go
+++ b/pkg/relay/second.go
@@ -15,7 +15,7 @@
 
 // sendElsewhere returns the question whether a silent exchange may be left. It is left
 // once a second attempt has been sent and was not refused, so that a refusal costs
-// nothing that the first target does. An exchange without a connection is left at once.
+// nothing that the first target does. An exchange without a connection is left immediately.
 func (a *attempt) sendElsewhere(ctx context.Context, w *watchdog) func() (bool, func(bool)) {
 	lastEvent := a.lastEvent
 	return func() (bool, func(bool)) {
@@ -125,7 +125,7 @@
 	a.endSecond(second)
 }
 
-// endSecond records that a second attempt has ended while the first goes on.
+// endSecond records that a second attempt has ended while the first continues.
 func (a *attempt) endSecond(second *attempt) {
 	c, failure := a.call, failureOf(second.err)
 	second.sent.watchdog.stop()
--- a/pkg/relay/version.go
+++ b/pkg/relay/version.go
@@ -10,7 +10,7 @@
 	"amaranthplank.example/amaranthplank/pkg/routing"
 )
 
-// StreamOrigins knows the software versions that began streams.
+// StreamOrigins holds the software versions that began streams.
 type StreamOrigins interface {
 	// Began records that a target of a software version writes the stream that a request began:
 	// its first events, or the next ones for a caller that took it up.
@@ -21,7 +21,7 @@
 	Ended(id ident.Request)
 	// VersionOf returns the software version at which the request by takes up the stream
 	// that another request began. It fails with kind Unavailable if the version is not known
-	// soon; there is no stream that may go on at any version.
+	// soon; there is no stream that may continue at any version.
 	VersionOf(ctx context.Context, pool ident.Pool, by, began ident.Request) (ident.SoftwareVersion, error)
 }
 
@@ -47,7 +47,7 @@
 
 // looserConstraints returns the constraints for the next attempt from the strictest to the
 // loosest. A target at which an attempt failed is better than none. So is, for a new stream, one
-// whose version is not known: it goes on nowhere else.
+// whose version is not known: it continues nowhere else.
 func (c *call) looserConstraints() []*routing.Constraints {
 	strict := c.constraints(c.failedTargets)
 	all := []*routing.Constraints{strict}
@@ -83,7 +83,7 @@
 }
 
 // fixVersion binds the stream to the software version of the attempt that wrote its first
-// event, and records that it goes on there.
+// event, and records that it continues there.
 func (a *attempt) fixVersion() {
 	c := a.call
 	if !c.req.Resumable || c.originNoted.Swap(true) {
@@ -117,7 +117,7 @@
 	}
 }
 
-// checkVersion returns an error if no target can go on with the stream, since the version that
+// checkVersion returns an error if no target can continue the stream, since the version that
 // began it is not known.
 func (c *call) checkVersion() error {
 	if version := c.version.Load(); version != nil && *version == ident.UnknownVersion {
--- a/pkg/relay/watchdog.go
+++ b/pkg/relay/watchdog.go
@@ -89,8 +89,8 @@
 	w.timer = time.AfterFunc(silence, w.expire)
 }
 
-// expire asks whether the exchange may be left, and ends it if so, unless its answer
-// begins meanwhile. It does not hold w.mu while it asks, so that an answer which begins
+// expire calls w.ask and ends the exchange if it may be left, unless its answer
+// begins meanwhile. It does not hold w.mu during the call, so that an answer which begins
 // does not wait.
 func (w *watchdog) expire() {
 	w.mu.Lock()
--- a/pkg/routing/absences.go
+++ b/pkg/routing/absences.go
@@ -221,7 +221,7 @@
 	}
 }
 
-// end forgets a target and reports the end of its absence. s.mu must be held.
+// end removes a target and reports the end of its absence. s.mu must be held.
 func (s *absences) end(a *absence, now time.Time) {
 	s.forget(a)
 	if a.since.IsZero() {
@@ -297,7 +297,7 @@
 	return jittered(shortest, s.random.Float64()), found
 }
 
-// leaving reports whether the view says that a target leaves. s.mu must be held.
+// leaving reports whether a target leaves by the view. s.mu must be held.
 func (s *absences) leaving(target ident.Target) bool {
 	state := s.view.Snapshot().Target(target)
 	return state != nil && (state.Draining || state.Record.Leaving)
--- a/pkg/routing/alternatives.go
+++ b/pkg/routing/alternatives.go
@@ -14,7 +14,7 @@
 
 var _ AlternativeChecker = (*CombinedRouter)(nil)
 
-// HasAlternative asks the router of models or that of services.
+// HasAlternative calls the router of models or that of services.
 func (c *CombinedRouter) HasAlternative(req *request.Request, constraints *Constraints, apart bool) bool {
 	if req.Service != "" {
 		return c.Services.HasAlternative(req, constraints)
--- a/pkg/routing/best.go
+++ b/pkg/routing/best.go
@@ -109,7 +109,7 @@
 
 // fallback returns the index in r.scores of the engine that runs the whole request
 // whatever its role, or a negative number. It is needed while no engine takes whole
-// requests, unless those that do asked for a pause or are absent.
+// requests, unless those that do have stated a pause or are absent.
 func (r *ModelRouter) fallback(req *request.Request, limits taskLimits) int {
 	if r.hasRole(fleet.Mixed) {
 		return -1
@@ -208,7 +208,7 @@
 }
 
 // answersWithheld returns the error if all of a model's engines that generate answers and
-// could take the request asked for a pause or are absent, or nil. Those that only prefill
+// could take the request have stated a pause or are absent, or nil. Those that only prefill
 // take none of their work meanwhile.
 func (r *ModelRouter) answersWithheld(req *request.Request) error {
 	if r.scoresAnswers() {
--- a/pkg/routing/evidence.go
+++ b/pkg/routing/evidence.go
@@ -1,6 +1,6 @@
 package routing
 
-// Evidence is what a send to a target, up to the head of the answer, says about whether
+// Evidence is what a send to a target, up to the head of the answer, shows about whether
 // the target is there. absences.observe decides what follows from it.
 type Evidence int
 
--- a/pkg/routing/noticestate.go
+++ b/pkg/routing/noticestate.go
@@ -23,7 +23,7 @@
 // ErrLeaving withholds work from a target that stated that it leaves.
 var ErrLeaving = fault.New(fault.Unavailable, "the target stated that it is leaving", "no action is needed: another target is chosen")
 
-// ErrPaused withholds work from a target that asked for a pause, until its end and then
+// ErrPaused withholds work from a target that stated a pause, until its end and then
 // beyond the number of requests that are let in. Its RetryAfter is the time left.
 var ErrPaused = fault.New(fault.Unavailable, "the target asked for a pause", "no action is needed: another target is chosen")
 
@@ -86,7 +86,7 @@
 }
 
 // beginReturn lets requests in gradually, as after a pause that ends now. A pause that has
-// not ended goes on.
+// not ended continues.
 func (s *noticeState) beginReturn(now time.Time) {
 	if s.pausedUntil.Before(now) {
 		s.pausedUntil, s.absent = now, true
--- a/pkg/routing/probes.go
+++ b/pkg/routing/probes.go
@@ -88,7 +88,7 @@
 }
 
 // endByView ends the absences that the view refutes. It notes which targets the view no
-// longer has or has again, and forgets the former in time. s.mu must be held.
+// longer has or has again, and removes the former in time. s.mu must be held.
 func (s *absences) endByView() {
 	snapshot := s.view.Snapshot()
 	for _, a := range s.targets {
--- a/pkg/routing/sendgate.go
+++ b/pkg/routing/sendgate.go
@@ -8,7 +8,7 @@
 )
 
 // SendGate is implemented by routers that decide on what targets state about
-// themselves in their answers. It is asked when a request is sent, since that may be
+// themselves in their answers. It is called when a request is sent, since that may be
 // long after the target was chosen.
 type SendGate interface {
 	// CheckSend returns why nothing new may be sent to a target's incarnation now,
--- a/pkg/routing/targetnotices.go
+++ b/pkg/routing/targetnotices.go
@@ -14,7 +14,7 @@
 const noticeRetention = 10 * time.Minute
 
 // targetNotices holds what targets stated about themselves in their answers to this
-// daemon, by target and incarnation. A notice holds whatever the view says of the
+// daemon, by target and incarnation. A notice holds whatever the view has of the
 // target, until the view has a later incarnation. It is safe for concurrent use.
 type targetNotices struct {
 	view     fleet.View
--- a/pkg/streamorigin/doc.go
+++ b/pkg/streamorigin/doc.go
@@ -1,5 +1,5 @@
-// Package streamorigin knows which software version of its target began a stream, so that
-// a stream which a caller takes up again at any daemon goes on at that version.
+// Package streamorigin records which software version of its target began a stream, so that
+// a stream which a caller takes up again at any daemon continues at that version.
 //
 // Who knows it: the daemon that began the stream; while a pool has several versions also the
 // daemons that get its reports, and, of streams that last over 50 ms, the store. All others ask
--- a/pkg/streamorigin/exchange.go
+++ b/pkg/streamorigin/exchange.go
@@ -11,12 +11,12 @@
 // messageVersion is the version of the message format.
 const messageVersion = 1
 
-// message asks for streams or answers such a question.
+// message requests the origins of streams or answers such a request.
 type message struct {
-	// Asked holds the keys of streams whose origin is asked for.
+	// Asked holds the keys of streams whose origin is requested.
 	Asked []byte
 	Known []Origins
-	// Model or Service is that of the asked streams. Daemons of earlier releases use the model.
+	// Model or Service is that of the requested streams. Daemons of earlier releases use the model.
 	Model   ident.Model
 	Service ident.Service
 }
@@ -28,7 +28,7 @@
 	Linked() []ident.Host
 }
 
-// Exchange asks linked daemons for streams that are not known here: those of other cells,
+// Exchange requests from linked daemons the origins of streams that are not recorded here: those of other cells,
 // and those that began before this daemon started.
 type Exchange struct {
 	table *Table
@@ -49,7 +49,7 @@
 	x.links, x.table = links, table
 }
 
-// Ask asks for the streams of a pool with the given keys.
+// Ask requests the origins of the streams of a pool with the given keys.
 func (x *Exchange) Ask(pool ident.Pool, keys []byte) {
 	x.mu.Lock()
 	links := x.links
--- a/pkg/streamorigin/lookup.go
+++ b/pkg/streamorigin/lookup.go
@@ -16,7 +16,7 @@
 	unknownRetryAfter = 250 * time.Millisecond
 )
 
-// VersionOf returns the software version at which the stream that a request began goes on.
+// VersionOf returns the software version at which the stream that a request began continues.
 // It waits up to lookupTimeout for other daemons, and fails if the version is not known.
 func (t *Table) VersionOf(ctx context.Context, pool ident.Pool, by, began ident.Request) (ident.SoftwareVersion, error) {
 	key := keyOf(began)
@@ -115,6 +115,6 @@
 		"versions", len(t.observe(pool).seenAt), "behind", t.behind(now), "recorded", t.complete(pool, now))
 }
 
-// errUnknownVersion refuses a stream that might go on at the wrong software version.
+// errUnknownVersion refuses a stream that might continue at the wrong software version.
 var errUnknownVersion = fault.New(fault.Unavailable, "it is not known which software version began the stream",
 	"send the request again after the time in Retry-After, or without the events received so far").WithRetryAfter(unknownRetryAfter)
--- a/pkg/streamorigin/table.go
+++ b/pkg/streamorigin/table.go
@@ -190,7 +190,7 @@
 
 // Began records that a target of a software version has begun the stream of a request, or has
 // gone on with it for a caller that took it up. ident.UnknownVersion counts as one more version:
-// the stream then goes on nowhere.
+// the stream then continues nowhere.
 func (t *Table) Began(pool ident.Pool, id ident.Request, version ident.SoftwareVersion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -213,7 +213,7 @@
 	t.unsent[of] = keys[max(0, len(keys)-maxUnsent*streamKeyBytes):]
 }
 
-// add remembers a stream. t.mu must be held.
+// add records a stream. t.mu must be held.
 func (t *Table) add(key streamKey, o origin) {
 	retention := t.retention()
 	for len(t.order) > 0 && (len(t.order) >= maxStreams || o.at.Sub(t.order[0].at) > retention) {
@@ -308,7 +308,7 @@
 	t.learned = make(chan struct{})
 }
 
-// Known returns which of the asked streams are recorded here.
+// Known returns which of the requested streams are recorded here.
 func (t *Table) Known(asked []byte) (known []Origins) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
