--- a/pkg/target/client.go
+++ b/pkg/target/client.go
@@ -80,7 +80,8 @@
 }
 
 // Do sends one request. The trace reports whether the request may have left the
-// process. It fails with a responsecheck.Error if the response is malformed. An absent body is replaced by an empty one, since the transport sends requests
+// process. It fails with a responsecheck.Error if the response is malformed. An absent
+// body is replaced by an empty one, since the transport sends requests
 // without a body again when a reused connection breaks.
 func (c *Client) Do(r *http.Request, reuse Reuse) (*http.Response, *Trace, error) {
 	trace := &Trace{}
