--- a/pkg/responsecheck/head.go
+++ b/pkg/responsecheck/head.go
@@ -13,7 +13,7 @@
 	errStatusLine = &Error{BrokenStatus, "its status line is not one of HTTP/1.0 or HTTP/1.1"}
 	errStatus     = &Error{BrokenStatus, "its status is none of 200 to 599"}
 	errLineEnd    = &Error{BrokenField, "a line of its head does not end with CRLF"}
-	errName       = &Error{BrokenField, "the name of a field is not a token"}
+	errName       = &Error{BrokenField, "a field has no name that is a token and ends with a colon"}
 	errValue      = &Error{BrokenField, "the value of a field has a control byte"}
 	errLength     = &Error{BrokenFraming, "its content length is malformed or stated twice"}
 	errCoding     = &Error{BrokenFraming, "its transfer coding is not chunked, or stated twice or in HTTP/1.0"}
@@ -104,8 +104,8 @@
 
 // readField checks a field and records what it states about the end of the body.
 func (h *head) readField(line string) error {
-	name, value, _ := strings.Cut(line, ":")
-	if !httpguts.ValidHeaderFieldName(name) {
+	name, value, found := strings.Cut(line, ":")
+	if !found || !httpguts.ValidHeaderFieldName(name) {
 		return errName
 	}
 	value = strings.Trim(value, " \t")
--- a/pkg/responsecheck/head_test.go
+++ b/pkg/responsecheck/head_test.go
@@ -13,7 +13,7 @@
 // against a whole gateway.
 var seedHeads = []string{
 	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HTTP/1.0 404 Not Found\r\n\r\n", "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n",
-	"HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nA B: 1\r\n\r\n", "HTTP/1.1 200 OK\r\n A: 1\r\n\r\n", "HTTP/1.1 200 OK\nA: 1\n\n", "HTTP/1.1 200 OK\r\nA: \x00\r\n\r\n",
+	"HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nA B: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nA\r\n\r\n", "HTTP/1.1 200 OK\r\n A: 1\r\n\r\n", "HTTP/1.1 200 OK\nA: 1\n\n", "HTTP/1.1 200 OK\r\nA: \x00\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\n", "HTTP/1.1 204 None\r\nContent-Length: 1\r\n\r\n",
 }
 
