--- a/bench/cmd/amaranthplank-soak/soak.go
+++ b/bench/cmd/amaranthplank-soak/soak.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 	"amaranthplank.example/amaranthplank/platform/standin"
 )
 
@@ -136,10 +137,12 @@
 	return nil
 }
 
+// readinessClient reads the daemons' readiness.
+var readinessClient = &http.Client{Timeout: time.Second, Transport: responsecheck.New(&http.Transport{})}
+
 // ready reports whether a daemon responds that it is ready.
 func ready(d *daemon) bool {
-	client := http.Client{Timeout: time.Second}
-	response, err := client.Get(fmt.Sprintf("http://%s:%d/", d.address, standin.ReadinessPort))
+	response, err := readinessClient.Get(fmt.Sprintf("http://%s:%d/", d.address, standin.ReadinessPort))
 	if err != nil {
 		return false
 	}
--- a/pkg/ctl/drain_test.go
+++ b/pkg/ctl/drain_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"amaranthplank.example/amaranthplank/pkg/responsecheck"
 )
 
 func TestDrainWaitsForTheEnd(t *testing.T) {
@@ -25,3 +27,23 @@
 	server.Close()
 	must.Eq(t, ExitFailed, Run(t.Context(), env, Commands(), args))
 }
+
+// TestDrainDoesNotEndWithAMalformedStatus guards against taking a malformed response for the end of a
+// daemon, which the command reports as a success.
+func TestDrainDoesNotEndWithAMalformedStatus(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			_, _ = w.Write([]byte(`{"phase":"looking away","running":2}`))
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		must.NoError(t, err)
+		_, _ = conn.Write([]byte("HTTP/1.1 600 Trouble\r\nContent-Length: 0\r\n\r\n"))
+		_ = conn.Close()
+	}))
+	defer server.Close()
+	var out, errs bytes.Buffer
+	env := Env{Out: &out, Err: &errs, Client: &http.Client{Transport: responsecheck.New(&http.Transport{})}}
+	must.Eq(t, ExitUnknown, Run(t.Context(), env, Commands(), []string{"drain", "-operator", server.URL, "-wait"}))
+	must.StrContains(t, errs.String(), "malformed")
+}
--- a/pkg/responsecheck/clients_test.go
+++ b/pkg/responsecheck/clients_test.go
@@ -15,11 +15,14 @@
 // unchecked are the parts of net/http that read responses without the checks of the package.
 var unchecked = map[string]bool{"Get": true, "Head": true, "Post": true, "PostForm": true, "DefaultClient": true, "ReadResponse": true}
 
+// clientField is the field by which a library is given a client.
+const clientField = "HTTPClient"
+
 // TestEveryClientChecksResponses reads the sources of the program. It guards against a client that is
 // made without New, so that it takes a malformed response for an answer.
 func TestEveryClientChecksResponses(t *testing.T) {
 	clients := 0
-	for _, root := range []string{"../../cmd", "../../pkg", "../../platform"} {
+	for _, root := range []string{"../../cmd", "../../pkg", "../../platform", "../../bench"} {
 		must.NoError(t, filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
 			must.NoError(t, err)
 			test := strings.HasSuffix(path, "_test.go") || strings.Contains(path, "pkg/standin")
@@ -35,7 +38,11 @@
 						clients++
 						must.True(t, usesNew(n), must.Sprint(path, ": a client without responsecheck.New"))
 					}
+					if isSelector(n.Type, "websocket", "DialOptions") {
+						must.True(t, field(n, clientField) != nil, must.Sprint(path, ": a link without a client"))
+					}
 				case *ast.SelectorExpr:
+					must.False(t, n.Sel.Name == "RoundTrip" && !strings.Contains(path, "pkg/responsecheck"), must.Sprint(path, ": RoundTrip"))
 					must.False(t, unchecked[n.Sel.Name] && isSelector(n, "http", n.Sel.Name), must.Sprint(path, ": http.", n.Sel.Name))
 				}
 				return true
@@ -58,15 +65,20 @@
 
 // usesNew reports whether the transport of a client is a call of responsecheck.New.
 func usesNew(client *ast.CompositeLit) bool {
-	for _, element := range client.Elts {
-		field, ok := element.(*ast.KeyValueExpr)
+	call, ok := field(client, "Transport").(*ast.CallExpr)
+	return ok && isSelector(call.Fun, "responsecheck", "New")
+}
+
+// field returns the value of a field of a literal, or nil.
+func field(literal *ast.CompositeLit, name string) ast.Expr {
+	for _, element := range literal.Elts {
+		pair, ok := element.(*ast.KeyValueExpr)
 		if !ok {
 			continue
 		}
-		call, ok := field.Value.(*ast.CallExpr)
-		if ok && isSelector(call.Fun, "responsecheck", "New") {
-			return true
+		if key, ok := pair.Key.(*ast.Ident); ok && key.Name == name {
+			return pair.Value
 		}
 	}
-	return false
+	return nil
 }
--- a/pkg/responsecheck/readers_test.go
+++ b/pkg/responsecheck/readers_test.go
@@ -17,6 +17,7 @@
 	"amaranthplank.example/amaranthplank/pkg/external"
 	"amaranthplank.example/amaranthplank/pkg/external/httpclient"
 	"amaranthplank.example/amaranthplank/pkg/fault"
+	"amaranthplank.example/amaranthplank/pkg/kvmove"
 	"amaranthplank.example/amaranthplank/pkg/load"
 	"amaranthplank.example/amaranthplank/pkg/request"
 	"amaranthplank.example/amaranthplank/pkg/responsecheck"
@@ -153,6 +154,20 @@
 	}
 }
 
+// TestMalformedResponseEndsAMove guards against a KV cache that is fetched though its engine's response
+// to the export was malformed.
+func TestMalformedResponseEndsAMove(t *testing.T) {
+	for name, text := range malformed(object) {
+		from := serve(t, func(*http.Request) string { return text })
+		imports := make(chan bool, 1)
+		to := serve(t, func(*http.Request) string { imports <- true; return "HTTP/1.1 200 OK\r\n\r\n" })
+		mover := kvmove.Mover{Sender: target.NewControl(target.NewClient(), "")}
+		err := mover.CopyKVCache(t.Context(), "a-1", &external.TargetRecord{Target: "i-1", Address: from}, &external.TargetRecord{Target: "i-2", Address: to})
+		must.Error(t, err, must.Sprint(name))
+		must.Eq(t, 0, len(imports), must.Sprint(name))
+	}
+}
+
 // TestPollTakesNoMalformedResponse guards against a load report that a target in trouble sent.
 func TestPollTakesNoMalformedResponse(t *testing.T) {
 	for name, text := range malformed(`{"running":5}`) {
