Split and rename what a reader of the check of responses stumbles over

A malformed response was broken in some names and malformed in others: one word. The beginning of an exchange is a function apart from the round trip, and the relay counts and logs a malformed response apart from naming its failure. The relay's exchange no longer takes an error apart to see who made it. The comment on New said that TLS is not checked; only TLS through a proxy's tunnel is not.

--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"amaranthplank.example/amaranthplank/pkg/fleet"
 	"amaranthplank.example/amaranthplank/pkg/retry"
 	"amaranthplank.example/amaranthplank/pkg/routing"
@@ -56,30 +54,34 @@
 	if a.call.req.Idempotent {
 		reuse = target.ReuseAny
 	}
-	err := a.exchangeOn(e, reuse)
-	if err != nil && e.watchdog.ctx.Err() == nil && e.trace.Stale() && !e.trace.Abort() && e.trace.Withheld() == nil {
-		err = a.exchangeOn(e, target.ReuseNone)
+	a.exchangeOn(e, reuse)
+	if e.err != nil && e.staleUnsent() {
+		a.exchangeOn(e, target.ReuseNone)
+	}
+}
+
+// exchangeOn makes the exchange on a connection that may be used for it.
+func (a *attempt) exchangeOn(e *exchange, reuse target.Reuse) {
+	ctx := e.watchdog.ctx
+	outgoing, err := a.call.relay.protocol.Request(ctx, a.newTargetRequest())
+	if err != nil {
+		e.trace, e.err = &target.Trace{}, &exchangeError{failure: retry.ConnectFailed, cause: err}
+		return
 	}
-	var unbuilt *exchangeError
-	if err == nil || errors.As(err, &unbuilt) {
-		e.err = err
+	e.response, e.trace, err = a.send(outgoing, reuse) //nolint:bodyclose // handleResponse and settleSecond close it.
+	e.err = nil
+	if err == nil {
 		return
 	}
 	if e.trace.Abort() {
 		a.advanceTo(retry.Sent)
 	}
-	e.err = a.classify(e.watchdog.ctx, err)
+	e.err = a.classify(ctx, err)
 }
 
-// exchangeOn makes the exchange on a connection that may be used for it.
-func (a *attempt) exchangeOn(e *exchange, reuse target.Reuse) error {
-	e.trace = &target.Trace{}
-	outgoing, err := a.call.relay.protocol.Request(e.watchdog.ctx, a.newTargetRequest())
-	if err != nil {
-		return &exchangeError{failure: retry.ConnectFailed, cause: err}
-	}
-	e.response, e.trace, err = a.send(outgoing, reuse) //nolint:bodyclose // handleResponse and settleSecond close it.
-	return err
+// staleUnsent reports whether a failed exchange sent nothing, since its kept connection had ended.
+func (e *exchange) staleUnsent() bool {
+	return e.watchdog.ctx.Err() == nil && e.trace.Stale() && !e.trace.Abort() && e.trace.Withheld() == nil
 }
 
 // newTargetRequest returns the TargetRequest from which the protocol builds its request.
--- a/pkg/relay/failure.go
+++ b/pkg/relay/failure.go
@@ -68,15 +68,10 @@
 	return retry.ConnectionLost
 }
 
-// classify wraps a connection error with the failure that caused it. It counts and logs a malformed
-// response.
+// classify wraps a connection error with the failure that caused it.
 func (a *attempt) classify(ctx context.Context, err error) error {
-	c := a.call
-	if malformed := responsecheck.As(err); malformed != nil {
-		c.relay.metrics.malformed.WithLabelValues(string(malformed.Reason)).Inc()
-		c.relay.opts.Log.Info("malformed response", "request", c.req.ID, "target", a.target, "reason", malformed.Reason, "error", malformed)
-	}
-	failure := c.failureFor(ctx, err)
+	a.observeMalformed(err)
+	failure := a.call.failureFor(ctx, err)
 	if failure == retry.Mismatch && a.phase == retry.Unsent {
 		// What came before the request was sent is no response to it.
 		failure = retry.ConnectionLost
@@ -84,6 +79,17 @@
 	return &exchangeError{failure: failure, cause: err}
 }
 
+// observeMalformed counts and logs a malformed response, if err is the error of one.
+func (a *attempt) observeMalformed(err error) {
+	malformed := responsecheck.As(err)
+	if malformed == nil {
+		return
+	}
+	relay := a.call.relay
+	relay.metrics.malformed.WithLabelValues(string(malformed.Reason)).Inc()
+	relay.opts.Log.Info("malformed response", "request", a.call.req.ID, "target", a.target, "reason", malformed.Reason, "error", malformed)
+}
+
 // failureFor returns the failure that caused err. It checks for the caller's
 // disconnect, the silence timeout and the deadline first, because these end ctx and
 // so cause the other errors.
--- a/pkg/responsecheck/doc.go
+++ b/pkg/responsecheck/doc.go
@@ -1,6 +1,6 @@
 // Package responsecheck defines which HTTP/1 responses are well-formed, and provides the
 // transport by which every client of the program reads responses. It fails on all others with an
-// Error, so that a response of which a part is broken is never taken for a whole one.
+// Error, so that a response that is malformed or cut is never taken for a whole one.
 //
 // A well-formed response has
 //
--- a/pkg/responsecheck/errors.go
+++ b/pkg/responsecheck/errors.go
@@ -7,13 +7,13 @@
 
 // The reasons.
 const (
-	// BrokenStatus means that the status line is malformed or the status is none that a
+	// MalformedStatus means that the status line is malformed or the status is none that a
 	// response may have.
-	BrokenStatus Reason = "status"
-	// BrokenField means that the name or the value of a field is malformed.
-	BrokenField Reason = "field"
-	// BrokenFraming means that the head does not state in one valid way where the body ends.
-	BrokenFraming Reason = "framing"
+	MalformedStatus Reason = "status"
+	// MalformedField means that the name or the value of a field is malformed.
+	MalformedField Reason = "field"
+	// MalformedFraming means that the head does not state in one valid way where the body ends.
+	MalformedFraming Reason = "framing"
 	// IncompleteHead means that the connection ended within the head.
 	IncompleteHead Reason = "incomplete_head"
 	// EarlyEnd means that the connection ended before the server had received the request,
--- a/pkg/responsecheck/head.go
+++ b/pkg/responsecheck/head.go
@@ -10,15 +10,15 @@
 
 // The errors of malformed heads.
 var (
-	errStatusLine = &Error{BrokenStatus, "its status line is not one of HTTP/1.0 or HTTP/1.1"}
-	errStatus     = &Error{BrokenStatus, "its status is none of 200 to 599"}
-	errLineEnd    = &Error{BrokenField, "a line of its head does not end with CRLF"}
-	errName       = &Error{BrokenField, "a field has no name that is a token and ends with a colon"}
-	errValue      = &Error{BrokenField, "the value of a field has a control byte"}
-	errLength     = &Error{BrokenFraming, "its content length is malformed or stated twice"}
-	errCoding     = &Error{BrokenFraming, "its transfer coding is not chunked, or stated twice or in HTTP/1.0"}
-	errTwoEnds    = &Error{BrokenFraming, "it states a content length and a transfer coding"}
-	errNoContent  = &Error{BrokenFraming, "its status allows no body, and it states one"}
+	errStatusLine = &Error{MalformedStatus, "its status line is not one of HTTP/1.0 or HTTP/1.1"}
+	errStatus     = &Error{MalformedStatus, "its status is none of 200 to 599"}
+	errLineEnd    = &Error{MalformedField, "a line of its head does not end with CRLF"}
+	errName       = &Error{MalformedField, "a field has no name that is a token and ends with a colon"}
+	errValue      = &Error{MalformedField, "the value of a field has a control byte"}
+	errLength     = &Error{MalformedFraming, "its content length is malformed or stated twice"}
+	errCoding     = &Error{MalformedFraming, "its transfer coding is not chunked, or stated twice or in HTTP/1.0"}
+	errTwoEnds    = &Error{MalformedFraming, "it states a content length and a transfer coding"}
+	errNoContent  = &Error{MalformedFraming, "its status allows no body, and it states one"}
 )
 
 const (
--- a/pkg/responsecheck/head_test.go
+++ b/pkg/responsecheck/head_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// seedHeads are heads from which the fuzzing starts. Those in platform/brokenheads_test.go are played
+// seedHeads are heads from which the fuzzing starts. Those in platform/malformedheads_test.go are played
 // against a whole gateway.
 var seedHeads = []string{
 	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HTTP/1.0 404 Not Found\r\n\r\n", "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n",
--- a/pkg/responsecheck/transport.go
+++ b/pkg/responsecheck/transport.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -17,8 +16,8 @@
 
 var _ http.RoundTripper = (*Transport)(nil)
 
-// New returns a transport that makes its exchanges by base, which must not be used otherwise.
-// Connections by a proxy of base and TLS are not checked.
+// New returns a transport that makes its exchanges by base, which must not be used otherwise. TLS
+// over a tunnel through a proxy of base is not checked.
 func New(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -41,8 +40,8 @@
 	return &conn{Conn: c}, nil
 }
 
-// dialTLS makes a connection and the TLS handshake, in which it verifies the host of the address
-// unless the configuration names another.
+// dialTLS makes a connection and the TLS handshake. It verifies the host of the address, unless the
+// configuration names another, and offers HTTP/1 alone.
 func dialTLS(ctx context.Context, dial func(context.Context, string, string) (net.Conn, error), config *tls.Config, network, address string) (net.Conn, error) {
 	plain, err := dial(ctx, network, address)
 	if err != nil {
@@ -70,27 +69,20 @@
 }
 
 // RoundTripOn is RoundTrip, and passes each connection that it uses to connected before it writes
-// to it: as the dial function of the transport returned it, unless that was secured by TLS.
+// to it: as the dial function of the transport returned it, or the TLS connection over that.
 func (t *Transport) RoundTripOn(r *http.Request, connected func(net.Conn)) (*http.Response, error) {
 	state := &requestState{}
-	var current *exchange
-	var used *conn
+	var used *use
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		current, used = nil, nil
-		if c, ok := info.Conn.(*conn); ok {
-			current = &exchange{request: state, head: head{upgrade: r.Header.Get("Upgrade") != ""}}
-			used = c
-			c.exchange.Store(current)
-			info.Conn = c.Conn
-		}
-		connected(info.Conn)
+		used = beginUse(info.Conn, r, state)
+		connected(used.below)
 	}}
 	response, err := t.base.RoundTrip(state.watch(r.WithContext(httptrace.WithClientTrace(r.Context(), trace))))
 	if err != nil {
 		return nil, err
 	}
-	if current != nil && !current.headRead.Load() {
-		_ = used.Close()
+	if !used.headRead() {
+		_ = used.below.Close()
 		_ = response.Body.Close()
 		return nil, errUnrequested
 	}
@@ -100,33 +92,28 @@
 	return response, nil
 }
 
-// CloseIdleConnections closes the idle connections.
-func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+// use is the use of a connection for one request.
+type use struct {
+	// below is the connection without the checks.
+	below net.Conn
+	// exchange is nil if the connection is not checked.
+	exchange *exchange
+}
 
-// watch records in the state when the transport has read the body of a request, which it may
-// change.
-func (s *requestState) watch(r *http.Request) *http.Request {
-	if r.Body == nil || r.Body == http.NoBody {
-		s.taken.Store(true)
-		return r
-	}
-	wrap := func(body io.ReadCloser) io.ReadCloser {
-		left := r.ContentLength
-		if left == 0 {
-			left = -1
-		}
-		return &requestBody{ReadCloser: body, state: s, left: left}
-	}
-	r.Body = wrap(r.Body)
-	if again := r.GetBody; again != nil {
-		r.GetBody = func() (io.ReadCloser, error) {
-			body, err := again()
-			if err != nil {
-				return nil, err
-			}
-			s.taken.Store(false)
-			return wrap(body), nil
-		}
+// beginUse begins the exchange of a request on a connection, if that is checked.
+func beginUse(c net.Conn, r *http.Request, state *requestState) *use {
+	checked, ok := c.(*conn)
+	if !ok {
+		return &use{below: c}
 	}
-	return r
+	x := &exchange{request: state, head: head{upgrade: r.Header.Get("Upgrade") != ""}}
+	checked.exchange.Store(x)
+	return &use{below: checked.Conn, exchange: x}
 }
+
+// headRead reports whether the head of the response arrived in the exchange, which is not known of a
+// connection that is not checked.
+func (u *use) headRead() bool { return u.exchange == nil || u.exchange.headRead.Load() }
+
+// CloseIdleConnections closes the idle connections.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
