--- a/pkg/responsecheck/errors.go
+++ b/pkg/responsecheck/errors.go
@@ -26,7 +26,7 @@
 // Error is the error of an exchange whose response is not well-formed.
 type Error struct {
 	Reason Reason
-	// detail describes the fault. It has no bytes of the response.
+	// detail describes the fault. It quotes nothing of the response, which may be long or secret.
 	detail string
 }
 
@@ -39,9 +39,9 @@
 
 // As returns the Error in an error's chain, or nil.
 func As(err error) *Error {
-	var broken *Error
-	if errors.As(err, &broken) {
-		return broken
+	var malformed *Error
+	if errors.As(err, &malformed) {
+		return malformed
 	}
 	return nil
 }
--- a/pkg/responsecheck/transport.go
+++ b/pkg/responsecheck/transport.go
@@ -101,14 +101,14 @@
 }
 
 // beginUse begins the exchange of a request on a connection, if that is checked.
-func beginUse(c net.Conn, r *http.Request, state *requestState) *use {
-	checked, ok := c.(*conn)
+func beginUse(connection net.Conn, r *http.Request, state *requestState) *use {
+	c, ok := connection.(*conn)
 	if !ok {
-		return &use{below: c}
+		return &use{below: connection}
 	}
 	x := &exchange{request: state, head: head{upgrade: r.Header.Get("Upgrade") != ""}}
-	checked.exchange.Store(x)
-	return &use{below: checked.Conn, exchange: x}
+	c.exchange.Store(x)
+	return &use{below: c.Conn, exchange: x}
 }
 
 // headRead reports whether the head of the response arrived in the exchange, which is not known of a
