Forward no status that promises not run without the target's statement

Callers saw 503, 429 or 408 for requests that a target had run: the target had answered so without stating that it did not run the request.

Cause: the protocol looked at the statement for what this daemon may send again; what the caller would read in the status was decided nowhere. 503 was forwarded as the target's own refusal, 429 and 408 as answers like any other, all three also when too large to be held.

A response with one of them and without the statement is of a kind of its own, ResponseAmbiguous, and never forwarded: the attempt failed and may have run the request. It goes to another target if the request may run more than once, else the caller gets 502, which promises nothing. 421 is itself the statement by the pages. That holds for all ways of a response, since the kind is decided before any of them.

--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -129,6 +129,9 @@
 	switch {
 	case kind == ResponseRejected:
 		return drainRejection(response, w.cancel)
+	case kind == ResponseAmbiguous:
+		a.call.markRan()
+		return a.endAmbiguous(response, w.cancel)
 	case (a.idleResumes > 0 || a.answerBegun()) && !a.call.mayContinue(kind, response):
 		return discard(response, trace, retry.Mismatch, errNotStream)
 	case kind == ResponseStream:
@@ -193,20 +196,33 @@
 	observer.ObserveWork(a.call.req, a.target, prompt, time.Since(a.began))
 }
 
+// endAmbiguous ends an exchange whose response leaves open whether the target ran the request.
+func (a *attempt) endAmbiguous(response *http.Response, cancel context.CancelCauseFunc) error {
+	drain(response, cancel)
+	a.call.relay.opts.Log.Info("ambiguous response", "request", a.call.req.ID, "target", a.target, "status", response.StatusCode)
+	return &exchangeError{failure: retry.Mismatch, cause: errAmbiguous}
+}
+
 // drainRejection ends an exchange whose target reported that it did not run the
-// request. The connection is kept for reuse if the response ends within drainTimeout;
-// cancel ends the exchange otherwise, so that the request is not held back.
+// request.
 func drainRejection(response *http.Response, cancel context.CancelCauseFunc) error {
+	drain(response, cancel)
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return &exchangeError{failure: retry.Rejected, cause: errMisdirected}
+	}
+	return &exchangeError{failure: retry.Rejected, cause: errRejected}
+}
+
+// drain ends an exchange whose response is not forwarded. The connection is kept for reuse if
+// the response ends within drainTimeout; cancel ends the exchange otherwise, so that the request
+// is not held back.
+func drain(response *http.Response, cancel context.CancelCauseFunc) {
 	// The connection can be reused only after the body was read. Its content is
 	// not needed.
 	timer := time.AfterFunc(drainTimeout, func() { cancel(nil) })
 	defer timer.Stop()
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRejectionBytes))
 	_ = response.Body.Close()
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		return &exchangeError{failure: retry.Rejected, cause: errMisdirected}
-	}
-	return &exchangeError{failure: retry.Rejected, cause: errRejected}
 }
 
 // discard closes the response and its connection, and returns the failure.
--- a/pkg/relay/prefill.go
+++ b/pkg/relay/prefill.go
@@ -71,7 +71,7 @@
 	if load, ok := protocol.Load(response); ok {
 		a.reportLoad(load)
 	}
-	if kind == ResponseRejected || kind == ResponseFailed {
+	if kind == ResponseRejected || kind == ResponseAmbiguous || kind == ResponseFailed {
 		return KVSource{}, drainRejection(response, cancel)
 	}
 	source, err := prefiller.Prefilled(targetReq, response)
--- a/pkg/relay/second.go
+++ b/pkg/relay/second.go
@@ -100,6 +100,9 @@
 	case ResponseRejected:
 		a.observeLoad(e.response)
 		return drainRejection(e.response, e.watchdog.cancel)
+	case ResponseAmbiguous:
+		a.observeLoad(e.response)
+		return a.endAmbiguous(e.response, e.watchdog.cancel)
 	case ResponseFailed:
 		a.observeLoad(e.response)
 		return discard(e.response, e.trace, retry.Refused, errRefused)
