Identify every part of a prompt that a head can state

Cause: the first 64 parts of a prompt were identified, and the last of these taken for the request's own, which tells prompts apart. Prompts that share 64 parts were one prompt, and one prompt blames no part. Parts behind the 64th, and behind one without a length, were in no check.

Change: all parts that a head can state are identified, by one constant for the two places that had one each, and the last identifier is the last part's in any case. What that costs is bounded: a request's hashes are charged to the budget of requests; a crash names 8,192 parts at most; eight such crashes are kept; messages and values in the store hold the newest crashes that fit. Parts are sorted, and what explains a crash is found once for each change of the evidence, since a verdict on long prompts was quadratic and more in their parts.

TestTableIsBounded had 2 x 64 parts a prompt by the old constant; it has 128 by one of its own. TestLongPromptsLeaveRoomForAVerdict is new beside it, with prompts of up to twice the new bound.

Evidence: TestLongPromptsThatCrashReplicasAreRefused failed in 5 of 5 forms before, and TestPartsOfLongPromptsAreIdentified, TestPartBehindManyOthersIsSuspect (100 and 4,000 parts) and TestSuspectPartOutlastsAllDaemons (4,000) failed. A check and the record of its answer take 1.2 us for 5 parts and 0.76 ms for 2,000 while crashes are known under them (BenchmarkCheck). TestPromptsOfManyParts is a guard: 23 MiB with the charge, 26 without, both within its bound.

--- a/pkg/entry/format.go
+++ b/pkg/entry/format.go
@@ -50,6 +50,12 @@
 	BegunBy ident.Request
 }
 
+// partBytes returns the memory that the hashes of the prompt's parts take.
+func (d *Description) partBytes() int64 {
+	const hashBytes = 8
+	return hashBytes * int64(cap(d.PartEnds)+cap(d.PartIDs))
+}
+
 // Failure describes to the caller why a request was not answered.
 type Failure struct {
 	ID      ident.Request
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -151,7 +151,7 @@
 	if err := checkLeaks(snapshot, s.caller, s.httpReq, body); err != nil {
 		return err
 	}
-	description, err := opts.Format.Describe(s.httpReq, body)
+	description, err := s.describe(body)
 	if err != nil {
 		return err
 	}
@@ -168,6 +168,15 @@
 	return nil
 }
 
+// describe returns the request's properties, and counts what they take.
+func (s *session) describe(body request.Body) (Description, error) {
+	description, err := s.handler.opts.Format.Describe(s.httpReq, body)
+	if err != nil {
+		return Description{}, err
+	}
+	return description, s.hold.TakeParts(description.partBytes())
+}
+
 // admit waits for admission and then checks the key again, since it may have been
 // revoked while the request was queued.
 func (s *session) admit() error {
--- a/pkg/overload/budget_test.go
+++ b/pkg/overload/budget_test.go
@@ -160,3 +160,19 @@
 		must.Less(t, machine.descriptors, connections)
 	}
 }
+
+// TestPartsCountWithTheirRequest guards against descriptions of long prompts that take memory which
+// no bound on requests counts.
+func TestPartsCountWithTheirRequest(t *testing.T) {
+	b := New(Limits{RequestBytes: 3*requestBytes + 1024}, nil, nil)
+	first, _, err := begin(b, "")
+	must.NoError(t, err)
+	must.NoError(t, first.TakeParts(requestBytes))
+	second, _, err := begin(b, "")
+	must.NoError(t, err)
+	must.ErrorIs(t, second.TakeParts(requestBytes), ErrFull)
+	first.Release()
+	must.NoError(t, second.TakeParts(requestBytes))
+	second.Release()
+	must.Zero(t, b.requests.held)
+}
--- a/pkg/overload/hold.go
+++ b/pkg/overload/hold.go
@@ -80,6 +80,21 @@
 	return bytes + int64(len(r.RequestURI))
 }
 
+// TakeParts counts what describes the parts of the request's prompt. It fails with ErrFull if there
+// is no room for it, or if the request gave way to others.
+func (h *Hold) TakeParts(bytes int64) error {
+	if h == nil {
+		return nil
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if err := h.budget.take(&h.budget.requests, h, h.route, bytes); err != nil {
+		return err
+	}
+	h.requestBytes += bytes
+	return nil
+}
+
 // TakeBody counts bytes of the body that are about to be read. It fails with ErrFull if there is no
 // room for them, or if the request gave way to others.
 func (h *Hold) TakeBody(bytes int64) error {
--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -165,7 +165,7 @@
 	if last < 1 {
 		return Prompt{}
 	}
-	return Prompt{Own: req.PartIDs[last], Parts: req.PartIDs[:min(last, maxParts)]}
+	return Prompt{Own: req.PartIDs[last], Parts: req.PartIDs[:last]}
 }
 
 // Receive adds the evidence of another daemon, and returns the part that was new.
--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,6 +33,27 @@
 	Requests []uint64
 }
 
+// hashes returns the number of hashes that describe what was lost at the crash.
+func (c *Crash) hashes() int {
+	count := len(c.Requests) + len(c.Lost)
+	for i := range c.Lost {
+		count += len(c.Lost[i].Parts)
+	}
+	return count
+}
+
+// newestCrashes returns the newest of some crashes, sorted by time: at most count of them, with at
+// most the given number of hashes.
+func newestCrashes(crashes []Crash, count, hashes int) []Crash {
+	slices.SortStableFunc(crashes, func(a, b Crash) int { return cmp.Compare(a.At, b.At) })
+	first := len(crashes)
+	for first > max(0, len(crashes)-count) && crashes[first-1].hashes() <= hashes {
+		first--
+		hashes -= crashes[first].hashes()
+	}
+	return crashes[first:]
+}
+
 // Prompt describes the prompt of a request.
 type Prompt struct {
 	// Own is the hash of the last part, which belongs to the request or its session.
--- a/pkg/poison/losses.go
+++ b/pkg/poison/losses.go
@@ -33,9 +33,10 @@
 type pendingCrash struct {
 	Crash
 	target ident.Target
-	// lost counts the requests, and logged holds the fingerprints of the first ones.
-	lost   int
-	logged []string
+	// lost counts the requests, parts the parts of their prompts, and logged holds the
+	// fingerprints of the first requests.
+	lost, parts int
+	logged      []string
 	// waiting receive whether the target has ended.
 	waiting []chan<- bool
 }
@@ -48,8 +49,9 @@
 		p.logged = append(p.logged, fingerprint.String())
 	}
 	prompt.Parts = slices.DeleteFunc(slices.Clone(prompt.Parts), func(part uint64) bool { return answered(partKey(part)) })
-	if len(prompt.Parts) > 0 && len(p.Lost) < maxLost {
+	if len(prompt.Parts) > 0 && len(p.Lost) < maxLost && p.parts+len(prompt.Parts) <= maxParts {
 		p.Lost = append(p.Lost, prompt)
+		p.parts += len(prompt.Parts)
 	}
 	again := slices.Contains(p.Requests, uint64(fingerprint))
 	if !again && len(p.Requests) < maxLost && !answered(requestKey(uint64(fingerprint))) {
--- a/pkg/poison/storecopy.go
+++ b/pkg/poison/storecopy.go
@@ -30,10 +30,13 @@
 	copyTTL                     = 30 * time.Second
 	maxKeepTTL                  = 10 * time.Minute
 	suspectsSuffix external.Key = "/suspects"
-	// maxCopied bounds the crashes, and the answers, in a host's key, and copiedFor
-	// their age before the newest of them.
-	maxCopied = 32
-	copiedFor = 10 * time.Second
+	// maxCopied bounds the crashes in a host's key, maxCopiedHashes the hashes of their prompts
+	// and requests, maxCopiedAnswers the answers, and copiedFor the age of all before the
+	// newest of them. Written, they stay below external.MaxValueBytes.
+	maxCopied        = 32
+	maxCopiedHashes  = minCrashes * maxCrashHashes
+	maxCopiedAnswers = 1024
+	copiedFor        = 10 * time.Second
 )
 
 // StoreCopy writes evidence that some daemon could not be sent over a link to the
@@ -73,8 +76,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	latest := &s.unlinked.latest
-	latest.Crashes = newest(append(latest.Crashes, e.Crashes...), func(c Crash) int64 { return c.At })
-	latest.Answers = newest(append(latest.Answers, e.Answers...), func(a Answer) int64 { return a.At })
+	latest.Crashes = newestCrashes(recent(append(latest.Crashes, e.Crashes...), func(c Crash) int64 { return c.At }), maxCopied, maxCopiedHashes)
+	latest.Answers = recent(append(latest.Answers, e.Answers...), func(a Answer) int64 { return a.At })
+	latest.Answers = latest.Answers[max(0, len(latest.Answers)-maxCopiedAnswers):]
 	s.unlinked.changed = true
 }
 
@@ -83,16 +87,15 @@
 func (s *StoreCopy) Keep(e *Evidence, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	slices.SortFunc(e.Crashes, func(a, b Crash) int { return cmp.Compare(b.At, a.At) })
-	s.suspects.latest = Evidence{Crashes: e.Crashes[:min(len(e.Crashes), maxCopied)]}
+	s.suspects.latest = Evidence{Crashes: newestCrashes(e.Crashes, maxCopied, maxCopiedHashes)}
 	s.suspects.ttl, s.suspects.changed = min(max(d, copyTTL), maxKeepTTL), true
 }
 
-// newest returns the newest items, up to maxCopied, that are at most copiedFor older
-// than the newest.
-func newest[T any](items []T, at func(T) int64) []T {
+// recent returns the items sorted by time, without those that are more than copiedFor older than the
+// newest.
+func recent[T any](items []T, at func(T) int64) []T {
 	slices.SortStableFunc(items, func(a, b T) int { return cmp.Compare(at(a), at(b)) })
-	items = slices.Clone(items[max(0, len(items)-maxCopied):])
+	items = slices.Clone(items)
 	return slices.DeleteFunc(items, func(item T) bool {
 		return at(items[len(items)-1])-at(item) > copiedFor.Milliseconds()
 	})
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -5,30 +5,40 @@
 	"maps"
 	"slices"
 	"time"
+
+	"amaranthplank.example/amaranthplank/pkg/request"
 )
 
 const (
 	// maxCrashes and maxKeptKeys bound the crashes that are kept and the parts of
-	// their prompts and their requests together, and maxLost the prompts and the requests
-	// of one crash. Beyond them the oldest crashes are dropped.
+	// their prompts and their requests together. Beyond them the oldest crashes are dropped.
+	// There is room for as many as a verdict needs, whatever their prompts are.
 	maxCrashes  = 512
-	maxKeptKeys = 32768
-	maxLost     = 256
+	maxKeptKeys = minCrashesAnswered * (maxParts + maxLost)
+	// maxLost bounds the prompts and the requests of one crash, maxParts the parts of all its
+	// prompts together, and maxCrashHashes all hashes that describe it.
+	maxLost        = 256
+	maxParts       = request.MaxParts
+	maxCrashHashes = maxParts + 2*maxLost
 	// maxAnswers bounds the keys whose newest answer is kept.
 	maxAnswers = 32768
-	// maxParts bounds the parts of one prompt that are looked at.
-	maxParts = 64
 	// maxAge is how long a crash is kept.
 	maxAge = 30 * time.Minute
 )
 
 // crash is a crash that is kept.
 type crash struct {
-	at       int64
+	at int64
+	// lost are the prompts, their parts sorted. parts is the number of all parts.
 	lost     []Prompt
+	parts    int
 	requests []uint64
 	// own is set if this daemon noticed the crash.
 	own bool
+	// worst is the worst standing of the parts that may explain the crash, as of a revision of
+	// the table.
+	worst         standing
+	worstRevision uint64
 }
 
 // Table holds the evidence of all daemons. Its verdicts depend on the evidence but
@@ -44,6 +54,8 @@
 	kept, requests int
 	// answered holds the time of each key's newest answer in Unix milliseconds.
 	answered map[Key]int64
+	// revision rises with each change.
+	revision uint64
 }
 
 // NewTable returns a table without evidence.
@@ -86,11 +98,13 @@
 		t.dropOldestAnswers()
 	}
 	t.answered[answer.key()] = at
+	t.revision++
 	return true
 }
 
 // dropOldestAnswers drops half of the answers.
 func (t *Table) dropOldestAnswers() {
+	t.revision++
 	middle := slices.Sorted(maps.Values(t.answered))[len(t.answered)/2]
 	maps.DeleteFunc(t.answered, func(_ Key, at int64) bool { return at <= middle })
 }
@@ -107,13 +121,15 @@
 		known = &crash{at: added.At}
 		t.crashes[key] = known
 	}
+	t.revision++
 	known.at = min(known.at, added.At)
-	for _, prompt := range c.Lost {
-		prompt.Parts = prompt.Parts[:min(len(prompt.Parts), maxParts)]
-		if len(known.lost) >= maxLost || slices.ContainsFunc(known.lost, func(p Prompt) bool { return p.equal(prompt) }) {
+	for _, lost := range c.Lost {
+		prompt := lost.sorted()
+		if !known.hasRoom(prompt) || slices.ContainsFunc(known.lost, func(p Prompt) bool { return p.equal(prompt) }) {
 			continue
 		}
 		known.lost = append(known.lost, prompt)
+		known.parts += len(prompt.Parts)
 		added.Lost = append(added.Lost, prompt)
 	}
 	for _, fingerprint := range c.Requests {
@@ -130,6 +146,23 @@
 	return added
 }
 
+// hasRoom reports whether another prompt may be kept with the crash.
+func (c *crash) hasRoom(prompt Prompt) bool {
+	return len(c.lost) < maxLost && c.parts+len(prompt.Parts) <= maxParts
+}
+
+// sorted returns the prompt with its parts sorted, each once, and at most maxParts.
+func (p *Prompt) sorted() Prompt {
+	parts := slices.Compact(slices.Sorted(slices.Values(p.Parts)))
+	return Prompt{Own: p.Own, Parts: parts[:min(len(parts), maxParts)]}
+}
+
+// has reports whether a part is in the prompt, whose parts are sorted.
+func (p *Prompt) has(part uint64) bool {
+	_, found := slices.BinarySearch(p.Parts, part)
+	return found
+}
+
 // equal reports whether two prompts are the same.
 func (p *Prompt) equal(other Prompt) bool {
 	return p.Own == other.Own && slices.Equal(p.Parts, other.Parts)
@@ -158,6 +191,7 @@
 
 // drop removes a crash.
 func (t *Table) drop(incarnation uint64) {
+	t.revision++
 	known := t.crashes[incarnation]
 	keys := keysOf(known.lost, known.requests)
 	t.kept -= len(keys)
@@ -187,4 +221,5 @@
 		}
 	}
 	maps.DeleteFunc(t.answered, func(_ Key, at int64) bool { return at < limit })
+	t.revision++
 }
--- a/pkg/poison/verdict.go
+++ b/pkg/poison/verdict.go
@@ -58,7 +58,7 @@
 	}
 	standing := t.standingOf(part, counted)
 	if standing > neverAnswered {
-		counted = slices.DeleteFunc(counted, func(c *crash) bool { return t.explained(c, part, standing) })
+		counted = slices.DeleteFunc(counted, func(c *crash) bool { return t.worstStanding(c) < standing })
 	}
 	count := len(counted)
 	if standing == answeredLately {
@@ -78,8 +78,9 @@
 // crashesOf returns the crashes under a key since its newest answer, sorted by time.
 func (t *Table) crashesOf(key Key) []*crash {
 	var found []*crash
+	answered := t.answered[key]
 	for _, incarnation := range t.keys[key] {
-		if known := t.crashes[incarnation]; known.at > t.answered[key] {
+		if known := t.crashes[incarnation]; known.at > answered {
 			found = append(found, known)
 		}
 	}
@@ -110,22 +111,29 @@
 	return answeredOnce
 }
 
-// explained reports whether another part of a crash's prompts, one with at least
-// minCrashes and a worse standing, explains the crash.
-func (t *Table) explained(c *crash, part Key, own standing) bool {
+// worstStanding returns the worst standing of the parts of a crash's prompts, of those with enough
+// crashes and prompts to be suspect. A part of a better standing is explained by them.
+func (t *Table) worstStanding(c *crash) standing {
+	if c.worstRevision == t.revision {
+		return c.worst
+	}
+	c.worst, c.worstRevision = answeredLately, t.revision
 	for _, prompt := range c.lost {
 		for _, hash := range prompt.Parts {
-			other := partKey(hash)
-			if other == part || len(t.keys[other]) < minCrashes {
+			part := partKey(hash)
+			if len(t.keys[part]) < minCrashes {
 				continue
 			}
-			crashes := t.crashesOf(other)
-			if t.standingOf(other, crashes) < own && len(crashes) >= minCrashes && countPrompts(crashes, other) >= minPrompts {
-				return true
+			crashes := t.crashesOf(part)
+			if standing := t.standingOf(part, crashes); standing < c.worst && len(crashes) >= minCrashes && countPrompts(crashes, part) >= minPrompts {
+				c.worst = standing
+			}
+			if c.worst == neverAnswered {
+				return c.worst
 			}
 		}
 	}
-	return false
+	return c.worst
 }
 
 // countMoments counts crashes, which are sorted by time. Of those within one
@@ -149,7 +157,7 @@
 	own := make([]uint64, 0, minPrompts)
 	for _, c := range crashes {
 		for _, prompt := range c.lost {
-			if !slices.Contains(prompt.Parts, part.Hash) || slices.Contains(own, prompt.Own) {
+			if !prompt.has(part.Hash) || slices.Contains(own, prompt.Own) {
 				continue
 			}
 			if own = append(own, prompt.Own); len(own) == minPrompts {
@@ -171,18 +179,19 @@
 	return suspects
 }
 
-// maxRequestCrashes bounds the crashes in EvidenceOn of which requests are named, and
-// maxCrashRequests the requests of each.
+// maxRequestCrashes bounds the crashes in EvidenceOn of which requests are named, maxCrashRequests
+// the requests of each, and maxSentHashes all hashes, which fit into one message.
 const (
 	maxRequestCrashes = 32
 	maxCrashRequests  = 16
+	maxSentHashes     = minCrashesAnswered * maxCrashHashes
 )
 
 // EvidenceOn returns the evidence on suspect parts, and the newest on requests, suspect
 // or not, for a daemon that lacks it.
 func (t *Table) EvidenceOn(suspects map[Key]Verdict) Evidence {
 	var e Evidence
-	newest := t.newestCrashes(maxRequestCrashes)
+	newest := t.newestUnderRequests(maxRequestCrashes)
 	for incarnation, known := range t.crashes {
 		found := Crash{Incarnation: incarnation, At: known.at}
 		for _, prompt := range known.lost {
@@ -197,6 +206,7 @@
 			e.Crashes = append(e.Crashes, found)
 		}
 	}
+	e.Crashes = newestCrashes(e.Crashes, maxCrashes, maxSentHashes)
 	return e
 }
 
@@ -209,8 +219,8 @@
 	return sorted[:min(len(sorted), maxCrashRequests)]
 }
 
-// newestCrashes returns the newest crashes under requests.
-func (t *Table) newestCrashes(count int) map[uint64]bool {
+// newestUnderRequests returns the newest crashes under requests.
+func (t *Table) newestUnderRequests(count int) map[uint64]bool {
 	all := make([]uint64, 0, len(t.crashes))
 	for incarnation, known := range t.crashes {
 		if len(known.requests) > 0 {
--- a/pkg/poison/verdict_test.go
+++ b/pkg/poison/verdict_test.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"encoding/json"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -8,6 +10,8 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"amaranthplank.example/amaranthplank/pkg/external"
+	"amaranthplank.example/amaranthplank/pkg/peer"
 	"amaranthplank.example/amaranthplank/pkg/request"
 	_ "amaranthplank.example/amaranthplank/pkg/testseed"
 )
@@ -59,9 +63,15 @@
 // none of its prompts, since many other parts come before it: the same in all prompts, which are
 // answered in others, or different ones in each.
 func TestPartBehindManyOthersIsSuspect(t *testing.T) {
-	const behind = 40
+	for _, behind := range []int{40, 100, 4000} {
+		partBehindIsSuspect(t, behind)
+	}
+}
+
+// partBehindIsSuspect is TestPartBehindManyOthersIsSuspect with a number of parts before the bad one.
+func partBehindIsSuspect(t *testing.T, behind int) {
 	for name, first := range map[string]func(i int) uint64{
-		"same": func(int) uint64 { return 1000 }, "different": func(i int) uint64 { return uint64(1000 * (1 + i)) },
+		"same": func(int) uint64 { return 10_000 }, "different": func(i int) uint64 { return uint64(10_000 * (1 + i)) },
 	} {
 		table := NewTable()
 		for i := range 4 {
@@ -77,8 +87,8 @@
 			e.Crashes = []Crash{end(i, int64(i)*250, prompt.Own, prompt.Parts...)}
 			table.Merge(&e, after(int64(i)*250+100))
 		}
-		must.True(t, table.Judge(partKey(bad), after(1000)).Suspect, must.Sprint(name))
-		must.Eq(t, 1, len(table.Suspects(after(1000))), must.Sprint(name))
+		must.True(t, table.Judge(partKey(bad), after(1000)).Suspect, must.Sprint(name, behind))
+		must.Eq(t, 1, len(table.Suspects(after(1000))), must.Sprint(name, behind))
 	}
 }
 
@@ -215,8 +225,9 @@
 	})
 }
 
-// boundedPrompts is the number of prompts under each crash in TestTableIsBounded.
-const boundedPrompts = 32
+// boundedPrompts is the number of prompts under each crash in TestTableIsBounded, and boundedParts
+// that of the parts of each.
+const boundedPrompts, boundedParts = 32, 128
 
 // TestTableIsBounded merges far more than is kept.
 func TestTableIsBounded(t *testing.T) {
@@ -225,7 +236,7 @@
 		c := end(i, int64(i), 0)
 		for j := range boundedPrompts {
 			p := Prompt{Own: uint64(j)}
-			for k := range 2 * maxParts {
+			for k := range boundedParts {
 				p.Parts = append(p.Parts, uint64(i*10_000+j*100+k))
 			}
 			c.Lost = append(c.Lost, p)
@@ -243,3 +254,58 @@
 	must.LessEq(t, maxKeptKeys, len(table.keys))
 	must.LessEq(t, maxAnswers, len(table.answered))
 }
+
+// longCrash returns the end of a target under prompts with a bad part and many others.
+func longCrash(i, prompts, parts int) Crash {
+	c := end(i, int64(i), 0)
+	c.Lost = nil
+	for j := range prompts {
+		p := Prompt{Own: hashOf(uint64(i*prompts + j)), Parts: []uint64{bad}}
+		for k := 1; k < parts; k++ {
+			p.Parts = append(p.Parts, hashOf(uint64((i*prompts+j)*parts+k)))
+		}
+		c.Lost = append(c.Lost, p)
+	}
+	for j := range maxLost {
+		c.Requests = append(c.Requests, hashOf(uint64(1_000_000+i*maxLost+j)))
+	}
+	return c
+}
+
+// TestLongPromptsLeaveRoomForAVerdict guards against evidence on long prompts that drops the evidence
+// before it, so that there is never enough for a verdict, and against evidence that no message and
+// no value of the store can hold.
+func TestLongPromptsLeaveRoomForAVerdict(t *testing.T) {
+	for _, c := range []struct{ prompts, parts int }{{1, maxParts}, {2, maxParts}, {8, 4000}, {maxLost, 30}, {maxLost, 1}, {maxLost, 2 * maxParts}} {
+		t.Run(fmt.Sprint(c.prompts, " prompts of ", c.parts), func(t *testing.T) {
+			table := NewTable()
+			for i := range 3 * minCrashesAnswered {
+				crash := longCrash(i, min(c.prompts, 2*maxParts/c.parts+1), c.parts)
+				table.Merge(&Evidence{Crashes: []Crash{crash}}, after(1000))
+			}
+			must.LessEq(t, maxKeptKeys, table.kept)
+			must.LessEq(t, maxKeptKeys, len(table.keys))
+			must.GreaterEq(t, minCrashesAnswered, len(table.crashesOf(partKey(bad))))
+			must.True(t, table.Judge(partKey(bad), after(1000)).Suspect)
+
+			told := table.EvidenceOn(table.Suspects(after(1000)))
+			payload, err := peer.EncodeCompact(&told)
+			must.NoError(t, err)
+			must.LessEq(t, peer.MaxFrameBytes/2, len(payload))
+			must.True(t, tableOf(told.Crashes...).Judge(partKey(bad), after(1000)).Suspect)
+
+			copied := NewStoreCopy("h-1", nil, nil, nil)
+			copied.Keep(&told, time.Minute)
+			for i := range 2 * maxCopiedAnswers {
+				copied.Add(&Evidence{Answers: []Answer{answer(int64(i), hashOf(uint64(i)))}})
+			}
+			copied.Add(&told)
+			for _, kept := range []*Evidence{&copied.suspects.latest, &copied.unlinked.latest} {
+				value, err := json.Marshal(kept)
+				must.NoError(t, err)
+				must.LessEq(t, external.MaxValueBytes, len(value))
+				must.True(t, tableOf(kept.Crashes...).Judge(partKey(bad), after(1000)).Suspect)
+			}
+		})
+	}
+}
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -11,6 +11,10 @@
 // the hash before it.
 const PrefixBlockTokens = 512
 
+// MaxParts is the most parts of one prompt that are identified: as many as the largest head of a
+// request can state.
+const MaxParts = 8192
+
 // Request is one caller's request after authentication. It is not changed once
 // admitted.
 type Request struct {
@@ -45,8 +49,8 @@
 	// after which other prompts may continue differently. Nil means that any
 	// hash in Prefix may be one.
 	PartEnds []uint64
-	// PartIDs holds one hash for each part of the prompt, of the part alone. The last
-	// part belongs to the request or its session; other prompts may hold the others.
+	// PartIDs holds one hash for each part of the prompt, of the part alone, at most MaxParts.
+	// The last part belongs to the request or its session; other prompts may hold the others.
 	PartIDs []uint64
 	Method  string
 	// Host is the Host header of the caller's request.
