Tell requests of one session apart when they crash engines

Callers saw engines crash for as long as requests of one session came whose prompts hold a part that crashes engines: none was refused.

What tells two prompts apart was the last part alone; it belongs to the request or to its session, and requests of one session share it. They were one prompt, and one prompt and its retries blame no part.

Change: the last part together with the request's fingerprint tells prompts apart. The fingerprint is computed after a loss anyway, and retries of one request have the same.

--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -158,8 +158,8 @@
 	return false, errSuspectRequest
 }
 
-// promptOf returns the description of a request's prompt, without parts if it has none
-// that other requests may have.
+// promptOf returns the description of a request's prompt, of which the last part alone is its own,
+// without parts if it has none that other requests may have.
 func promptOf(req *request.Request) Prompt {
 	last := len(req.PartIDs) - 1
 	if last < 1 {
--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -56,7 +56,8 @@
 
 // Prompt describes the prompt of a request.
 type Prompt struct {
-	// Own is the hash of the last part, which belongs to the request or its session.
+	// Own distinguishes the request from others: a hash of the last part, which belongs to the
+	// request or its session, and of the request.
 	Own uint64
 	// Parts are the hashes of the parts before it, each of the part alone.
 	Parts []uint64
--- a/pkg/poison/losses.go
+++ b/pkg/poison/losses.go
@@ -48,6 +48,7 @@
 	if len(p.logged) < maxLoggedRequests {
 		p.logged = append(p.logged, fingerprint.String())
 	}
+	prompt.Own ^= uint64(fingerprint)
 	prompt.Parts = slices.DeleteFunc(slices.Clone(prompt.Parts), func(part uint64) bool { return answered(partKey(part)) })
 	if len(prompt.Parts) > 0 && len(p.Lost) < maxLost && p.parts+len(prompt.Parts) <= maxParts {
 		p.Lost = append(p.Lost, prompt)
