Put the methods of prompts beside their type, and comments into the field's words

The methods of Prompt stood in the file of the table that uses them. Comments of routing, streamorigin, relay, gateway, peer and responsecheck said of code that it asks, hears, learns or tells; they state now what happens. No code changes otherwise; the packages' tests pass.

--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -31,7 +31,7 @@
 	return errors.Is(g.withheld(state), routing.ErrLeaving)
 }
 
-// paused reports whether a target wants nothing from this daemon for now: it asked for a
+// paused reports whether a target accepts nothing from this daemon for now: it asked for a
 // pause that has not ended, or limits its requests.
 func (g *Gateway) paused(state *fleet.TargetState) bool {
 	err := g.withheld(state)
--- a/pkg/gateway/retryshares.go
+++ b/pkg/gateway/retryshares.go
@@ -15,7 +15,7 @@
 type retryShares struct {
 	// startedAt is when the process started.
 	startedAt time.Time
-	// viewLag is the time within which other daemons learn of this one.
+	// viewLag is the time within which this daemon reaches the views of others.
 	viewLag time.Duration
 	daemons peakCount
 }
--- a/pkg/peer/kind.go
+++ b/pkg/peer/kind.go
@@ -29,7 +29,7 @@
 	KindStoreEra Kind = 10
 	// KindCrashes carries ends of targets with the prompts under which they ended.
 	KindCrashes Kind = 11
-	// KindStreamOrigins asks for the software versions that began streams, or tells them.
+	// KindStreamOrigins queries or reports the software versions that began streams.
 	KindStreamOrigins Kind = 12
 	// KindQuota carries needs and grants of units of workspaces' quotas.
 	KindQuota Kind = 13
--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -63,6 +63,23 @@
 	Parts []uint64
 }
 
+// sorted returns the prompt with its parts sorted, each once, and at most maxParts.
+func (p *Prompt) sorted() Prompt {
+	parts := slices.Compact(slices.Sorted(slices.Values(p.Parts)))
+	return Prompt{Own: p.Own, Parts: parts[:min(len(parts), maxParts)]}
+}
+
+// has reports whether a part is in the prompt, whose parts are sorted.
+func (p *Prompt) has(part uint64) bool {
+	_, found := slices.BinarySearch(p.Parts, part)
+	return found
+}
+
+// equal reports whether two prompts are the same.
+func (p *Prompt) equal(other Prompt) bool {
+	return p.Own == other.Own && slices.Equal(p.Parts, other.Parts)
+}
+
 // Answer is the newest complete answer to a prompt with a part, or to a request.
 type Answer struct {
 	// Part is the hash of the part, or the fingerprint of the request.
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -151,23 +151,6 @@
 	return len(c.lost) < maxLost && c.parts+len(prompt.Parts) <= maxParts
 }
 
-// sorted returns the prompt with its parts sorted, each once, and at most maxParts.
-func (p *Prompt) sorted() Prompt {
-	parts := slices.Compact(slices.Sorted(slices.Values(p.Parts)))
-	return Prompt{Own: p.Own, Parts: parts[:min(len(parts), maxParts)]}
-}
-
-// has reports whether a part is in the prompt, whose parts are sorted.
-func (p *Prompt) has(part uint64) bool {
-	_, found := slices.BinarySearch(p.Parts, part)
-	return found
-}
-
-// equal reports whether two prompts are the same.
-func (p *Prompt) equal(other Prompt) bool {
-	return p.Own == other.Own && slices.Equal(p.Parts, other.Parts)
-}
-
 // index adds a crash to those of its keys.
 func (t *Table) index(incarnation uint64, keys []Key) {
 	t.kept += len(keys)
--- a/pkg/relay/protocol.go
+++ b/pkg/relay/protocol.go
@@ -89,8 +89,8 @@
 	ResponseMismatched ResponseKind = iota
 	// ResponseRejected responses state that the request did not run.
 	ResponseRejected
-	// ResponseAmbiguous responses have a status by which callers are told that their request
-	// did not run, though the target does not state that. They are not forwarded.
+	// ResponseAmbiguous responses have a status that means to callers that their request did
+	// not run, though the target does not state that. They are not forwarded.
 	ResponseAmbiguous
 	// ResponseFailed responses report that the target failed or accepts no work.
 	ResponseFailed
--- a/pkg/relay/watchdog.go
+++ b/pkg/relay/watchdog.go
@@ -25,7 +25,7 @@
 	connected atomic.Bool
 	// silence is zero for exchanges that are never left.
 	silence time.Duration
-	// ask reports whether the exchange may be left. If not, it is asked again after
+	// ask reports whether the exchange may be left. If not, it is called again after
 	// another silence. settle, unless nil, is then called with whether it was left.
 	ask func() (may bool, settle func(left bool))
 	// over is closed when the answer begins or the exchange ends.
--- a/pkg/responsecheck/doc.go
+++ b/pkg/responsecheck/doc.go
@@ -8,7 +8,7 @@
 //     informational responses; 101 only if the request asked for another protocol,
 //   - fields whose names are tokens and whose values have no control bytes, each on one line
 //     that ends with CRLF, and a blank line after the last,
-//   - one way at most to tell where its body ends: one Content-Length, or the transfer coding
+//   - one way at most to determine where its body ends: one Content-Length, or the transfer coding
 //     chunked in HTTP/1.1, and else the end of its connection,
 //   - an end: all bytes of its length, its last chunk, or a connection that ends in order once
 //     the server has received the whole request. A connection that ends earlier may as well have
--- a/pkg/responsecheck/errors.go
+++ b/pkg/responsecheck/errors.go
@@ -17,7 +17,7 @@
 	// IncompleteHead means that the connection ended within the head.
 	IncompleteHead Reason = "incomplete_head"
 	// EarlyEnd means that the connection ended before the server had received the request,
-	// so that the end of the response can't be told from a reset.
+	// so that the end of the response can't be distinguished from a reset.
 	EarlyEnd Reason = "early_end"
 	// Unrequested means that the response began before its request was sent.
 	Unrequested Reason = "unrequested"
--- a/pkg/routing/absence.go
+++ b/pkg/routing/absence.go
@@ -17,7 +17,7 @@
 	lastProbePause   = 800 * time.Millisecond
 	probePauseGrowth = 1.5
 	// turnDelay is how much longer each daemon waits before a probe than the one before it,
-	// so that it has heard of that one's result. maxTurn bounds it.
+	// so that the other's result has arrived. maxTurn bounds it.
 	turnDelay = 60 * time.Millisecond
 	maxTurn   = 3 * time.Second
 	// pauseJitter is the largest part by which a pause or a Retry-After is lengthened or
--- a/pkg/routing/absences.go
+++ b/pkg/routing/absences.go
@@ -277,7 +277,7 @@
 
 // earliestReturn returns the shortest time after which an absent target that takes whole
 // requests or answers of a model or service is expected to be back, jittered so that the
-// callers who are told it don't come together. It is false if none is absent.
+// callers who get it don't come together. It is false if none is absent.
 func (s *absences) earliestReturn(serves string) (shortest time.Duration, found bool) {
 	if s.count.Load() == 0 {
 		return 0, false
--- a/pkg/routing/best.go
+++ b/pkg/routing/best.go
@@ -228,8 +228,8 @@
 	return slices.ContainsFunc(r.scores, func(s score) bool { return s.role != fleet.Prefill })
 }
 
-// placementError returns why no engine can take the request: either all that could asked
-// for a pause or are absent, or no engine accepts new work, or even the shortest expected
+// placementError returns why no engine can take the request: either all that could are
+// paused or absent, or no engine accepts new work, or even the shortest expected
 // prompt time is too long.
 func (r *ModelRouter) placementError(req *request.Request, constraints *Constraints) error {
 	if err := r.answersWithheld(req); err != nil {
--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -91,7 +91,7 @@
 }
 
 // acceptsNewWork reports whether new work may be sent to a target, by the view, by
-// whether the target is there and by what it stated about itself. Presence is asked
+// whether the target is there and by what it stated about itself. Presence is checked
 // first: its check may begin a gradual return.
 func (o *Options) acceptsNewWork(state *fleet.TargetState, knobs *config.RoutingKnobs, now time.Time) bool {
 	return acceptsNewWork(state, knobs, now) && o.checkTarget(state) == nil
@@ -152,7 +152,7 @@
 }
 
 // refusal returns the error of a request that no target can take for a time. The time is
-// rounded up to the millisecond in which callers are told it, so that they don't come back
+// rounded up to the millisecond, the precision of Retry-After, so that they don't come back
 // just before its end.
 func refusal(reason string, wait time.Duration) error {
 	wait = (wait + time.Millisecond - 1).Truncate(time.Millisecond)
--- a/pkg/routing/probes.go
+++ b/pkg/routing/probes.go
@@ -143,8 +143,8 @@
 	return results
 }
 
-// learnProbeResults records other daemons' results. A daemon that is cut off itself learns
-// nothing from them: it may not reach what they reach.
+// learnProbeResults records other daemons' results. A daemon that is cut off itself ignores
+// them: it may not reach what they reach.
 func (s *absences) learnProbeResults(results []backlog.ProbeResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/streamorigin/table.go
+++ b/pkg/streamorigin/table.go
@@ -87,7 +87,7 @@
 	confirmer *confirmer
 	// unsent are the streams that the neighbors are still to be sent.
 	unsent map[versionOfPool][]byte
-	// learned is closed when streams became known, and replaced.
+	// learned is closed when streams were added, and replaced.
 	learned chan struct{}
 }
 
