Copy the evidence for the store before it is sorted, and reword what a reader stumbles over

StoreCopy.Add sorted a slice whose array the writer may be marshalling outside the lock; found by reading, no run has shown it. It sorts a copy now. A request without a prompt allocates nothing for its parts and takes no lock for them. The texts on statuses that mean "not run" say it the same way.

The tests of the packages pass.

--- a/pkg/fault/httpstatus.go
+++ b/pkg/fault/httpstatus.go
@@ -31,8 +31,8 @@
 	return http.StatusInternalServerError
 }
 
-// MeansNotRun reports whether callers may take an HTTP status for the statement that their request
-// has not run and will not: 408, 421, 429 and 503.
+// MeansNotRun reports whether an HTTP status means to callers that their request has not run and
+// will not: 408, 421, 429 and 503.
 func MeansNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/pkg/overload/hold.go
+++ b/pkg/overload/hold.go
@@ -83,7 +83,7 @@
 // TakeParts counts what describes the parts of the request's prompt. It fails with ErrFull if there
 // is no room for it, or if the request gave way to others.
 func (h *Hold) TakeParts(bytes int64) error {
-	if h == nil {
+	if h == nil || bytes == 0 {
 		return nil
 	}
 	h.budget.mu.Lock()
--- a/pkg/poison/storecopy.go
+++ b/pkg/poison/storecopy.go
@@ -94,8 +94,8 @@
 // recent returns the items sorted by time, without those that are more than copiedFor older than the
 // newest.
 func recent[T any](items []T, at func(T) int64) []T {
-	slices.SortStableFunc(items, func(a, b T) int { return cmp.Compare(at(a), at(b)) })
 	items = slices.Clone(items)
+	slices.SortStableFunc(items, func(a, b T) int { return cmp.Compare(at(a), at(b)) })
 	return slices.DeleteFunc(items, func(item T) bool {
 		return at(items[len(items)-1])-at(item) > copiedFor.Milliseconds()
 	})
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -130,6 +130,7 @@
 	case kind == ResponseRejected:
 		return drainRejection(response, w.cancel)
 	case kind == ResponseAmbiguous:
+		// The target may have run it.
 		a.call.markRan()
 		return a.endAmbiguous(response, w.cancel)
 	case (a.idleResumes > 0 || a.answerBegun()) && !a.call.mayContinue(kind, response):
--- a/pkg/relay/failure.go
+++ b/pkg/relay/failure.go
@@ -41,9 +41,9 @@
 	errNoLength = errors.New("the response has neither a content length nor chunked encoding")
 	// errRefused means that the target reported that it failed or accepts no work.
 	errRefused = errors.New("the target failed or accepts no work at present")
-	// errAmbiguous means that the target's status would state that the request did not run, which
-	// the target itself does not state.
-	errAmbiguous = errors.New("the target does not state whether it ran the request, as its status would to the caller")
+	// errAmbiguous means that the target's status means to callers that the request did not run,
+	// which the target does not state.
+	errAmbiguous = errors.New("the target's status means that the request did not run, which it does not state")
 	// errRejected means that the target did not run the request.
 	errRejected = errors.New("the target reported that it did not run the request")
 	// errMisdirected means that the target did not run the request since it has another
--- a/pkg/routing/options.go
+++ b/pkg/routing/options.go
@@ -152,7 +152,7 @@
 }
 
 // refusal returns the error of a request that no target can take for a time. The time is
-// rounded up to the millisecond, the precision of Retry-After, so that they don't come back
+// rounded up to the millisecond, the precision of Retry-After, so that no caller returns
 // just before its end.
 func refusal(reason string, wait time.Duration) error {
 	wait = (wait + time.Millisecond - 1).Truncate(time.Millisecond)
