--- a/review/rig-3/deadly.go
+++ b/review/rig-3/deadly.go
@@ -45,7 +45,7 @@
 			return 2, err
 		}
 	}
-	w.configure(5000)
+	w.configure()
 	if err := w.startDaemons(3); err != nil {
 		return 2, err
 	}
--- a/review/rig-3/paths.go
+++ b/review/rig-3/paths.go
@@ -23,7 +23,7 @@
 			return 2, err
 		}
 	}
-	w.configure(5000)
+	w.configure()
 	if err := w.startDaemons(1); err != nil {
 		return 2, err
 	}
@@ -35,7 +35,7 @@
 	}
 	for i, rest := range targets {
 		id, target := fmt.Sprintf("p-%d", i), targetsPrefix+rest
-		status := w.raw(w.daemons[0], fmt.Sprintf("POST %s HTTP/1.1\r\nHost: rig.example\r\nX-Request-Id: %s\r\nAuthorization: Token %s\r\nX-Deadline-Ms: 1500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", target, id, w.key))
+		status := w.raw(w.daemons[0], fmt.Sprintf("POST %s HTTP/1.1\r\nHost: rig.example\r\nX-Request-Id: %s\r\nAuthorization: Token %s\r\n%s: 1500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", target, id, w.key, word("deadline")))
 		got := w.rec.target(id)
 		word := "unchanged"
 		switch {
--- a/review/rig-3/reborn.go
+++ b/review/rig-3/reborn.go
@@ -28,7 +28,7 @@
 			return 2, err
 		}
 	}
-	w.configure(5000)
+	w.configure()
 	if err := w.startDaemons(3); err != nil {
 		return 2, err
 	}
--- a/review/rig-3/replica.go
+++ b/review/rig-3/replica.go
@@ -125,7 +125,7 @@
 	if r.stage != "" {
 		stage = fmt.Sprintf(`"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],`, r.stage)
 	}
-	r.world.store.put("servers/"+r.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":%q,"slots":%d,"state":"ready","coldRemainingMs":0,%s"born":%d,"sequence":%d}`,
+	r.world.store.put(word("entries")+r.id, fmt.Sprintf(word("entry"),
 		r.service, r.address, r.version, slots, stage, r.born, r.sequence))
 }
 
@@ -149,7 +149,7 @@
 	again := r.id == id && time.Since(r.lastBeat) < lapseAfter
 	r.mu.Unlock()
 	if !again {
-		r.world.store.remove("servers/" + id)
+		r.world.store.remove(word("entries") + id)
 	}
 }
 
@@ -162,30 +162,30 @@
 	r.mu.Lock()
 	id, version, stage, running := r.id, r.version, r.stage, r.running
 	r.mu.Unlock()
-	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", running, slots))
+	w.Header().Set(word("load"), fmt.Sprintf("%d,0,%d", running, slots))
 	switch {
 	case q.URL.Path == "/health":
 		w.Header().Set("X-Instance-Id", id)
 		return
-	case q.URL.Path == "/v1/report":
+	case q.URL.Path == word("reportPath"):
 		r.report(w)
 		return
-	case strings.HasPrefix(q.URL.Path, "/v1/kv-handle/"):
+	case strings.HasPrefix(q.URL.Path, word("handlePath")):
 		return
 	}
-	if want := q.Header.Get("X-Target-Instance"); want != "" && want != id {
+	if want := q.Header.Get(word("target")); want != "" && want != id {
 		w.Header().Set("X-Instance-Id", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if q.URL.Path == "/v1/order" {
+	if q.URL.Path == word("orderPath") {
 		r.order(w, body)
 		return
 	}
 	request := q.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", request)
 	r.world.rec.noteTarget(request, q.RequestURI)
-	prefill := q.Header.Get("X-Serving-Stage") == "prefill"
+	prefill := q.Header.Get(word("stage")) == "prefill"
 	r.world.rec.arrival(request, id, version, prefill, string(body))
 	switch {
 	case stage != "" && prefill != (stage == "prefill"):
@@ -193,8 +193,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case prefill:
 		r.prefill(w, request)
-	case q.Header.Get("X-Kv-Source") != "" && !r.world.take(q.Header.Get("X-Kv-Source"), request):
-		w.Header().Set("X-Not-Executed", "1")
+	case q.Header.Get(word("source")) != "" && !r.world.take(q.Header.Get(word("source")), request):
+		w.Header().Set(word("notRun"), "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		r.run(w, q, id, version, string(body))
@@ -217,16 +217,18 @@
 		Operation    string `json:"operation"`
 		Stage        string `json:"stage"`
 		Holder       string `json:"holder"`
-		Fencing      uint64 `json:"fencingToken"`
 		Precondition *int   `json:"precondition"`
 	}
+	var fields map[string]json.RawMessage
+	var fencing uint64
+	malformed := json.Unmarshal(body, &order) != nil || json.Unmarshal(body, &fields) != nil || json.Unmarshal(fields[word("orderFence")], &fencing) != nil
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	status := http.StatusAccepted
 	switch {
-	case json.Unmarshal(body, &order) != nil || order.Operation != "stage" || order.Holder == "" || order.Fencing == 0:
+	case malformed || order.Operation != "stage" || order.Holder == "" || fencing == 0:
 		status = http.StatusBadRequest
-	case order.Fencing < r.fence:
+	case fencing < r.fence:
 		status = http.StatusPreconditionFailed
 	case r.busy || order.Precondition != nil && *order.Precondition != r.orders:
 		status = http.StatusConflict
@@ -234,7 +236,7 @@
 		status = http.StatusOK
 	}
 	if status == http.StatusAccepted || status == http.StatusOK {
-		r.fence = order.Fencing
+		r.fence = fencing
 	}
 	w.WriteHeader(status)
 	if status != http.StatusAccepted {
@@ -278,7 +280,7 @@
 	if !strings.Contains(q.URL.Path, "stream") {
 		time.Sleep(plainWork)
 		r.world.rec.run(request, id, version, body)
-		w.Header().Set("X-Response-Signature", signature)
+		w.Header().Set(word("signature"), signature)
 		_, _ = fmt.Fprintf(w, "%s %s", id, request)
 		return
 	}
@@ -296,10 +298,10 @@
 		}()
 		r.keep(conn)
 		out, flush = buffered, func() { _ = buffered.Flush() }
-		fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nX-Response-Signature: %s\r\nX-Weight-Versions: 1\r\nConnection: close\r\n\r\n", request, signature)
+		fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\n%s: %s\r\nX-Weight-Versions: 1\r\nConnection: close\r\n\r\n", request, word("signature"), signature)
 	} else {
 		w.Header().Set("Content-Type", "text/event-stream")
-		w.Header().Set("X-Response-Signature", signature)
+		w.Header().Set(word("signature"), signature)
 		w.Header().Set("X-Weight-Versions", "1")
 	}
 	r.world.rec.run(request, id, version, body)
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -125,13 +125,13 @@
 // handler serves the store.
 func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/kv-key", s.getKey)
-	mux.HandleFunc("GET /v1/kv-range", s.getRange)
-	mux.HandleFunc("GET /v1/kv-watch", s.watch)
-	mux.HandleFunc("POST /v1/kv-txn", s.commit)
-	mux.HandleFunc("POST /v1/kv-lease", s.grant)
-	mux.HandleFunc("POST /v1/kv-keep/{id}", s.keep)
-	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.end)
+	mux.HandleFunc("GET "+word("storeKey"), s.getKey)
+	mux.HandleFunc("GET "+word("storeRange"), s.getRange)
+	mux.HandleFunc("GET "+word("storeWatch"), s.watch)
+	mux.HandleFunc("POST "+word("storeTxn"), s.commit)
+	mux.HandleFunc("POST "+word("storeLease"), s.grant)
+	mux.HandleFunc("POST "+word("storeKeep")+"{id}", s.keep)
+	mux.HandleFunc("DELETE "+word("storeEnd")+"{id}", s.end)
 	return mux
 }
 
@@ -159,7 +159,7 @@
 	s.mu.Lock()
 	items := []item{}
 	for key, found := range s.items {
-		if strings.HasPrefix(key, q.FormValue("pathPrefix")) && key > q.FormValue("after") {
+		if strings.HasPrefix(key, q.FormValue(word("storePrefix"))) && key > q.FormValue("after") {
 			items = append(items, found)
 		}
 	}
@@ -180,7 +180,7 @@
 		s.mu.Lock()
 		events, asOf, changed, gone := []item{}, s.revision, s.changed, after < s.dropped
 		for _, e := range s.events {
-			if e.Revision > after && strings.HasPrefix(e.Key, q.FormValue("pathPrefix")) {
+			if e.Revision > after && strings.HasPrefix(e.Key, q.FormValue(word("storePrefix"))) {
 				events = append(events, e)
 			}
 		}
@@ -228,7 +228,7 @@
 		return
 	}
 	for _, p := range txn.Puts {
-		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+		if strings.HasPrefix(p.Key, word("operatorKeys")) || strings.HasPrefix(p.Key, word("entries")) {
 			respond(w, http.StatusForbidden, map[string]any{})
 			return
 		}
--- a/review/rig-3/world.go
+++ b/review/rig-3/world.go
@@ -123,7 +123,7 @@
 func (w *world) cloud() http.Handler {
 	return http.HandlerFunc(func(answer http.ResponseWriter, q *http.Request) {
 		body, _ := io.ReadAll(q.Body)
-		w.rec.note("platform: %s %s holder %s token %s", q.URL.Path, bytes.TrimSpace(body), q.Header.Get("X-Lease-Holder"), q.Header.Get("X-Fencing-Token"))
+		w.rec.note("platform: %s %s holder %s token %s", q.URL.Path, bytes.TrimSpace(body), q.Header.Get(word("holder")), q.Header.Get(word("fence")))
 		respond(answer, http.StatusOK, map[string]any{})
 	})
 }
@@ -158,16 +158,7 @@
 }
 
 // configure writes the operator's configuration.
-func (w *world) configure(timeoutMs int) {
-	w.store.put("op/config", fmt.Sprintf(`{"version":7,"routes":[
-{"name":"r-stream","host":"rig.example","pathPrefix":"/stream/","kind":"streaming","timeoutMs":%[1]d,"targetLatencyMs":600,"priority":1,"service":"llm","attempts":2,"public":false,"stickySessions":true,"resumable":true,"gapTargetMs":300},
-{"name":"r-read","host":"rig.example","pathPrefix":"/read/","kind":"safe","timeoutMs":1500,"targetLatencyMs":100,"priority":2,"service":"app","attempts":2,"public":false,"stickySessions":false,"resumable":false},
-{"name":"r-adjust","host":"rig.example","pathPrefix":"/adjust/","kind":"unsafe","timeoutMs":1500,"targetLatencyMs":100,"priority":2,"service":"app","attempts":1,"public":false,"stickySessions":false,"resumable":false}],
-"services":[{"name":"llm","healthCheckPath":"/health","connectionLimit":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kvTokens":440441,"tokenKvBytes":18432,"linkMbps":370000.0,"moves":false,"backups":false,"handleTtlS":5.0,"stageSwitchS":1.0,"models":[{"name":"m"}]}},
-{"name":"app","healthCheckPath":"/health","connectionLimit":110,"protocol":"h1","tls":false}],
-"limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"tenants":[{"name":"tenant-1","keys":[%[2]q],"priority":1}]}`, timeoutMs, w.key))
-}
+func (w *world) configure() { w.store.put(word("configuration"), configuration) }
 
 // startDaemons starts daemons with the command of the deploy file, and waits until all are ready.
 func (w *world) startDaemons(count int) error {
@@ -228,7 +219,7 @@
 		return err
 	}
 	d.command = exec.Command("target/amaranthplank", "-platform")
-	d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "AMARANTHPLANK_SETTINGS=" + w.settingsPath(d)}
+	d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), word("settings") + "=" + w.settingsPath(d)}
 	d.command.Stdout, d.command.Stderr = log, log
 	if err := d.command.Start(); err != nil {
 		return err
@@ -315,10 +306,10 @@
 	request.Host = "rig.example"
 	request.Header.Set("X-Request-Id", c.id)
 	request.Header.Set("Authorization", "Token "+w.key)
-	request.Header.Set("X-Deadline-Ms", "5000")
+	request.Header.Set(word("deadline"), "5000")
 	request.Header.Set("X-Model", "m")
-	request.Header.Set("X-Token-Count", "60,800")
-	request.Header.Set("X-Prompt-Prefix", c.prompt)
+	request.Header.Set(word("tokens"), "60,800")
+	request.Header.Set(word("prompt"), c.prompt)
 	if c.after > 0 {
 		request.Header.Set("Last-Event-Id", fmt.Sprint(c.after))
 		request.Header.Set("Resumes", c.began)
