--- a/review/rig-3/replica.go
+++ b/review/rig-3/replica.go
@@ -31,10 +31,8 @@
 	world   *world
 	address string
 	service string
-	// pause is the time between two events. unframed is whether streams have neither a length
-	// nor chunks.
-	pause    time.Duration
-	unframed bool
+	// pause is the time between two events.
+	pause time.Duration
 	// onDeadly is called by a run of a request that crashes replicas, after its first event.
 	onDeadly func(r *replica)
 
@@ -184,7 +182,7 @@
 	}
 	request := q.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", request)
-	r.world.rec.noteTarget(request, q.RequestURI)
+	r.world.rec.noteShown(request, keyIn(q, r.world.key))
 	prefill := q.Header.Get(word("stage")) == "prefill"
 	r.world.rec.arrival(request, id, version, prefill, string(body))
 	switch {
@@ -285,40 +283,24 @@
 		return
 	}
 	time.Sleep(firstToken)
-	var out io.Writer = w
-	flush := func() { _ = http.NewResponseController(w).Flush() }
-	if r.unframed {
-		conn, buffered, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() {
-			r.forget(conn)
-			_ = conn.Close()
-		}()
-		r.keep(conn)
-		out, flush = buffered, func() { _ = buffered.Flush() }
-		fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\n%s: %s\r\nX-Weight-Versions: 1\r\nConnection: close\r\n\r\n", request, word("signature"), signature)
-	} else {
-		w.Header().Set("Content-Type", "text/event-stream")
-		w.Header().Set(word("signature"), signature)
-		w.Header().Set("X-Weight-Versions", "1")
-	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(word("signature"), signature)
+	w.Header().Set("X-Weight-Versions", "1")
 	r.world.rec.run(request, id, version, body)
-	r.events(q, out, flush, version, body)
+	r.events(q, w, version, body)
 }
 
 // events writes the events of a stream after the last one that the client has.
-func (r *replica) events(q *http.Request, out io.Writer, flush func(), version, body string) {
+func (r *replica) events(q *http.Request, w http.ResponseWriter, version, body string) {
 	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	for i := after + 1; i <= streamSize; i++ {
 		if i > after+1 {
 			time.Sleep(r.pause)
 		}
-		if _, err := fmt.Fprintf(out, "id: %d\ndata: %s\n\n", i, version); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, version); err != nil {
 			return
 		}
-		flush()
+		_ = http.NewResponseController(w).Flush()
 		if r.onDeadly != nil && strings.Contains(body, deadlyMark) {
 			r.onDeadly(r)
 			return
@@ -326,19 +308,6 @@
 	}
 }
 
-// keep and forget note a connection that the server no longer knows.
-func (r *replica) keep(c net.Conn) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.conns[c] = true
-}
-
-func (r *replica) forget(c net.Conn) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.conns, c)
-}
-
 // readEvents reads a stream's events from an answer, until its end or a number of them. It returns
 // the data of each, and whether the answer ended whole.
 func readEvents(body io.Reader, most int) (data []string, whole bool) {
--- a/review/rig-3/restarts.go
+++ b/review/rig-3/restarts.go
@@ -10,10 +10,13 @@
 
 // Parameters of the case of a request that crashes replicas while all daemons are killed now and then.
 const (
-	restartsComes = 8
-	restartsKills = 2
+	restartsReplicas = 8
+	restartsComes    = 8
+	restartsKills    = 2
 	// restartsEach is the number of arrivals before each kill.
 	restartsEach = 2
+	// backAfter is how long a replica is down after a crash.
+	backAfter = 3 * time.Second
 )
 
 // restarts has one request crash each replica that begins to run it. All daemons are killed at
@@ -22,7 +25,7 @@
 	var mu sync.Mutex
 	var crashes []time.Duration
 	var started atomic.Int64
-	for i := range deadlyReplicas {
+	for i := range restartsReplicas {
 		r := &replica{service: "llm", stage: "decode", pause: 40 * time.Millisecond}
 		r.onDeadly = func(r *replica) {
 			mu.Lock()
--- a/review/rig-3/world.go
+++ b/review/rig-3/world.go
@@ -18,6 +18,9 @@
 	"time"
 )
 
+// contactTime is the bound contactMs of the settings.
+const contactTime = 3 * time.Second
+
 // recorder writes what was sent, answered and run to the record of a case.
 type recorder struct {
 	mu    sync.Mutex
@@ -26,8 +29,8 @@
 	// runs counts what ran.
 	arrivals []arrival
 	runs     []arrival
-	// targets are the request targets that replicas got, by request.
-	targets map[string]string
+	// shown are the headers in which replicas were shown the client's key, by request.
+	shown map[string]string
 }
 
 // arrival is a request that reached a replica.
@@ -44,17 +47,20 @@
 	_, _ = fmt.Fprintf(c.file, "%8.3f  %s\n", time.Since(c.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// noteTarget records the request target that a replica got, and target returns it.
-func (c *recorder) noteTarget(request, target string) {
+// noteShown records the header in which a replica was shown the key of a request's client, unless it is
+// empty, and shownIn returns it.
+func (c *recorder) noteShown(request, header string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.targets[request] = target
+	if header != "" {
+		c.shown[request] = header
+	}
 }
 
-func (c *recorder) target(request string) string {
+func (c *recorder) shownIn(request string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.targets[request]
+	return c.shown[request]
 }
 
 // arrival records a request that reached a replica.
@@ -104,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{rec: &recorder{began: time.Now(), file: file, targets: make(map[string]string)}, store: newStore(), folder: folder, key: "key-of-tenant-1"}
+	w := &world{rec: &recorder{began: time.Now(), file: file, shown: make(map[string]string)}, store: newStore(), folder: folder, key: "key-of-tenant-1"}
 	w.clients.Transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	return w, nil
 }
@@ -281,6 +287,8 @@
 	// after is the last event that the client has, and began the attempt that brought the first.
 	after int
 	began string
+	// header has further fields.
+	header http.Header
 	// leaveAfter is the number of events after which the client's connection breaks, or zero.
 	leaveAfter int
 }
@@ -310,6 +318,9 @@
 	request.Header.Set("X-Model", "m")
 	request.Header.Set(word("tokens"), "60,800")
 	request.Header.Set(word("prompt"), c.prompt)
+	for name, values := range c.header {
+		request.Header[name] = values
+	}
 	if c.after > 0 {
 		request.Header.Set("Last-Event-Id", fmt.Sprint(c.after))
 		request.Header.Set("Resumes", c.began)
