--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -16,7 +16,7 @@
 func troubled() bool { return os.Getenv("TROUBLE") != "0" }
 
 func main() {
-	cases := map[string]func(w *world) (int, error){"reborn": reborn, "old": old, "keys": keys, "restarts": restarts}
+	cases := map[string]func(w *world) (int, error){"reborn": reborn, "old": old, "crowd": crowd, "keys": keys, "restarts": restarts}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig3 CASE RECORD")
 		os.Exit(2)
