--- a/review/rig-3/crowd.go
+++ b/review/rig-3/crowd.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -20,12 +21,18 @@
 	crowdTime     = 20 * time.Second
 	ordinaryPause = 200 * time.Millisecond
 	ordinaryTries = 2
+	// otherFiles are the descriptors that this program needs besides those of the crowd.
+	otherFiles = 300
 )
 
 // crowd has clients with a valid key send requests without a pause, each over one connection that it opens
 // again when it is closed. Beside them a few ordinary clients send requests to another service. With STRANGERS
 // set the crowd has no valid key.
 func crowd(w *world) (int, error) {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur < crowdClients+otherFiles {
+		return 2, fmt.Errorf("the case needs %d descriptors, and may have %d", crowdClients+otherFiles, files.Cur)
+	}
 	for i := range 2 {
 		if err := w.addReplica(&replica{service: "app"}, fmt.Sprintf("i-%d", i), "v1"); err != nil {
 			return 2, err
